--- /dev/null
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -0,0 +1,203 @@
+#include "LibHttp/EventHttpClient.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+
+namespace sesameseam {
+
+namespace {
+
+timeval
+ToTimeval(Duration aDuration)
+{
+  auto seconds = std::chrono::duration_cast<std::chrono::seconds>(aDuration);
+  timeval value{};
+  value.tv_sec = seconds.count();
+  value.tv_usec = (aDuration - seconds).count();
+  return value;
+}
+
+std::string
+BodyOf(evhttp_request* aRequest)
+{
+  auto* buffer = evhttp_request_get_input_buffer(aRequest);
+  std::string body(evbuffer_get_length(buffer), '\0');
+  evbuffer_remove(buffer, body.data(), body.size());
+  return body;
+}
+
+// Connections close by the deadline of each call; libevent's own limit only has to be longer.
+constexpr int kIdleLimitSeconds = 60;
+
+}
+
+struct EventHttpClient::Exchange
+{
+  EventHttpClient* mClient = nullptr;
+  Lane* mLane = nullptr;
+  EventHttpRequest mRequest;
+  Callback mCallback;
+  event* mTimer = nullptr;
+  evhttp_connection* mConnection = nullptr;
+  std::list<std::unique_ptr<Exchange>>::iterator mSelf;
+};
+
+struct EventHttpClient::Lane
+{
+  std::string mAddress;
+  std::vector<evhttp_connection*> mIdle;
+  std::size_t mOpen = 0;
+  std::list<std::unique_ptr<Exchange>> mExchanges;
+  std::list<Exchange*> mWaiting;
+};
+
+EventHttpClient::EventHttpClient(event_base* aBase, const EventHttpClientSettings& aSettings)
+  : mBase(aBase)
+  , mSettings(aSettings)
+{
+  mCleanUp = evtimer_new(mBase, OnCleanUp, this);
+}
+
+EventHttpClient::~EventHttpClient()
+{
+  for (auto& [key, lane] : mLanes) {
+    for (auto& exchange : lane->mExchanges) {
+      event_free(exchange->mTimer);
+      if (exchange->mConnection != nullptr) {
+        evhttp_connection_free(exchange->mConnection);
+      }
+    }
+    for (auto* connection : lane->mIdle) {
+      evhttp_connection_free(connection);
+    }
+  }
+  OnCleanUp(-1, 0, this);
+  event_free(mCleanUp);
+}
+
+void
+EventHttpClient::Call(EventHttpRequest aRequest, Callback aCallback)
+{
+  auto& lane = mLanes[{ aRequest.mAddress, aRequest.mLane }];
+  if (!lane) {
+    lane = std::make_unique<Lane>();
+    lane->mAddress = aRequest.mAddress;
+  }
+  auto& exchange = *lane->mExchanges.emplace_back(std::make_unique<Exchange>());
+  exchange.mClient = this;
+  exchange.mLane = lane.get();
+  exchange.mRequest = std::move(aRequest);
+  exchange.mCallback = std::move(aCallback);
+  exchange.mSelf = std::prev(lane->mExchanges.end());
+  exchange.mTimer = evtimer_new(mBase, OnTimeout, &exchange);
+  auto timeout = ToTimeval(exchange.mRequest.mTimeout);
+  evtimer_add(exchange.mTimer, &timeout);
+  lane->mWaiting.push_back(&exchange);
+  SendNext(*lane);
+}
+
+void
+EventHttpClient::SendNext(Lane& aLane)
+{
+  while (!aLane.mWaiting.empty()) {
+    auto hasConnection = !aLane.mIdle.empty() || aLane.mOpen < mSettings.mMaxConnections;
+    if (!hasConnection) {
+      return;
+    }
+    auto& exchange = *aLane.mWaiting.front();
+    aLane.mWaiting.pop_front();
+    Send(aLane, exchange);
+  }
+}
+
+void
+EventHttpClient::Send(Lane& aLane, Exchange& aExchange)
+{
+  if (aLane.mIdle.empty()) {
+    aExchange.mConnection = Connect(aLane);
+    ++aLane.mOpen;
+  } else {
+    aExchange.mConnection = aLane.mIdle.back();
+    aLane.mIdle.pop_back();
+  }
+  auto* request = evhttp_request_new(OnAnswer, &aExchange);
+  auto* headers = evhttp_request_get_output_headers(request);
+  evhttp_add_header(headers, "Host", aLane.mAddress.c_str());
+  for (const auto& [name, value] : aExchange.mRequest.mHeaders) {
+    evhttp_add_header(headers, name.c_str(), value.c_str());
+  }
+  const auto& body = aExchange.mRequest.mBody;
+  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+  auto method = aExchange.mRequest.mIsPost ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+  evhttp_make_request(aExchange.mConnection, request, method, aExchange.mRequest.mPath.c_str());
+}
+
+evhttp_connection*
+EventHttpClient::Connect(const Lane& aLane)
+{
+  auto colon = aLane.mAddress.rfind(':');
+  auto host = aLane.mAddress.substr(0, colon);
+  auto port = static_cast<std::uint16_t>(std::atoi(aLane.mAddress.c_str() + colon + 1));
+  auto* connection = evhttp_connection_base_new(mBase, nullptr, host.c_str(), port);
+  evhttp_connection_set_retries(connection, 0);
+  evhttp_connection_set_timeout(connection, kIdleLimitSeconds);
+  ++mOpened;
+  return connection;
+}
+
+void
+EventHttpClient::OnAnswer(evhttp_request* aRequest, void* aExchange)
+{
+  auto& exchange = *static_cast<Exchange*>(aExchange);
+  EventHttpResponse response;
+  if (aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0) {
+    response.mAnswered = true;
+    response.mStatus = evhttp_request_get_response_code(aRequest);
+    response.mBody = BodyOf(aRequest);
+  }
+  exchange.mClient->Finish(exchange, response, response.mAnswered);
+}
+
+void
+EventHttpClient::OnTimeout(int /*aDescriptor*/, short /*aWhat*/, void* aExchange)
+{
+  auto& exchange = *static_cast<Exchange*>(aExchange);
+  exchange.mLane->mWaiting.remove(&exchange);
+  exchange.mClient->Finish(exchange, {}, false);
+}
+
+void
+EventHttpClient::Finish(Exchange& aExchange,
+                        const EventHttpResponse& aResponse,
+                        bool aKeepConnection)
+{
+  auto& lane = *aExchange.mLane;
+  event_free(aExchange.mTimer);
+  if (aExchange.mConnection != nullptr && aKeepConnection) {
+    lane.mIdle.push_back(aExchange.mConnection);
+  } else if (aExchange.mConnection != nullptr) {
+    --lane.mOpen;
+    mBroken.push_back(aExchange.mConnection);
+    timeval now{};
+    evtimer_add(mCleanUp, &now);
+  }
+  auto callback = std::move(aExchange.mCallback);
+  lane.mExchanges.erase(aExchange.mSelf);
+  callback(aResponse);
+  SendNext(lane);
+}
+
+void
+EventHttpClient::OnCleanUp(int /*aDescriptor*/, short /*aWhat*/, void* aClient)
+{
+  auto& client = *static_cast<EventHttpClient*>(aClient);
+  std::vector<evhttp_connection*> broken;
+  broken.swap(client.mBroken);
+  for (auto* connection : broken) {
+    evhttp_connection_free(connection);
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "LibBase/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+struct event;
+struct event_base;
+struct evhttp_connection;
+struct evhttp_request;
+
+namespace sesameseam {
+
+struct EventHttpRequest
+{
+  // "IP:port"
+  std::string mAddress;
+  // Calls of one lane share connections; a call that waits long gets a lane of its own.
+  std::string mLane;
+  bool mIsPost = false;
+  // With the query.
+  std::string mPath;
+  std::vector<std::pair<std::string, std::string>> mHeaders;
+  std::string mBody;
+  // For the whole call, from now to the last byte of the answer.
+  Duration mTimeout = 1s;
+};
+
+struct EventHttpResponse
+{
+  // There is a whole answer. Otherwise the request may have been carried out, or may be later.
+  bool mAnswered = false;
+  int mStatus = 0;
+  std::string mBody;
+};
+
+struct EventHttpClientSettings
+{
+  // Connections of one lane to one address; more calls wait.
+  std::size_t mMaxConnections = 4;
+};
+
+// An HTTP client on a libevent loop. It keeps connections open, sends each request once, and never
+// sends one again by itself. A call that is not answered in time closes its connection.
+class EventHttpClient
+{
+public:
+  using Callback = std::function<void(const EventHttpResponse&)>;
+
+  EventHttpClient(event_base* aBase, const EventHttpClientSettings& aSettings);
+  ~EventHttpClient();
+  EventHttpClient(const EventHttpClient&) = delete;
+  EventHttpClient& operator=(const EventHttpClient&) = delete;
+
+  void Call(EventHttpRequest aRequest, Callback aCallback);
+
+  // Connections opened so far.
+  [[nodiscard]] std::int64_t Opened() const { return mOpened; }
+
+private:
+  struct Lane;
+  struct Exchange;
+
+  static void OnAnswer(evhttp_request* aRequest, void* aExchange);
+  static void OnTimeout(int aDescriptor, short aWhat, void* aExchange);
+  static void OnCleanUp(int aDescriptor, short aWhat, void* aClient);
+
+  void Send(Lane& aLane, Exchange& aExchange);
+  void Finish(Exchange& aExchange, const EventHttpResponse& aResponse, bool aKeepConnection);
+  void SendNext(Lane& aLane);
+  evhttp_connection* Connect(const Lane& aLane);
+
+  event_base* mBase;
+  EventHttpClientSettings mSettings;
+  std::map<std::pair<std::string, std::string>, std::unique_ptr<Lane>> mLanes;
+  // Freed outside of libevent's own callbacks.
+  std::vector<evhttp_connection*> mBroken;
+  event* mCleanUp = nullptr;
+  std::int64_t mOpened = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -0,0 +1,130 @@
+#include "LibHttp/EventHttpServer.h"
+
+#include "LibHttp/Address.h"
+
+#include <algorithm>
+#include <charconv>
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/http_struct.h>
+#include <event2/keyvalq_struct.h>
+
+namespace sesameseam {
+
+namespace {
+
+EventHttpMethod
+MethodOf(evhttp_request* aRequest)
+{
+  switch (evhttp_request_get_command(aRequest)) {
+    case EVHTTP_REQ_GET:
+      return EventHttpMethod::Get;
+    case EVHTTP_REQ_POST:
+      return EventHttpMethod::Post;
+    case EVHTTP_REQ_DELETE:
+      return EventHttpMethod::Delete;
+    default:
+      return EventHttpMethod::Other;
+  }
+}
+
+std::string
+HeaderOf(evhttp_request* aRequest, const std::string& aName)
+{
+  const auto* value = evhttp_find_header(evhttp_request_get_input_headers(aRequest), aName.c_str());
+  return value == nullptr ? std::string() : std::string(value);
+}
+
+std::chrono::milliseconds
+ParseMilliseconds(const std::string& aText)
+{
+  std::int64_t value = 0;
+  auto result = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  return std::chrono::milliseconds(result.ec == std::errc() ? std::max<std::int64_t>(0, value) : 0);
+}
+
+}
+
+EventHttpServer::EventHttpServer(event_base* aBase,
+                                 EventHttpServerSettings aSettings,
+                                 Handler aHandler)
+  : mSettings(std::move(aSettings))
+  , mHandler(std::move(aHandler))
+  , mServer(evhttp_new(aBase))
+{
+  evhttp_set_max_headers_size(mServer, mSettings.mMaxHeaderBytes);
+  evhttp_set_max_body_size(mServer, mSettings.mMaxBodyBytes);
+  evhttp_set_timeout(mServer, mSettings.mIdleSeconds);
+  evhttp_set_allowed_methods(mServer,
+                             EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
+                               EVHTTP_REQ_HEAD);
+  evhttp_set_gencb(mServer, OnRequest, this);
+}
+
+EventHttpServer::~EventHttpServer()
+{
+  evhttp_free(mServer);
+}
+
+absl::Status
+EventHttpServer::Start()
+{
+  auto colon = mSettings.mAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return MakeError(ErrorKind::BadSettings, "no address with a port: " + mSettings.mAddress);
+  }
+  auto host = mSettings.mAddress.substr(0, colon);
+  auto port = static_cast<std::uint16_t>(std::atoi(mSettings.mAddress.c_str() + colon + 1));
+  if (evhttp_bind_socket(mServer, host.c_str(), port) != 0) {
+    return MakeError(ErrorKind::Internal, "cannot listen on " + mSettings.mAddress);
+  }
+  return absl::OkStatus();
+}
+
+void
+EventHttpServer::OnRequest(evhttp_request* aRequest, void* aServer)
+{
+  auto& server = *static_cast<EventHttpServer*>(aServer);
+  EventHttpIncoming incoming;
+  incoming.mTicket = server.mNextTicket++;
+  incoming.mMethod = MethodOf(aRequest);
+  auto host = HeaderOf(aRequest, "Host");
+  incoming.mHost = host.substr(0, host.rfind(':'));
+  std::string uri = evhttp_request_get_uri(aRequest);
+  incoming.mPath = uri.substr(0, uri.find('?'));
+  if (!server.mSettings.mTimeoutHeader.empty()) {
+    incoming.mTimeout = ParseMilliseconds(HeaderOf(aRequest, server.mSettings.mTimeoutHeader));
+  }
+  auto* buffer = evhttp_request_get_input_buffer(aRequest);
+  incoming.mBody.resize(evbuffer_get_length(buffer));
+  evbuffer_remove(buffer, incoming.mBody.data(), incoming.mBody.size());
+  server.mRequests.emplace(incoming.mTicket, aRequest);
+  server.mHandler(std::move(incoming));
+}
+
+void
+EventHttpServer::Reply(std::int64_t aTicket, const EventHttpReply& aReply)
+{
+  auto found = mRequests.find(aTicket);
+  if (found == mRequests.end()) {
+    return;
+  }
+  auto* request = found->second;
+  mRequests.erase(found);
+  auto* headers = evhttp_request_get_output_headers(request);
+  if (!aReply.mContentType.empty()) {
+    evhttp_add_header(headers, "Content-Type", aReply.mContentType.c_str());
+  }
+  if (!aReply.mRetryAfter.empty()) {
+    evhttp_add_header(headers, "Retry-After", aReply.mRetryAfter.c_str());
+  }
+  if (mClosing) {
+    evhttp_add_header(headers, "Connection", "close");
+  }
+  auto* buffer = evbuffer_new();
+  evbuffer_add(buffer, aReply.mBody.data(), aReply.mBody.size());
+  evhttp_send_reply(request, aReply.mStatus, nullptr, buffer);
+  evbuffer_free(buffer);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Executor.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "LibSchedule/Calls.h"
+
+#include <map>
+#include <optional>
+
+// What the owner of a shard knows of one executor: its clock, the lease that holds what runs
+// there, and the room that is taken.
+namespace sesameseam::schedule {
+
+enum class RunState
+{
+  // The placement is being written to the log; nothing has been sent.
+  Recording,
+  Starting,
+  Running,
+  // Whether it runs is not known: its start was not answered, or another owner made it.
+  Uncertain,
+  Stopping,
+};
+
+struct PlacedRun
+{
+  Room mReserved;
+  RunState mState = RunState::Recording;
+  bool mLasts = false;
+  bool mServes = false;
+  bool mFills = false;
+  // When mState changed last.
+  Instant mSince;
+  int mPercent = 0;
+  std::int64_t mLoad = 0;
+  std::chrono::milliseconds mTargetTail{ 0 };
+  int mPace = 100;
+  bool mPacePending = false;
+  Instant mPacedAt;
+  // It is to be stopped, and no call for that was answered yet.
+  bool mStopWanted = false;
+  bool mStopPending = false;
+  Instant mStopRetryAt;
+  // The epoch of the owner that started it.
+  std::int64_t mEpoch = 0;
+};
+
+struct ClockReading
+{
+  std::chrono::milliseconds mClock{ 0 };
+  Instant mAt;
+};
+
+struct Executor
+{
+  ExecutorEntry mEntry;
+  std::optional<ClockReading> mReading;
+  // By then everything that runs there has surely ended, unless a lease is renewed.
+  Instant mLapsedAt;
+  Instant mRenewedAt;
+  // It has answered a hold of this owner, which shut out the former one.
+  bool mHeld = false;
+  bool mHoldPending = false;
+  Instant mHoldSentAt;
+  Instant mRetryAt;
+  int mUnanswered = 0;
+  // Ends up to here are processed.
+  std::int64_t mProcessedEnds = 0;
+  // Ends up to here are also in the log and may be acknowledged.
+  std::int64_t mRecordedEnds = 0;
+  std::int64_t mAcknowledgedEnds = 0;
+  std::map<TaskRun, PlacedRun> mRuns;
+  // No new work, since its host is about to be taken down.
+  bool mVacating = false;
+  int mFailuresInARow = 0;
+  Instant mAvoidUntil;
+};
+
+struct LeaseLimits
+{
+  // The longest lease that an executor grants.
+  std::chrono::milliseconds mMaximum{ 6000 };
+};
+
+// The end of a lease that is renewed now, on the executor's clock.
+std::chrono::milliseconds
+LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow);
+
+// Notes that the lease may have been renewed until aEnd.
+void
+NoteLease(Executor& aExecutor, std::chrono::milliseconds aEnd);
+
+void
+NoteClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
+
+Room
+ReservedRoom(const Executor& aExecutor);
+
+// Whether new work may be placed there.
+bool
+IsUsable(const Executor& aExecutor, Instant aNow);
+
+// Sets the executor apart after repeated failures, for longer with each further one.
+void
+NoteTaskFailed(Executor& aExecutor, Instant aNow);
+void
+NoteTaskDone(Executor& aExecutor);
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Intake.cpp
@@ -0,0 +1,176 @@
+#include "LibSchedule/Intake.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr Duration kRetryPause = 60ms;
+constexpr std::chrono::seconds kComeBackAfter = 1s;
+// A caller whose job could not even be sent to the log by then is sent away.
+constexpr Duration kMaxWaitToBeSent = 600ms;
+// One append stays below the largest request that the store takes.
+constexpr std::size_t kMaxBatchBytes = 1 << 20;
+
+void
+ReplyTo(const WaitingCaller& aCaller, ReplyKind aKind, std::string aReason, Actions& aActions)
+{
+  Reply reply;
+  reply.mTicket = aCaller.mTicket;
+  reply.mKind = aKind;
+  reply.mReason = std::move(aReason);
+  if (aKind == ReplyKind::Refused) {
+    reply.mRetryAfter = kComeBackAfter;
+  }
+  aActions.emplace_back(std::move(reply));
+}
+
+// Takes records from the front until the batch is full.
+IntakeBatch
+TakeBatch(IntakeBatch& aGathering)
+{
+  IntakeBatch batch;
+  std::size_t bytes = 0;
+  std::size_t count = 0;
+  while (count < aGathering.mRecords.size() && bytes < kMaxBatchBytes) {
+    bytes += aGathering.mRecords[count].mValue.size();
+    ++count;
+  }
+  auto end = static_cast<std::ptrdiff_t>(count);
+  batch.mRecords.assign(std::make_move_iterator(aGathering.mRecords.begin()),
+                        std::make_move_iterator(aGathering.mRecords.begin() + end));
+  batch.mCallers.assign(aGathering.mCallers.begin(), aGathering.mCallers.begin() + end);
+  aGathering.mRecords.erase(aGathering.mRecords.begin(), aGathering.mRecords.begin() + end);
+  aGathering.mCallers.erase(aGathering.mCallers.begin(), aGathering.mCallers.begin() + end);
+  return batch;
+}
+
+void
+Complete(Intake& aIntake, PartitionIntake& aPartition, Actions& aActions)
+{
+  for (const auto& caller : aPartition.mSent->mCallers) {
+    ReplyTo(caller, caller.mOnStored, {}, aActions);
+    LogEntry entry{ LogLevel::Info, "job-stored", caller.mJob.mValue };
+    entry.mOutcome = caller.mOnStored == ReplyKind::Cancelled ? "cancelled" : "accepted";
+    aActions.emplace_back(std::move(entry));
+    ++aIntake.mAccepted;
+  }
+  aPartition.mSent.reset();
+  aPartition.mMayBeStored = false;
+}
+
+void
+Refuse(Intake& aIntake, const WaitingCaller& aCaller, const std::string& aReason, Actions& aActions)
+{
+  ReplyTo(aCaller, ReplyKind::Refused, aReason, aActions);
+  LogEntry entry{ LogLevel::Info, "job-refused", aCaller.mJob.mValue };
+  entry.mReason = aReason;
+  aActions.emplace_back(std::move(entry));
+  ++aIntake.mRefused;
+}
+
+// Nothing of the batch was stored, and this host doesn't try again.
+void
+RefuseAll(Intake& aIntake,
+          PartitionIntake& aPartition,
+          const std::string& aReason,
+          Actions& aActions)
+{
+  for (const auto& caller : aPartition.mSent->mCallers) {
+    Refuse(aIntake, caller, aReason, aActions);
+  }
+  aPartition.mSent.reset();
+}
+
+// What waits behind an append without an answer was not sent anywhere.
+void
+RefuseUnsent(Intake& aIntake, IntakeBatch& aGathering, Instant aNow, Actions& aActions)
+{
+  while (!aGathering.mCallers.empty() &&
+         aNow - aGathering.mCallers.front().mArrivedAt > kMaxWaitToBeSent) {
+    Refuse(aIntake, aGathering.mCallers.front(), "the log does not answer", aActions);
+    aGathering.mCallers.erase(aGathering.mCallers.begin());
+    aGathering.mRecords.erase(aGathering.mRecords.begin());
+  }
+}
+
+// Callers whose time is over are told that nothing is known; the records stay in the batch, since
+// they may be stored.
+void
+GiveUpExpired(Intake& aIntake, PartitionIntake& aPartition, Instant aNow, Actions& aActions)
+{
+  std::erase_if(aPartition.mSent->mCallers, [&](const WaitingCaller& aCaller) {
+    if (aNow < aCaller.mDeadline) {
+      return false;
+    }
+    ReplyTo(aCaller, ReplyKind::Unknown, "the log did not answer in time", aActions);
+    LogEntry entry{ LogLevel::Warning, "job-unknown", aCaller.mJob.mValue };
+    entry.mReason = "the log did not answer in time";
+    aActions.emplace_back(std::move(entry));
+    ++aIntake.mUnknown;
+    return true;
+  });
+}
+
+}
+
+void
+Store(Intake& aIntake, int aPartition, LogRecord aRecord, WaitingCaller aCaller)
+{
+  auto& partition = aIntake.mPartitions[aPartition];
+  partition.mPartition = aPartition;
+  partition.mGathering.mRecords.push_back(std::move(aRecord));
+  partition.mGathering.mCallers.push_back(std::move(aCaller));
+}
+
+void
+OnIntakeAnswer(Intake& aIntake, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
+{
+  auto found = aIntake.mPartitions.find(aAnswer.mCall.mPartition);
+  if (found == aIntake.mPartitions.end() || !found->second.mSent) {
+    return;
+  }
+  auto& partition = found->second;
+  partition.mInFlight = false;
+  if (aAnswer.mResult == CallResult::Done) {
+    Complete(aIntake, partition, aActions);
+    return;
+  }
+  if (aAnswer.mResult == CallResult::Refused && !partition.mMayBeStored) {
+    RefuseAll(aIntake, partition, "the log takes no records now", aActions);
+    return;
+  }
+  // To store a job twice does no harm, since its id names it.
+  partition.mMayBeStored = true;
+  partition.mRetryAt = aNow.mAt + kRetryPause;
+}
+
+void
+AdvanceIntake(Intake& aIntake, const Now& aNow, Actions& aActions)
+{
+  for (auto& [number, partition] : aIntake.mPartitions) {
+    if (partition.mSent && partition.mMayBeStored) {
+      GiveUpExpired(aIntake, partition, aNow.mAt, aActions);
+      if (partition.mSent->mCallers.empty() && !partition.mInFlight) {
+        partition.mSent.reset();
+        partition.mMayBeStored = false;
+      }
+    }
+    if (!partition.mSent && !partition.mGathering.mRecords.empty()) {
+      partition.mSent = TakeBatch(partition.mGathering);
+    }
+    RefuseUnsent(aIntake, partition.mGathering, aNow.mAt, aActions);
+    if (!partition.mSent || partition.mInFlight || aNow.mAt < partition.mRetryAt) {
+      continue;
+    }
+    AppendCall call;
+    call.mStream = Stream::Jobs;
+    call.mPartition = number;
+    call.mRecords = partition.mSent->mRecords;
+    partition.mInFlight = true;
+    aActions.emplace_back(std::move(call));
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Job.cpp
@@ -0,0 +1,269 @@
+#include "LibSchedule/Job.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr std::size_t kMaxSpecBytes = 4000;
+// A job's records have to fit one record of the log.
+constexpr int kMaxTasks = 4096;
+constexpr std::size_t kMaxSteps = 256;
+constexpr int kMaxOccurrences = 1024;
+constexpr int kMillicores = 1000;
+
+std::vector<std::chrono::milliseconds>
+ChainsOf(const std::vector<Step>& aSteps)
+{
+  std::vector<std::chrono::milliseconds> chains(aSteps.size());
+  for (std::size_t i = aSteps.size(); i-- > 0;) {
+    chains[i] += aSteps[i].mEstimate;
+    for (auto before : aSteps[i].mAfter) {
+      auto& chain = chains[static_cast<std::size_t>(before)];
+      chain = std::max(chain, chains[i]);
+    }
+  }
+  return chains;
+}
+
+void
+RestoreTask(Job& aJob, const TaskProgress& aProgress)
+{
+  TaskName name{ aJob.mId, aProgress.mOccurrence, aProgress.mStep, aProgress.mIndex };
+  auto* task = FindTask(aJob, name);
+  if (task == nullptr) {
+    return;
+  }
+  task->mHighestRun = aProgress.mHighestRun;
+  task->mFailedRuns = aProgress.mFailedRuns;
+  task->mCheckpoint = aProgress.mCheckpoint;
+  for (const auto& executor : aProgress.mExecutors) {
+    task->mAttempts.push_back({ executor, aProgress.mHighestRun });
+  }
+  if (aProgress.mDone) {
+    SetTaskState(aJob, name, TaskState::Done);
+  } else if (!task->mAttempts.empty()) {
+    SetTaskState(aJob, name, TaskState::Placed);
+  }
+}
+
+void
+RestoreFinishedStep(Job& aJob, const StepName& aStep)
+{
+  TaskName name{ aJob.mId, aStep.mOccurrence, aStep.mStep, 0 };
+  while (FindTask(aJob, name) != nullptr) {
+    SetTaskState(aJob, name, TaskState::Done);
+    ++name.mIndex;
+  }
+}
+
+std::string
+ProblemOfStep(const Step& aStep, int aNumber)
+{
+  auto name = "step " + std::to_string(aNumber);
+  if (aStep.mCount < 1) {
+    return name + " has no task";
+  }
+  if (aStep.mNeeds.mCpuMillicores < 0 || aStep.mNeeds.mMemoryMb < 0 || aStep.mNeeds.mGpus < 0) {
+    return name + " asks for less than nothing";
+  }
+  for (auto before : aStep.mAfter) {
+    if (before < 0 || before >= aNumber) {
+      return name + " comes after step " + std::to_string(before) + ", which is not an earlier one";
+    }
+  }
+  return {};
+}
+
+}
+
+Job
+MakeJob(const JobId& aId, const JobDefinition& aDefinition, const JobProgress* aProgress)
+{
+  Job job;
+  job.mId = aId;
+  job.mDefinition = aDefinition;
+  job.mChains = ChainsOf(aDefinition.mSteps);
+  auto occurrences = std::max(1, aDefinition.mRunCount);
+  job.mOccurrences.resize(static_cast<std::size_t>(occurrences));
+  auto due = aDefinition.mRunCount > 0 ? aDefinition.mStartTime : aDefinition.mAcceptedAt;
+  for (auto& occurrence : job.mOccurrences) {
+    occurrence.mDueAt = due;
+    due += aDefinition.mInterval;
+    for (const auto& step : aDefinition.mSteps) {
+      StepState state;
+      state.mTasks.resize(static_cast<std::size_t>(step.mCount));
+      state.mWaiting = step.mCount;
+      occurrence.mSteps.push_back(std::move(state));
+    }
+  }
+  if (aProgress != nullptr) {
+    job.mPhase = aProgress->mPhase;
+    for (const auto& step : aProgress->mFinishedSteps) {
+      RestoreFinishedStep(job, step);
+    }
+    for (const auto& task : aProgress->mTasks) {
+      RestoreTask(job, task);
+    }
+  }
+  return job;
+}
+
+JobProgress
+ProgressOf(const Job& aJob)
+{
+  JobProgress progress;
+  progress.mPhase = aJob.mPhase;
+  if (IsFinal(aJob.mPhase)) {
+    return progress;
+  }
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    const auto& steps = aJob.mOccurrences[k].mSteps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      const auto& tasks = steps[s].mTasks;
+      if (steps[s].mDone == static_cast<int>(tasks.size())) {
+        progress.mFinishedSteps.push_back({ static_cast<int>(k), static_cast<int>(s) });
+        continue;
+      }
+      for (std::size_t i = 0; i < tasks.size(); ++i) {
+        const auto& task = tasks[i];
+        auto isDone = task.mState == TaskState::Done;
+        if (!isDone && task.mHighestRun == 0) {
+          continue;
+        }
+        TaskProgress row;
+        row.mOccurrence = static_cast<int>(k);
+        row.mStep = static_cast<int>(s);
+        row.mIndex = static_cast<int>(i);
+        row.mDone = isDone;
+        if (!isDone) {
+          row.mHighestRun = task.mHighestRun;
+          row.mFailedRuns = task.mFailedRuns;
+          row.mCheckpoint = task.mCheckpoint;
+          for (const auto& attempt : task.mAttempts) {
+            row.mExecutors.push_back(attempt.mExecutor);
+          }
+        }
+        progress.mTasks.push_back(std::move(row));
+      }
+    }
+  }
+  return progress;
+}
+
+Task*
+FindTask(Job& aJob, const TaskName& aName)
+{
+  auto occurrence = static_cast<std::size_t>(aName.mOccurrence);
+  if (occurrence >= aJob.mOccurrences.size()) {
+    return nullptr;
+  }
+  auto& steps = aJob.mOccurrences[occurrence].mSteps;
+  auto step = static_cast<std::size_t>(aName.mStep);
+  if (step >= steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = steps[step].mTasks;
+  auto index = static_cast<std::size_t>(aName.mIndex);
+  return index < tasks.size() ? &tasks[index] : nullptr;
+}
+
+bool
+IsReady(const Job& aJob, int aOccurrence, int aStep, TimePoint aWall)
+{
+  const auto& occurrence = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)];
+  if (aJob.mDefinition.mRunCount > 0 && aWall < occurrence.mDueAt) {
+    return false;
+  }
+  const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(aStep)];
+  return std::all_of(step.mAfter.begin(), step.mAfter.end(), [&](int aBefore) {
+    const auto& before = occurrence.mSteps[static_cast<std::size_t>(aBefore)];
+    return before.mDone == static_cast<int>(before.mTasks.size());
+  });
+}
+
+TimePoint
+ObjectiveOf(const Job& aJob, int aOccurrence)
+{
+  constexpr int kPercent = 100;
+  auto chain = std::chrono::milliseconds(0);
+  for (auto length : aJob.mChains) {
+    chain = std::max(chain, length);
+  }
+  const auto& occurrence = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)];
+  return occurrence.mDueAt + chain * aJob.mDefinition.mStretchPercent / kPercent +
+         aJob.mDefinition.mResponseGoal;
+}
+
+std::int64_t
+WorkOf(const JobDefinition& aDefinition)
+{
+  std::int64_t sum = 0;
+  for (const auto& step : aDefinition.mSteps) {
+    sum += step.mCount * step.mNeeds.mCpuMillicores * step.mEstimate.count() / kMillicores;
+  }
+  return sum;
+}
+
+void
+SetTaskState(Job& aJob, const TaskName& aName, TaskState aState)
+{
+  auto* task = FindTask(aJob, aName);
+  if (task == nullptr || task->mState == aState) {
+    return;
+  }
+  auto& step = aJob.mOccurrences[static_cast<std::size_t>(aName.mOccurrence)]
+                 .mSteps[static_cast<std::size_t>(aName.mStep)];
+  step.mWaiting -= task->mState == TaskState::Waiting ? 1 : 0;
+  step.mDone -= task->mState == TaskState::Done ? 1 : 0;
+  task->mState = aState;
+  step.mWaiting += aState == TaskState::Waiting ? 1 : 0;
+  step.mDone += aState == TaskState::Done ? 1 : 0;
+}
+
+bool
+AllDone(const Job& aJob)
+{
+  for (const auto& occurrence : aJob.mOccurrences) {
+    for (const auto& step : occurrence.mSteps) {
+      if (step.mDone != static_cast<int>(step.mTasks.size())) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+std::string
+ProblemOf(const JobDefinition& aDefinition)
+{
+  if (aDefinition.mSpec.size() > kMaxSpecBytes) {
+    return "spec is longer than " + std::to_string(kMaxSpecBytes) + " bytes";
+  }
+  if (aDefinition.mSteps.empty()) {
+    return "there is no step";
+  }
+  if (aDefinition.mSteps.size() > kMaxSteps) {
+    return "there are more than " + std::to_string(kMaxSteps) + " steps";
+  }
+  if (aDefinition.mRunCount < 0 || aDefinition.mRunCount > kMaxOccurrences) {
+    return "the number of occurrences is not between 0 and " + std::to_string(kMaxOccurrences);
+  }
+  std::int64_t tasks = 0;
+  int number = 0;
+  for (const auto& step : aDefinition.mSteps) {
+    auto problem = ProblemOfStep(step, number);
+    if (!problem.empty()) {
+      return problem;
+    }
+    tasks += step.mCount;
+    ++number;
+  }
+  if (tasks * std::max(1, aDefinition.mRunCount) > kMaxTasks) {
+    return "there are more than " + std::to_string(kMaxTasks) + " tasks";
+  }
+  return {};
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Job.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "LibSchedule/Clock.h"
+#include "LibSchedule/JobRecords.h"
+#include "LibSchedule/Model.h"
+
+#include <vector>
+
+// How far a job is: which of its tasks wait, which may run somewhere, and which are done.
+namespace sesameseam::schedule {
+
+enum class TaskState
+{
+  Waiting,
+  Placed,
+  Done,
+};
+
+// A run that has not ended, as far as is known.
+struct Attempt
+{
+  ExecutorId mExecutor;
+  int mRun = 0;
+};
+
+struct Task
+{
+  TaskState mState = TaskState::Waiting;
+  int mHighestRun = 0;
+  std::vector<int> mFailedRuns;
+  std::string mCheckpoint;
+  std::vector<Attempt> mAttempts;
+  // Executors on which it failed; others are preferred.
+  std::vector<ExecutorId> mFailedOn;
+  Instant mNotBefore;
+};
+
+struct StepState
+{
+  std::vector<Task> mTasks;
+  int mDone = 0;
+  int mWaiting = 0;
+};
+
+struct Occurrence
+{
+  TimePoint mDueAt;
+  std::vector<StepState> mSteps;
+};
+
+struct Job
+{
+  JobId mId;
+  JobDefinition mDefinition;
+  std::vector<Occurrence> mOccurrences;
+  // For each step, the longest chain of estimates from its start to the job's end.
+  std::vector<std::chrono::milliseconds> mChains;
+  JobPhase mPhase = JobPhase::Pending;
+  // Something changed that the log doesn't have yet.
+  bool mDirty = false;
+};
+
+// Takes over how far the job is, where the log says so. Rows that fit no task are left out.
+Job
+MakeJob(const JobId& aId, const JobDefinition& aDefinition, const JobProgress* aProgress);
+
+JobProgress
+ProgressOf(const Job& aJob);
+
+Task*
+FindTask(Job& aJob, const TaskName& aName);
+
+// Whether all tasks of the steps that aStep comes after are done, and its time has come.
+bool
+IsReady(const Job& aJob, int aOccurrence, int aStep, TimePoint aWall);
+
+// When the last task should have ended.
+TimePoint
+ObjectiveOf(const Job& aJob, int aOccurrence);
+
+// Processor time of all tasks of one occurrence, in thousandths of a core times seconds.
+std::int64_t
+WorkOf(const JobDefinition& aDefinition);
+
+// Sets the state and keeps the step's counts.
+void
+SetTaskState(Job& aJob, const TaskName& aName, TaskState aState);
+
+// Whether every task of every occurrence is done.
+bool
+AllDone(const Job& aJob);
+
+// Why the definition can't be accepted; empty if it can.
+std::string
+ProblemOf(const JobDefinition& aDefinition);
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -0,0 +1,301 @@
+#include "LibSchedule/JobRecords.h"
+
+#include "LibSchedule/Generated/schedule_types.h"
+
+#include <memory>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+using Protocol = TCompactProtocolT<TMemoryBuffer>;
+
+constexpr char kCancellationPrefix = 'x';
+
+template<typename T>
+std::string
+Encode(const T& aRecord)
+{
+  auto buffer = std::make_shared<TMemoryBuffer>();
+  Protocol protocol(buffer);
+  aRecord.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template<typename T>
+absl::StatusOr<T>
+Decode(std::string_view aBytes)
+{
+  // The buffer observes the bytes, and reading doesn't change them.
+  auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
+  auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(aBytes.size()));
+  Protocol protocol(buffer);
+  T record;
+  try {
+    record.read(&protocol);
+  } catch (const apache::thrift::TException& error) {
+    return MakeError(ErrorKind::RecordUnreadable, error.what());
+  }
+  return record;
+}
+
+record::Step
+ToRecord(const Step& aStep)
+{
+  record::Step out;
+  out.count = aStep.mCount;
+  out.__set_cpu_millicores(static_cast<std::int32_t>(aStep.mNeeds.mCpuMillicores));
+  out.__set_memory_mb(static_cast<std::int32_t>(aStep.mNeeds.mMemoryMb));
+  out.__set_estimate_ms(static_cast<std::int32_t>(aStep.mEstimate.count()));
+  if (aStep.mNeeds.mGpus != 0) {
+    out.__set_gpus(static_cast<std::int32_t>(aStep.mNeeds.mGpus));
+  }
+  if (!aStep.mAfter.empty()) {
+    out.__set_after(aStep.mAfter);
+  }
+  if (aStep.mGang) {
+    out.__set_gang(true);
+  }
+  if (aStep.mSameRack) {
+    out.__set_same_rack(true);
+  }
+  if (!aStep.mRequiredLabel.empty()) {
+    out.__set_required_label(aStep.mRequiredLabel);
+  }
+  if (!aStep.mPreferredRack.empty()) {
+    out.__set_preferred_rack(aStep.mPreferredRack);
+  }
+  if (aStep.mMaxPerExecutor != 0) {
+    out.__set_max_per_executor(aStep.mMaxPerExecutor);
+  }
+  if (aStep.mSpeculative) {
+    out.__set_speculative(true);
+  }
+  if (aStep.mCheckpoints) {
+    out.__set_checkpoints(true);
+  }
+  if (aStep.mLasting) {
+    out.__set_lasting(true);
+  }
+  if (aStep.mFills) {
+    out.__set_fills(true);
+  }
+  if (aStep.mMaxAway != 0) {
+    out.__set_max_away(aStep.mMaxAway);
+  }
+  if (!aStep.mImage.empty()) {
+    out.__set_image(aStep.mImage);
+  }
+  if (aStep.mTargetTail.count() != 0) {
+    out.__set_target_tail_ms(static_cast<std::int32_t>(aStep.mTargetTail.count()));
+  }
+  return out;
+}
+
+Step
+FromRecord(const record::Step& aRecord)
+{
+  Step step;
+  step.mCount = aRecord.count;
+  step.mNeeds = { aRecord.cpu_millicores, aRecord.memory_mb, aRecord.gpus };
+  step.mEstimate = std::chrono::milliseconds(aRecord.estimate_ms);
+  step.mAfter = aRecord.after;
+  step.mGang = aRecord.gang;
+  step.mSameRack = aRecord.same_rack;
+  step.mRequiredLabel = aRecord.required_label;
+  step.mPreferredRack = aRecord.preferred_rack;
+  step.mMaxPerExecutor = aRecord.max_per_executor;
+  step.mSpeculative = aRecord.speculative;
+  step.mCheckpoints = aRecord.checkpoints;
+  step.mLasting = aRecord.lasting;
+  step.mFills = aRecord.fills;
+  step.mMaxAway = aRecord.max_away;
+  step.mImage = aRecord.image;
+  step.mTargetTail = std::chrono::milliseconds(aRecord.target_tail_ms);
+  return step;
+}
+
+std::int64_t
+UnixMilliseconds(TimePoint aTime)
+{
+  return ToMilliseconds(aTime.time_since_epoch()).count();
+}
+
+TimePoint
+FromUnixMilliseconds(std::int64_t aTime)
+{
+  return TimePoint(std::chrono::milliseconds(aTime));
+}
+
+absl::StatusOr<JobPhase>
+PhaseOf(std::int32_t aPhase)
+{
+  if (aPhase < 0 || aPhase > static_cast<std::int32_t>(JobPhase::Cancelled)) {
+    return MakeError(ErrorKind::RecordUnreadable, "unknown phase " + std::to_string(aPhase));
+  }
+  return static_cast<JobPhase>(aPhase);
+}
+
+}
+
+std::string
+EncodeJob(const JobDefinition& aJob)
+{
+  record::Job out;
+  out.queue = aJob.mQueue.mValue;
+  out.service_name = aJob.mService.mValue;
+  out.spec = aJob.mSpec;
+  for (const auto& step : aJob.mSteps) {
+    out.steps.push_back(ToRecord(step));
+  }
+  out.accepted_at_ms = UnixMilliseconds(aJob.mAcceptedAt);
+  out.__set_attempts(aJob.mAttempts);
+  out.__set_priority(aJob.mPriority);
+  out.__set_stretch_percent(aJob.mStretchPercent);
+  out.__set_response_goal_ms(static_cast<std::int32_t>(aJob.mResponseGoal.count()));
+  if (aJob.mRunCount > 0) {
+    out.__set_run_count(aJob.mRunCount);
+    out.__set_start_time_ms(UnixMilliseconds(aJob.mStartTime));
+    out.__set_interval_ms(aJob.mInterval.count());
+  }
+  return Encode(out);
+}
+
+absl::StatusOr<JobDefinition>
+DecodeJob(std::string_view aBytes)
+{
+  auto record = TRY(Decode<record::Job>(aBytes));
+  JobDefinition job;
+  job.mQueue = QueueName(record.queue);
+  job.mService = ServiceName(record.service_name);
+  job.mSpec = std::move(record.spec);
+  for (const auto& step : record.steps) {
+    job.mSteps.push_back(FromRecord(step));
+  }
+  job.mAcceptedAt = FromUnixMilliseconds(record.accepted_at_ms);
+  job.mAttempts = record.attempts;
+  job.mPriority = record.priority;
+  job.mStretchPercent = record.stretch_percent;
+  job.mResponseGoal = std::chrono::milliseconds(record.response_goal_ms);
+  job.mRunCount = record.run_count;
+  job.mStartTime = FromUnixMilliseconds(record.start_time_ms);
+  job.mInterval = std::chrono::milliseconds(record.interval_ms);
+  return job;
+}
+
+std::string
+EncodeCancellation(TimePoint aAcceptedAt)
+{
+  record::Cancellation out;
+  out.accepted_at_ms = UnixMilliseconds(aAcceptedAt);
+  return Encode(out);
+}
+
+std::string
+CancellationKey(const JobId& aJob)
+{
+  return kCancellationPrefix + aJob.mValue;
+}
+
+bool
+IsCancellationKey(std::string_view aKey)
+{
+  return !aKey.empty() && aKey.front() == kCancellationPrefix;
+}
+
+JobId
+JobOfKey(std::string_view aKey)
+{
+  return JobId(std::string(IsCancellationKey(aKey) ? aKey.substr(1) : aKey));
+}
+
+std::string
+EncodeProgress(const JobProgress& aProgress)
+{
+  record::Progress out;
+  out.phase = static_cast<std::int32_t>(aProgress.mPhase);
+  for (const auto& step : aProgress.mFinishedSteps) {
+    record::FinishedStep finished;
+    finished.occurrence = step.mOccurrence;
+    finished.step = step.mStep;
+    out.finished_steps.push_back(finished);
+  }
+  out.__isset.finished_steps = !out.finished_steps.empty();
+  for (const auto& task : aProgress.mTasks) {
+    record::Task entry;
+    entry.occurrence = task.mOccurrence;
+    entry.step = task.mStep;
+    entry.index = task.mIndex;
+    if (task.mHighestRun != 0) {
+      entry.__set_highest_run(task.mHighestRun);
+    }
+    if (!task.mFailedRuns.empty()) {
+      entry.__set_failed_runs(task.mFailedRuns);
+    }
+    if (!task.mCheckpoint.empty()) {
+      entry.__set_checkpoint(task.mCheckpoint);
+    }
+    if (task.mDone) {
+      entry.__set_done(true);
+    }
+    for (const auto& executor : task.mExecutors) {
+      entry.executors.push_back(executor.mValue);
+    }
+    entry.__isset.executors = !entry.executors.empty();
+    out.tasks.push_back(std::move(entry));
+  }
+  out.__isset.tasks = !out.tasks.empty();
+  return Encode(out);
+}
+
+absl::StatusOr<JobProgress>
+DecodeProgress(std::string_view aBytes)
+{
+  auto record = TRY(Decode<record::Progress>(aBytes));
+  JobProgress progress;
+  progress.mPhase = TRY(PhaseOf(record.phase));
+  for (const auto& step : record.finished_steps) {
+    progress.mFinishedSteps.push_back({ step.occurrence, step.step });
+  }
+  for (auto& task : record.tasks) {
+    TaskProgress entry;
+    entry.mOccurrence = task.occurrence;
+    entry.mStep = task.step;
+    entry.mIndex = task.index;
+    entry.mHighestRun = task.highest_run;
+    entry.mFailedRuns = std::move(task.failed_runs);
+    entry.mCheckpoint = std::move(task.checkpoint);
+    entry.mDone = task.done;
+    for (auto& executor : task.executors) {
+      entry.mExecutors.emplace_back(std::move(executor));
+    }
+    progress.mTasks.push_back(std::move(entry));
+  }
+  return progress;
+}
+
+std::string
+EncodeUpkeep(const UpkeepRecord& aRecord)
+{
+  record::Upkeep out;
+  out.phase = static_cast<std::int32_t>(aRecord.mPhase);
+  out.former_executor = aRecord.mFormerExecutor.mValue;
+  return Encode(out);
+}
+
+absl::StatusOr<UpkeepRecord>
+DecodeUpkeep(std::string_view aBytes)
+{
+  auto record = TRY(Decode<record::Upkeep>(aBytes));
+  if (record.phase != 0 && record.phase != 1) {
+    return MakeError(ErrorKind::RecordUnreadable, "unknown phase " + std::to_string(record.phase));
+  }
+  return UpkeepRecord{ static_cast<UpkeepPhase>(record.phase),
+                       ExecutorId(std::move(record.former_executor)) };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Model.h
@@ -0,0 +1,185 @@
+#pragma once
+
+#include "LibBase/Id.h"
+#include "LibBase/Time.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sesameseam::schedule {
+
+using ExecutorId = Id<struct ExecutorTag>;
+using MachineId = Id<struct MachineTag>;
+using ServiceName = Id<struct ServiceTag>;
+using QueueName = Id<struct QueueTag>;
+
+// A quantity of what an executor has and a task needs.
+struct Room
+{
+  std::int64_t mCpuMillicores = 0;
+  std::int64_t mMemoryMb = 0;
+  std::int64_t mGpus = 0;
+
+  bool operator==(const Room&) const = default;
+};
+
+// Some tasks of a job that are alike.
+struct Step
+{
+  int mCount = 1;
+  Room mNeeds;
+  std::chrono::milliseconds mEstimate{ 0 };
+  // Steps whose tasks must all be done first.
+  std::vector<int> mAfter;
+  // The tasks work only while all of them run.
+  bool mGang = false;
+  // The tasks are much slower when they run on more than one rack.
+  bool mSameRack = false;
+  std::string mRequiredLabel;
+  std::string mPreferredRack;
+  // How many tasks may run on one executor; 0 for any number.
+  int mMaxPerExecutor = 0;
+  bool mSpeculative = false;
+  bool mCheckpoints = false;
+  // The tasks run until the job is cancelled.
+  bool mLasting = false;
+  // The tasks use the processor time that others leave, and reserve none.
+  bool mFills = false;
+  // How many tasks of a lasting step may be away at once through orders of ours.
+  int mMaxAway = 0;
+  std::string mImage;
+  // The tail of the response times of a task that serves its own users; 0 if it serves none.
+  std::chrono::milliseconds mTargetTail{ 0 };
+};
+
+// What a caller handed in, with what its queue promised at that time.
+struct JobDefinition
+{
+  QueueName mQueue;
+  ServiceName mService;
+  std::string mSpec;
+  std::vector<Step> mSteps;
+  TimePoint mAcceptedAt;
+  // Runs of one task that may fail before its job fails.
+  int mAttempts = 1;
+  // Lower goes first.
+  int mPriority = 0;
+  int mStretchPercent = 100;
+  std::chrono::milliseconds mResponseGoal{ 0 };
+  // How often the steps run; 0 for a job that runs once and at once.
+  int mRunCount = 0;
+  TimePoint mStartTime;
+  std::chrono::milliseconds mInterval{ 0 };
+};
+
+enum class JobPhase
+{
+  Pending,
+  Running,
+  Completed,
+  Failed,
+  Cancelled,
+};
+
+inline bool
+IsFinal(JobPhase aPhase)
+{
+  return aPhase != JobPhase::Pending && aPhase != JobPhase::Running;
+}
+
+struct TaskName
+{
+  JobId mJob;
+  int mOccurrence = 0;
+  int mStep = 0;
+  int mIndex = 0;
+
+  auto operator<=>(const TaskName&) const = default;
+};
+
+// One start of a task. Runs of a task are numbered, and the numbers rise.
+struct TaskRun
+{
+  TaskName mTask;
+  int mRun = 0;
+
+  auto operator<=>(const TaskRun&) const = default;
+};
+
+struct Route
+{
+  QueueName mQueue;
+  std::string mHost;
+  std::string mPrefix;
+  ServiceName mService;
+  std::chrono::milliseconds mResponseGoal{ 0 };
+  int mAttempts = 1;
+  int mPriority = 0;
+  int mStretchPercent = 100;
+};
+
+struct Service
+{
+  ServiceName mName;
+  // Its machines are switched off and serve as a reserve.
+  bool mStandby = false;
+};
+
+// The configuration that the operator put in force.
+struct Manifest
+{
+  std::int64_t mVersion = 0;
+  std::vector<Route> mRoutes;
+  std::vector<Service> mServices;
+};
+
+// Hosts that the operator wants maintained.
+struct Wave
+{
+  std::int64_t mNumber = 0;
+  std::vector<MachineId> mMachines;
+  std::chrono::seconds mTimeLimit{ 0 };
+  int mMaxAtOnce = 1;
+};
+
+enum class MachineState
+{
+  Up,
+  Moving,
+  Upkeep,
+  Down,
+};
+
+struct Machine
+{
+  MachineId mId;
+  ServiceName mPool;
+  MachineState mState = MachineState::Down;
+  ExecutorId mExecutor;
+};
+
+enum class ExecutorState
+{
+  Ready,
+  Draining,
+  Gone,
+};
+
+// What an executor says of itself in the host list.
+struct ExecutorEntry
+{
+  ExecutorId mId;
+  ServiceName mService;
+  std::string mAddress;
+  std::string mZone;
+  std::vector<std::string> mLabels;
+  Room mRoom;
+  ExecutorState mState = ExecutorState::Ready;
+  // The Unix time of the start of its process; another value is another incarnation.
+  std::int64_t mIncarnation = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Node.cpp
@@ -0,0 +1,504 @@
+#include "LibSchedule/Node.h"
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr std::size_t kJobIdLength = 16;
+constexpr std::chrono::seconds kComeBackAfter = 1s;
+// A caller that names no time gets this much.
+constexpr std::chrono::milliseconds kDefaultTimeout = 3s;
+// The answer has to reach the caller within its time.
+constexpr std::chrono::milliseconds kAnswerMargin = 150ms;
+// A host that has not heard from the log for so long sends callers elsewhere.
+constexpr Duration kUnreadyAfter = 3s;
+
+void
+AddReply(Actions& aActions, RequestTicket aTicket, ReplyKind aKind, std::string aReason = {})
+{
+  Reply reply;
+  reply.mTicket = aTicket;
+  reply.mKind = aKind;
+  reply.mReason = std::move(aReason);
+  if (aKind == ReplyKind::Refused) {
+    reply.mRetryAfter = kComeBackAfter;
+  }
+  aActions.emplace_back(std::move(reply));
+}
+
+void
+LogRequest(Actions& aActions, std::string_view aEvent, const std::string& aJob, std::string aReason)
+{
+  LogEntry entry{ LogLevel::Info, aEvent, aJob };
+  entry.mReason = std::move(aReason);
+  aActions.emplace_back(std::move(entry));
+}
+
+bool
+IsJobId(std::string_view aText)
+{
+  return aText.size() == kJobIdLength &&
+         std::all_of(aText.begin(), aText.end(), [](unsigned char c) { return std::isxdigit(c); });
+}
+
+Instant
+DeadlineOf(const FrontRequest& aRequest, Instant aNow)
+{
+  auto timeout = aRequest.mTimeout.count() > 0 ? aRequest.mTimeout : kDefaultTimeout;
+  return aNow + std::max(timeout - kAnswerMargin, timeout / 2);
+}
+
+StatusView&
+ViewOf(Node& aNode, int aPartition)
+{
+  auto& view = aNode.mViews[aPartition];
+  view.mPartition = aPartition;
+  return view;
+}
+
+void
+Submit(Node& aNode,
+       const Now& aNow,
+       const FrontRequest& aRequest,
+       const Route& aRoute,
+       const JobId& aId,
+       Actions& aActions)
+{
+  if (!aRequest.mJob) {
+    ++aNode.mCounters.mBadRequests;
+    LogRequest(aActions, "request-bad", aId.mValue, aRequest.mProblem);
+    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, aRequest.mProblem);
+    return;
+  }
+  auto job = *aRequest.mJob;
+  auto problem = ProblemOf(job);
+  if (!problem.empty()) {
+    ++aNode.mCounters.mBadRequests;
+    LogRequest(aActions, "request-bad", aId.mValue, problem);
+    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, problem);
+    return;
+  }
+  job.mQueue = aRoute.mQueue;
+  job.mService = aRoute.mService;
+  job.mAcceptedAt = aNow.mWall;
+  job.mAttempts = aRoute.mAttempts;
+  job.mPriority = aRoute.mPriority;
+  job.mStretchPercent = aRoute.mStretchPercent;
+  job.mResponseGoal = aRoute.mResponseGoal;
+  WaitingCaller caller;
+  caller.mTicket = aRequest.mTicket;
+  caller.mJob = aId;
+  caller.mArrivedAt = aNow.mAt;
+  caller.mDeadline = DeadlineOf(aRequest, aNow.mAt);
+  Store(aNode.mIntake,
+        PartitionOf(aRoute.mService, aNode.mSettings.mPartitions),
+        { aId.mValue, EncodeJob(job) },
+        caller);
+}
+
+void
+AskView(Node& aNode,
+        const Now& aNow,
+        const FrontRequest& aRequest,
+        const Route& aRoute,
+        const JobId& aId)
+{
+  Question question;
+  question.mTicket = aRequest.mTicket;
+  question.mKind = aRequest.mKind;
+  question.mJob = aId;
+  question.mQueue = aRoute.mQueue;
+  question.mAsksCount = aId.IsEmpty();
+  question.mAskedAt = aNow.mAt;
+  question.mDeadline = DeadlineOf(aRequest, aNow.mAt);
+  Ask(ViewOf(aNode, PartitionOf(aRoute.mService, aNode.mSettings.mPartitions)), question);
+}
+
+void
+OnRequest(Node& aNode, const Now& aNow, const FrontRequest& aRequest, Actions& aActions)
+{
+  ++aNode.mCounters.mRequests;
+  const auto& manifest = aNode.mFollower.mManifest;
+  if (!manifest) {
+    AddReply(aActions, aRequest.mTicket, ReplyKind::Refused, "no manifest is known yet");
+    return;
+  }
+  const auto* route = FindRoute(*manifest, aRequest.mHost, aRequest.mPath);
+  if (route == nullptr) {
+    ++aNode.mCounters.mUnknownQueues;
+    AddReply(aActions, aRequest.mTicket, ReplyKind::NoQueue);
+    return;
+  }
+  auto name = aRequest.mPath.substr(route->mPrefix.size());
+  auto asksCount = name.empty() && aRequest.mKind == RequestKind::State;
+  if (!asksCount && !IsJobId(name)) {
+    ++aNode.mCounters.mBadRequests;
+    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, "the id is not 16 hex digits");
+    return;
+  }
+  JobId id(name);
+  if (aRequest.mKind == RequestKind::Submit) {
+    Submit(aNode, aNow, aRequest, *route, id, aActions);
+  } else {
+    AskView(aNode, aNow, aRequest, *route, id);
+  }
+}
+
+void
+CancelJob(Node& aNode, const Now& aNow, int aPartition, const Question& aQuestion)
+{
+  WaitingCaller caller;
+  caller.mTicket = aQuestion.mTicket;
+  caller.mOnStored = ReplyKind::Cancelled;
+  caller.mJob = aQuestion.mJob;
+  caller.mArrivedAt = aNow.mAt;
+  caller.mDeadline = aQuestion.mDeadline;
+  Store(aNode.mIntake,
+        aPartition,
+        { CancellationKey(aQuestion.mJob), EncodeCancellation(aNow.mWall) },
+        caller);
+}
+
+void
+AnswerQuestion(Node& aNode,
+               const Now& aNow,
+               int aPartition,
+               const ViewAnswer& aAnswer,
+               Actions& aActions)
+{
+  const auto& question = aAnswer.mQuestion;
+  if (aAnswer.mTimedOut) {
+    AddReply(aActions, question.mTicket, ReplyKind::Refused, "the log does not answer");
+    LogRequest(aActions, "state-unknown", question.mJob.mValue, "the log does not answer");
+    return;
+  }
+  if (question.mAsksCount) {
+    Reply reply;
+    reply.mTicket = question.mTicket;
+    reply.mKind = ReplyKind::Count;
+    reply.mCount = aAnswer.mCount;
+    aActions.emplace_back(std::move(reply));
+    return;
+  }
+  if (!aAnswer.mJob) {
+    AddReply(aActions, question.mTicket, ReplyKind::Gone);
+    LogRequest(aActions, "job-not-known", question.mJob.mValue, "neither stream has it");
+    return;
+  }
+  if (question.mKind == RequestKind::Cancel) {
+    if (IsFinal(aAnswer.mJob->mPhase)) {
+      AddReply(aActions, question.mTicket, ReplyKind::Cancelled);
+    } else {
+      CancelJob(aNode, aNow, aPartition, question);
+    }
+    return;
+  }
+  Reply reply;
+  reply.mTicket = question.mTicket;
+  reply.mKind = ReplyKind::State;
+  reply.mPhase = aAnswer.mJob->mPhase;
+  aActions.emplace_back(std::move(reply));
+}
+
+std::set<int>
+PartitionsInUse(const Node& aNode)
+{
+  std::set<int> partitions;
+  if (aNode.mFollower.mManifest) {
+    for (const auto& service : aNode.mFollower.mManifest->mServices) {
+      partitions.insert(PartitionOf(service.mName, aNode.mSettings.mPartitions));
+    }
+  }
+  return partitions;
+}
+
+void
+TakeExecutor(Node& aNode, const Now& aNow, Shard& aShard, const ExecutorEntry& aEntry)
+{
+  if (PartitionOf(aEntry.mService, aNode.mSettings.mPartitions) == aShard.mPartition) {
+    UpdateExecutor(aShard, aNow, aEntry);
+    return;
+  }
+  if (aShard.mExecutors.contains(aEntry.mId)) {
+    auto gone = aEntry;
+    gone.mState = ExecutorState::Gone;
+    UpdateExecutor(aShard, aNow, gone);
+  }
+}
+
+void
+AddCounters(ShardCounters& aSum, const ShardCounters& aPart)
+{
+  aSum.mStarts += aPart.mStarts;
+  aSum.mStartsRefused += aPart.mStartsRefused;
+  aSum.mStartsUnanswered += aPart.mStartsUnanswered;
+  aSum.mTasksDone += aPart.mTasksDone;
+  aSum.mTasksFailed += aPart.mTasksFailed;
+  aSum.mTasksLost += aPart.mTasksLost;
+  aSum.mJobsCompleted += aPart.mJobsCompleted;
+  aSum.mJobsFailed += aPart.mJobsFailed;
+  aSum.mJobsCancelled += aPart.mJobsCancelled;
+}
+
+void
+AddShard(Node& aNode, const Now& aNow, int aPartition)
+{
+  ShardSettings settings;
+  settings.mHost = aNode.mSettings.mName;
+  settings.mLease = aNode.mSettings.mLease;
+  settings.mStopTime = aNode.mSettings.mStopTime;
+  settings.mNoticeTime = aNode.mSettings.mNoticeTime;
+  auto& shard =
+    aNode.mShards.emplace(aPartition, MakeShard(aPartition, settings, aNow.mAt)).first->second;
+  ++aNode.mCounters.mTakeOvers;
+  for (const auto& [id, entry] : aNode.mFollower.mExecutors) {
+    TakeExecutor(aNode, aNow, shard, entry);
+  }
+}
+
+// Owns just the shards that the group deals to this host.
+void
+MatchShards(Node& aNode, const Now& aNow)
+{
+  auto inUse = PartitionsInUse(aNode);
+  std::erase_if(aNode.mShards, [&](const auto& aEntry) {
+    const auto& [partition, shard] = aEntry;
+    auto isOver = shard.mPhase == ShardPhase::Lost || !aNode.mGroup.mPartitions.contains(partition);
+    if (isOver) {
+      AddCounters(aNode.mFormerShards, shard.mCounters);
+    }
+    return isOver;
+  });
+  for (auto partition : aNode.mGroup.mPartitions) {
+    if (inUse.contains(partition) && !aNode.mShards.contains(partition)) {
+      AddShard(aNode, aNow, partition);
+    }
+  }
+}
+
+void
+ApplyChanges(Node& aNode, const Now& aNow, const FollowerChanges& aChanges)
+{
+  if (aChanges.mManifest) {
+    MatchShards(aNode, aNow);
+  }
+  for (const auto& id : aChanges.mExecutors) {
+    for (auto& [partition, shard] : aNode.mShards) {
+      TakeExecutor(aNode, aNow, shard, aNode.mFollower.mExecutors.at(id));
+    }
+  }
+}
+
+template<typename Answer, typename Function>
+void
+WithShard(Node& aNode, int aPartition, const Answer& aAnswer, Function aFunction)
+{
+  auto found = aNode.mShards.find(aPartition);
+  if (found != aNode.mShards.end()) {
+    aFunction(found->second, aAnswer);
+  }
+}
+
+void
+On(Node& /*aNode*/, const Now& /*aNow*/, const Tick& /*aTick*/, Actions& /*aActions*/)
+{
+}
+
+void
+On(Node& aNode, const Now& aNow, const StopAsked& /*aStop*/, Actions& aActions)
+{
+  aNode.mStopping = true;
+  LeaveGroup(aNode.mGroup, aActions);
+  MatchShards(aNode, aNow);
+}
+
+void
+On(Node& aNode, const Now& aNow, const FrontRequest& aRequest, Actions& aActions)
+{
+  OnRequest(aNode, aNow, aRequest, aActions);
+}
+
+void
+On(Node& aNode, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
+{
+  switch (aAnswer.mCall.mStream) {
+    case Stream::Jobs:
+      OnIntakeAnswer(aNode.mIntake, aNow, aAnswer, aActions);
+      return;
+    case Stream::Upkeep:
+      OnUpkeepAppend(aNode.mUpkeep, aNow, aAnswer);
+      return;
+    case Stream::Owners:
+      WithShard(
+        aNode, static_cast<int>(aAnswer.mCall.mTicket), aAnswer, [&](auto& aShard, auto& aResult) {
+          OnAppendAnswer(aShard, aNow, aResult, aActions);
+        });
+      return;
+    default:
+      WithShard(aNode, aAnswer.mCall.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
+        OnAppendAnswer(aShard, aNow, aResult, aActions);
+      });
+  }
+}
+
+void
+On(Node& aNode, const Now& aNow, const ReadAnswer& aAnswer, Actions& aActions)
+{
+  const auto& call = aAnswer.mCall;
+  if (call.mStream == Stream::Upkeep) {
+    OnUpkeepRead(aNode.mUpkeep, aNow, aAnswer);
+  } else if (call.mReader == Reader::Follower) {
+    ApplyChanges(aNode, aNow, OnFollowerRead(aNode.mFollower, aNow, aAnswer, aActions));
+  } else if (call.mReader == Reader::View) {
+    OnViewRead(ViewOf(aNode, call.mPartition), aNow, aAnswer);
+  } else {
+    WithShard(aNode, call.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
+      OnReadAnswer(aShard, aNow, aResult, aActions);
+    });
+  }
+}
+
+void
+On(Node& aNode, const Now& aNow, const NewestAnswer& aAnswer, Actions& aActions)
+{
+  const auto& call = aAnswer.mCall;
+  if (call.mStream == Stream::Upkeep) {
+    OnUpkeepNewest(aNode.mUpkeep, aNow, aAnswer);
+  } else if (call.mReader == Reader::Follower) {
+    ApplyChanges(aNode, aNow, OnFollowerNewest(aNode.mFollower, aNow, aAnswer, aActions));
+  } else if (call.mReader == Reader::View) {
+    OnViewNewest(ViewOf(aNode, call.mPartition), aNow, aAnswer);
+  } else {
+    WithShard(aNode, call.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
+      OnNewestAnswer(aShard, aNow, aResult, aActions);
+    });
+  }
+}
+
+void
+On(Node& aNode, const Now& aNow, const JoinAnswer& aAnswer, Actions& /*aActions*/)
+{
+  if (!OnJoinAnswer(aNode.mGroup, aNow, aAnswer)) {
+    return;
+  }
+  MatchShards(aNode, aNow);
+  for (auto& [partition, shard] : aNode.mShards) {
+    Confirm(shard, aAnswer.mSentAt);
+  }
+}
+
+void
+On(Node& aNode, const Now& aNow, const HoldAnswer& aAnswer, Actions& aActions)
+{
+  WithShard(aNode, aAnswer.mCall.mTo.mShard, aAnswer, [&](auto& aShard, auto& aResult) {
+    OnHoldAnswer(aShard, aNow, aResult, aActions);
+  });
+}
+
+void
+On(Node& aNode, const Now& aNow, const StartAnswer& aAnswer, Actions& aActions)
+{
+  WithShard(aNode, aAnswer.mCall.mTo.mShard, aAnswer, [&](auto& aShard, auto& aResult) {
+    OnStartAnswer(aShard, aNow, aResult, aActions);
+  });
+}
+
+void
+On(Node& aNode, const Now& aNow, const StopAnswer& aAnswer, Actions& aActions)
+{
+  WithShard(aNode, aAnswer.mCall.mTo.mShard, aAnswer, [&](auto& aShard, auto& aResult) {
+    OnStopAnswer(aShard, aNow, aResult, aActions);
+  });
+}
+
+void
+On(Node& aNode, const Now& /*aNow*/, const PaceAnswer& aAnswer, Actions& /*aActions*/)
+{
+  WithShard(aNode, aAnswer.mCall.mTo.mShard, aAnswer, [&](auto& aShard, auto& aResult) {
+    OnPaceAnswer(aShard, aResult);
+  });
+}
+
+void
+On(Node& aNode, const Now& aNow, const MachinesAnswer& aAnswer, Actions& /*aActions*/)
+{
+  OnMachines(aNode.mUpkeep, aNow, aAnswer);
+}
+
+void
+On(Node& aNode, const Now& aNow, const UpkeepAnswer& aAnswer, Actions& aActions)
+{
+  OnUpkeepAnswer(aNode.mUpkeep, aNow, aAnswer, aActions);
+}
+
+void
+On(Node& aNode, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& /*aActions*/)
+{
+  OnWaveStatus(aNode.mUpkeep, aNow, aAnswer);
+}
+
+void
+AdvanceAll(Node& aNode, const Now& aNow, Actions& aActions)
+{
+  AdvanceGroup(aNode.mGroup, aNow, aActions);
+  AdvanceFollower(aNode.mFollower, aNow, !aNode.mShards.empty(), aActions);
+  for (auto& [partition, view] : aNode.mViews) {
+    for (const auto& answer : AdvanceView(view, aNow, aActions)) {
+      AnswerQuestion(aNode, aNow, partition, answer, aActions);
+    }
+  }
+  AdvanceIntake(aNode.mIntake, aNow, aActions);
+  for (auto& [partition, shard] : aNode.mShards) {
+    Advance(shard, aNow, aActions);
+  }
+  auto inUse = PartitionsInUse(aNode);
+  UpkeepContext context;
+  context.mWaves = &aNode.mFollower.mWaves;
+  context.mShards = &aNode.mShards;
+  context.mPartitions = aNode.mSettings.mPartitions;
+  context.mReportingShard = inUse.empty() ? -1 : *inUse.begin();
+  AdvanceUpkeep(aNode.mUpkeep, aNow, context, aActions);
+}
+
+}
+
+Node
+MakeNode(const NodeSettings& aSettings)
+{
+  Node node;
+  node.mSettings = aSettings;
+  node.mUpkeep.mSettings.mHolderLease = aSettings.mHolderLease;
+  return node;
+}
+
+Actions
+Handle(Node& aNode, const Now& aNow, const Event& aEvent)
+{
+  Actions actions;
+  std::visit([&](const auto& aValue) { On(aNode, aNow, aValue, actions); }, aEvent);
+  AdvanceAll(aNode, aNow, actions);
+  return actions;
+}
+
+bool
+IsReady(const Node& aNode, Instant aNow)
+{
+  return !aNode.mStopping && aNode.mFollower.mManifest &&
+         aNow - aNode.mGroup.mConfirmedAt < kUnreadyAfter;
+}
+
+ShardCounters
+SumCounters(const Node& aNode)
+{
+  auto sum = aNode.mFormerShards;
+  for (const auto& [partition, shard] : aNode.mShards) {
+    AddCounters(sum, shard.mCounters);
+  }
+  return sum;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Pace.cpp
@@ -0,0 +1,92 @@
+#include "LibSchedule/Pace.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr int kFullPace = 100;
+// Tails are rough, so that tasks slow down before the target is reached.
+constexpr double kTooClose = 0.85;
+constexpr double kFarEnough = 0.6;
+constexpr int kSlowDownDivisor = 3;
+constexpr int kLeastPace = 10;
+constexpr int kSpeedUpStep = 15;
+// An order shows in the figures of the next half second only.
+constexpr Duration kSettleTime = 700ms;
+
+// The worst tail of the tasks that serve, as a share of its target; below 0 if none serves.
+double
+WorstTail(const Executor& aExecutor)
+{
+  double worst = -1;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    if (run.mState == RunState::Running && run.mTargetTail.count() > 0) {
+      auto share = static_cast<double>(run.mLoad) / static_cast<double>(run.mTargetTail.count());
+      worst = std::max(worst, share);
+    }
+  }
+  return worst;
+}
+
+int
+PaceFor(int aPace, double aWorstTail)
+{
+  if (aWorstTail < 0) {
+    return kFullPace;
+  }
+  if (aWorstTail > kTooClose) {
+    auto slower = aPace / kSlowDownDivisor;
+    return slower < kLeastPace ? 0 : slower;
+  }
+  return aWorstTail < kFarEnough ? std::min(kFullPace, aPace + kSpeedUpStep) : aPace;
+}
+
+}
+
+void
+OnPaceAnswer(Shard& aShard, const PaceAnswer& aAnswer)
+{
+  auto found = aShard.mExecutors.find(aAnswer.mCall.mTo.mExecutor);
+  if (found == aShard.mExecutors.end()) {
+    return;
+  }
+  auto run = found->second.mRuns.find(aAnswer.mCall.mRun);
+  if (run == found->second.mRuns.end()) {
+    return;
+  }
+  run->second.mPacePending = false;
+  if (aAnswer.mResult == CallResult::Done) {
+    run->second.mPace = aAnswer.mCall.mPercent;
+  }
+}
+
+namespace detail {
+
+void
+AdjustPace(Shard& aShard, Executor& aExecutor, Instant aNow, Actions& aActions)
+{
+  auto worst = WorstTail(aExecutor);
+  for (auto& [name, run] : aExecutor.mRuns) {
+    auto isIdle = run.mState == RunState::Running && !run.mPacePending;
+    if (!run.mFills || !isIdle || aNow - run.mPacedAt < kSettleTime) {
+      continue;
+    }
+    auto pace = PaceFor(run.mPace, worst);
+    if (pace == run.mPace) {
+      continue;
+    }
+    PaceCall call;
+    call.mTo = AddressOf(aShard, aExecutor);
+    call.mRun = name;
+    call.mPercent = pace;
+    run.mPacePending = true;
+    run.mPacedAt = aNow;
+    aActions.emplace_back(std::move(call));
+  }
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -0,0 +1,162 @@
+#include "LibSchedule/Placement.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+// Each reason against a candidate weighs more than all the smaller ones together. The last is the
+// processor room that would be left, in thousandths of a core: a tight fit keeps room for large
+// tasks elsewhere.
+constexpr std::int64_t kFailedThere = 1'000'000'000;
+constexpr std::int64_t kOtherRack = 100'000'000;
+constexpr std::int64_t kDisturbs = 10'000'000;
+
+std::int64_t
+CpuOf(const Step& aStep)
+{
+  return aStep.mFills ? 0 : aStep.mNeeds.mCpuMillicores;
+}
+
+bool
+Fits(const Candidate& aCandidate, const Step& aStep)
+{
+  return aCandidate.mFree.mCpuMillicores >= CpuOf(aStep) &&
+         aCandidate.mFree.mMemoryMb >= aStep.mNeeds.mMemoryMb &&
+         aCandidate.mFree.mGpus >= aStep.mNeeds.mGpus;
+}
+
+bool
+HasLabel(const Executor& aExecutor, const std::string& aLabel)
+{
+  const auto& labels = aExecutor.mEntry.mLabels;
+  return aLabel.empty() || std::find(labels.begin(), labels.end(), aLabel) != labels.end();
+}
+
+int
+CountOfStep(const Executor& aExecutor, const TaskName& aTask)
+{
+  TaskRun first{ { aTask.mJob, aTask.mOccurrence, aTask.mStep, 0 }, 0 };
+  int count = 0;
+  for (auto run = aExecutor.mRuns.lower_bound(first); run != aExecutor.mRuns.end(); ++run) {
+    const auto& name = run->first.mTask;
+    if (name.mJob != aTask.mJob || name.mOccurrence != aTask.mOccurrence ||
+        name.mStep != aTask.mStep) {
+      break;
+    }
+    ++count;
+  }
+  return count;
+}
+
+bool
+IsAllowed(const Candidate& aCandidate,
+          const ServiceName& aService,
+          const PlacementRequest& aRequest)
+{
+  const auto& executor = *aCandidate.mExecutor;
+  const auto& step = *aRequest.mStep;
+  if (executor.mEntry.mService != aService || !HasLabel(executor, step.mRequiredLabel)) {
+    return false;
+  }
+  return step.mMaxPerExecutor == 0 || CountOfStep(executor, aRequest.mName) < step.mMaxPerExecutor;
+}
+
+// The rack is the second label of an executor, after its kind.
+std::string
+RackOf(const ExecutorEntry& aEntry)
+{
+  return aEntry.mLabels.size() > 1 ? aEntry.mLabels[1] : std::string();
+}
+
+std::int64_t
+CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest)
+{
+  const auto& step = *aRequest.mStep;
+  const auto& failedOn = aRequest.mTask->mFailedOn;
+  const auto& id = aCandidate.mExecutor->mEntry.mId;
+  std::int64_t cost = aCandidate.mFree.mCpuMillicores - CpuOf(step);
+  if (std::find(failedOn.begin(), failedOn.end(), id) != failedOn.end()) {
+    cost += kFailedThere;
+  }
+  if (!step.mPreferredRack.empty() && aCandidate.mRack != step.mPreferredRack) {
+    cost += kOtherRack;
+  }
+  if (step.mFills) {
+    cost += kDisturbs * aCandidate.mServing;
+  }
+  if (step.mTargetTail.count() != 0) {
+    cost += kDisturbs * (aCandidate.mFilling + aCandidate.mServing);
+  }
+  return cost;
+}
+
+}
+
+std::vector<Candidate>
+MakeCandidates(std::map<ExecutorId, Executor>& aExecutors, Instant aNow)
+{
+  std::vector<Candidate> candidates;
+  for (auto& [id, executor] : aExecutors) {
+    if (!IsUsable(executor, aNow)) {
+      continue;
+    }
+    auto reserved = ReservedRoom(executor);
+    const auto& room = executor.mEntry.mRoom;
+    Candidate candidate;
+    candidate.mExecutor = &executor;
+    candidate.mFree = { room.mCpuMillicores - reserved.mCpuMillicores,
+                        room.mMemoryMb - reserved.mMemoryMb,
+                        room.mGpus - reserved.mGpus };
+    candidate.mRack = RackOf(executor.mEntry);
+    for (const auto& [name, run] : executor.mRuns) {
+      candidate.mServing += run.mServes ? 1 : 0;
+      candidate.mFilling += run.mFills ? 1 : 0;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+Candidate*
+ChooseCandidate(std::vector<Candidate>& aCandidates,
+                const ServiceName& aService,
+                const PlacementRequest& aRequest)
+{
+  Candidate* best = nullptr;
+  std::int64_t bestCost = 0;
+  for (auto& candidate : aCandidates) {
+    if (!Fits(candidate, *aRequest.mStep) || !IsAllowed(candidate, aService, aRequest)) {
+      continue;
+    }
+    auto cost = CostOf(candidate, aRequest);
+    if (best == nullptr || cost < bestCost) {
+      best = &candidate;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void
+Reserve(Candidate& aCandidate, const Step& aStep)
+{
+  aCandidate.mFree.mCpuMillicores -= CpuOf(aStep);
+  aCandidate.mFree.mMemoryMb -= aStep.mNeeds.mMemoryMb;
+  aCandidate.mFree.mGpus -= aStep.mNeeds.mGpus;
+  aCandidate.mServing += aStep.mTargetTail.count() != 0 ? 1 : 0;
+  aCandidate.mFilling += aStep.mFills ? 1 : 0;
+}
+
+void
+Release(Candidate& aCandidate, const Step& aStep)
+{
+  aCandidate.mFree.mCpuMillicores += CpuOf(aStep);
+  aCandidate.mFree.mMemoryMb += aStep.mNeeds.mMemoryMb;
+  aCandidate.mFree.mGpus += aStep.mNeeds.mGpus;
+  aCandidate.mServing -= aStep.mTargetTail.count() != 0 ? 1 : 0;
+  aCandidate.mFilling -= aStep.mFills ? 1 : 0;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -0,0 +1,220 @@
+#include "LibSchedule/Shard.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+// Without word from the log for this long, another host may own the shard and place work.
+constexpr Duration kStartWithoutConfirmation = 3s;
+// Leases are renewed longer, so that lasting tasks outlive a short outage of the log.
+constexpr Duration kRenewWithoutConfirmation = 4s;
+
+// A former owner may have renewed leases until it had to stop for want of confirmation.
+Instant
+LapseOfFormerOwner(const Shard& aShard)
+{
+  constexpr Duration kClockError = 500ms;
+  return aShard.mTakenOverAt + kRenewWithoutConfirmation + aShard.mSettings.mLease.mMaximum +
+         kClockError;
+}
+
+Executor&
+FindOrAddExecutor(Shard& aShard, const ExecutorId& aId)
+{
+  auto [found, isNew] = aShard.mExecutors.try_emplace(aId);
+  if (isNew) {
+    found->second.mEntry.mId = aId;
+    found->second.mEntry.mState = ExecutorState::Gone;
+    found->second.mLapsedAt = LapseOfFormerOwner(aShard);
+  }
+  return found->second;
+}
+
+// Whether runs of the former owner still run is not known until their executors say so.
+void
+AdoptAttempts(Shard& aShard, const Job& aJob, const JobProgress& aProgress, Instant aNow)
+{
+  for (const auto& row : aProgress.mTasks) {
+    if (row.mDone || static_cast<std::size_t>(row.mStep) >= aJob.mDefinition.mSteps.size()) {
+      continue;
+    }
+    const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(row.mStep)];
+    TaskRun name{ { aJob.mId, row.mOccurrence, row.mStep, row.mIndex }, row.mHighestRun };
+    for (const auto& id : row.mExecutors) {
+      auto run = detail::MakeRun(step, RunState::Uncertain, aNow);
+      FindOrAddExecutor(aShard, id).mRuns.emplace(name, run);
+    }
+  }
+}
+
+}
+
+Shard
+MakeShard(int aPartition, const ShardSettings& aSettings, Instant aNow)
+{
+  Shard shard;
+  shard.mPartition = aPartition;
+  shard.mSettings = aSettings;
+  shard.mTakenOverAt = aNow;
+  shard.mConfirmedAt = aNow;
+  return shard;
+}
+
+void
+UpdateExecutor(Shard& aShard, const Now& aNow, const ExecutorEntry& aEntry)
+{
+  auto& executor = FindOrAddExecutor(aShard, aEntry.mId);
+  if (aEntry.mState == ExecutorState::Gone) {
+    executor.mEntry.mState = ExecutorState::Gone;
+    return;
+  }
+  auto becameReady = executor.mEntry.mState != aEntry.mState;
+  if (executor.mEntry.mAddress != aEntry.mAddress) {
+    executor.mRetryAt = aNow.mAt;
+  }
+  auto incarnation = executor.mEntry.mIncarnation;
+  executor.mEntry = aEntry;
+  if (aEntry.mIncarnation == 0) {
+    executor.mEntry.mIncarnation = incarnation;
+  }
+  aShard.mNeedsPass |= becameReady;
+}
+
+void
+Confirm(Shard& aShard, Instant aAskedAt)
+{
+  aShard.mConfirmedAt = std::max(aShard.mConfirmedAt, aAskedAt);
+}
+
+void
+Advance(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  if (aShard.mPhase == ShardPhase::Lost) {
+    return;
+  }
+  detail::AdvanceLog(aShard, aNow, aActions);
+  if (aShard.mPhase != ShardPhase::Active) {
+    return;
+  }
+  detail::AdvanceExecutors(aShard, aNow, aActions);
+  detail::PlaceTasks(aShard, aNow, aActions);
+  detail::WriteProgress(aShard, aNow, aActions);
+}
+
+namespace detail {
+
+bool
+MayStart(const Shard& aShard, Instant aNow)
+{
+  return aShard.mPhase == ShardPhase::Active &&
+         aNow - aShard.mConfirmedAt < kStartWithoutConfirmation;
+}
+
+bool
+MayRenew(const Shard& aShard, Instant aNow)
+{
+  return aShard.mPhase == ShardPhase::Active &&
+         aNow - aShard.mConfirmedAt < kRenewWithoutConfirmation;
+}
+
+ExecutorAddress
+AddressOf(const Shard& aShard, const Executor& aExecutor)
+{
+  return { aExecutor.mEntry.mId, aExecutor.mEntry.mAddress, aShard.mPartition, aShard.mEpoch };
+}
+
+PlacedRun
+MakeRun(const Step& aStep, RunState aState, Instant aNow)
+{
+  PlacedRun run;
+  run.mReserved = aStep.mNeeds;
+  if (aStep.mFills) {
+    run.mReserved.mCpuMillicores = 0;
+  }
+  run.mState = aState;
+  run.mLasts = aStep.mLasting;
+  run.mServes = aStep.mTargetTail.count() != 0;
+  run.mFills = aStep.mFills;
+  run.mSince = aNow;
+  return run;
+}
+
+Job*
+FindJob(Shard& aShard, const JobId& aId)
+{
+  auto found = aShard.mJobs.find(aId);
+  return found == aShard.mJobs.end() ? nullptr : &found->second;
+}
+
+void
+MarkDirty(Shard& aShard, Job& aJob)
+{
+  aJob.mDirty = true;
+  aShard.mDirty.insert(aJob.mId);
+}
+
+void
+TakeJobRecord(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord, Actions& aActions)
+{
+  auto id = JobOfKey(aRecord.mKey);
+  if (aRecord.mValue.empty()) {
+    return;
+  }
+  if (IsCancellationKey(aRecord.mKey)) {
+    auto* job = FindJob(aShard, id);
+    if (job != nullptr && !IsFinal(job->mPhase)) {
+      FinishJob(aShard, *job, JobPhase::Cancelled, "cancelled by its caller", aActions);
+    }
+    return;
+  }
+  if (aShard.mFinished.contains(id) || aShard.mJobs.contains(id)) {
+    return;
+  }
+  auto definition = DecodeJob(aRecord.mValue);
+  if (!definition.ok()) {
+    LogEntry entry{ LogLevel::Warning, "job-unreadable", id.mValue };
+    entry.mReason = std::string(definition.status().message());
+    entry.mVersion = aRecord.mOffset;
+    aActions.emplace_back(std::move(entry));
+    return;
+  }
+  const JobProgress* progress = nullptr;
+  auto loaded = aShard.mLoadedProgress.find(id);
+  if (loaded != aShard.mLoadedProgress.end()) {
+    progress = &loaded->second;
+  }
+  if (progress != nullptr && IsFinal(progress->mPhase)) {
+    aShard.mFinished.insert(id);
+    aShard.mRetention.push_back({ id, aNow.mAt });
+    return;
+  }
+  auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
+  if (progress != nullptr) {
+    AdoptAttempts(aShard, job, *progress, aNow.mAt);
+  }
+  aShard.mNeedsPass = true;
+}
+
+void
+FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason, Actions& aActions)
+{
+  aJob.mPhase = aPhase;
+  MarkDirty(aShard, aJob);
+  auto& counters = aShard.mCounters;
+  counters.mJobsCompleted += aPhase == JobPhase::Completed ? 1 : 0;
+  counters.mJobsFailed += aPhase == JobPhase::Failed ? 1 : 0;
+  counters.mJobsCancelled += aPhase == JobPhase::Cancelled ? 1 : 0;
+  LogEntry entry{ LogLevel::Info, "job-finished", aJob.mId.mValue, aJob.mDefinition.mQueue.mValue };
+  entry.mOutcome = aPhase == JobPhase::Completed ? "completed"
+                   : aPhase == JobPhase::Failed  ? "failed"
+                                                 : "cancelled";
+  entry.mReason = std::move(aReason);
+  entry.mVersion = aShard.mEpoch;
+  aActions.emplace_back(std::move(entry));
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -0,0 +1,136 @@
+#include "LibSchedule/Placement.h"
+#include "LibSchedule/QueueOrder.h"
+#include "LibSchedule/Shard.h"
+
+#include <algorithm>
+
+// One pass over the waiting tasks of a shard.
+namespace sesameseam::schedule {
+
+namespace {
+
+// Tasks that wait for other reasons than room are looked at again after this time.
+constexpr Duration kPassInterval = 100ms;
+
+void
+Place(Shard& aShard,
+      const ReadyStep& aReady,
+      const TaskName& aName,
+      int aRun,
+      Candidate& aCandidate,
+      Instant aNow)
+{
+  auto& job = *aReady.mJob;
+  const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aName.mStep)];
+  auto* task = FindTask(job, aName);
+  task->mHighestRun = aRun;
+  task->mAttempts.push_back({ aCandidate.mExecutor->mEntry.mId, aRun });
+  SetTaskState(job, aName, TaskState::Placed);
+  TaskRun name{ aName, aRun };
+  auto run = detail::MakeRun(step, RunState::Recording, aNow);
+  run.mTargetTail = step.mTargetTail;
+  aCandidate.mExecutor->mRuns.emplace(name, run);
+  aShard.mToRecord.push_back(name);
+  if (job.mPhase == JobPhase::Pending) {
+    job.mPhase = JobPhase::Running;
+  }
+  detail::MarkDirty(aShard, job);
+}
+
+TaskName
+NameOf(const ReadyStep& aReady, int aIndex)
+{
+  return { aReady.mJob->mId, aReady.mOccurrence, aReady.mStep, aIndex };
+}
+
+void
+PlaceEach(Shard& aShard, const ReadyStep& aReady, std::vector<Candidate>& aCandidates, Instant aNow)
+{
+  auto& job = *aReady.mJob;
+  const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
+  for (int index = 0; index < step.mCount; ++index) {
+    auto name = NameOf(aReady, index);
+    auto* task = FindTask(job, name);
+    if (task->mState != TaskState::Waiting || aNow < task->mNotBefore) {
+      continue;
+    }
+    auto* candidate = ChooseCandidate(aCandidates, job.mDefinition.mService, { &step, task, name });
+    if (candidate == nullptr) {
+      return;
+    }
+    Place(aShard, aReady, name, task->mHighestRun + 1, *candidate, aNow);
+    Reserve(*candidate, step);
+  }
+}
+
+// All tasks of a gang find a place, or none is started.
+void
+PlaceGang(Shard& aShard, const ReadyStep& aReady, std::vector<Candidate>& aCandidates, Instant aNow)
+{
+  auto& job = *aReady.mJob;
+  const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
+  std::vector<Candidate*> places;
+  int run = 0;
+  for (int index = 0; index < step.mCount; ++index) {
+    auto name = NameOf(aReady, index);
+    auto* task = FindTask(job, name);
+    run = std::max(run, task->mHighestRun + 1);
+    auto* candidate =
+      task->mState == TaskState::Waiting
+        ? ChooseCandidate(aCandidates, job.mDefinition.mService, { &step, task, name })
+        : nullptr;
+    if (candidate == nullptr) {
+      break;
+    }
+    Reserve(*candidate, step);
+    places.push_back(candidate);
+  }
+  if (places.size() < static_cast<std::size_t>(step.mCount)) {
+    for (auto* candidate : places) {
+      Release(*candidate, step);
+    }
+    return;
+  }
+  for (int index = 0; index < step.mCount; ++index) {
+    Place(
+      aShard, aReady, NameOf(aReady, index), run, *places[static_cast<std::size_t>(index)], aNow);
+  }
+}
+
+}
+
+namespace detail {
+
+void
+PlaceTasks(Shard& aShard, const Now& aNow, Actions& /*aActions*/)
+{
+  auto isDue = aShard.mNeedsPass || aNow.mAt >= aShard.mNextPassAt;
+  if (!isDue || !MayStart(aShard, aNow.mAt)) {
+    return;
+  }
+  aShard.mNeedsPass = false;
+  aShard.mNextPassAt = aNow.mAt + kPassInterval;
+  std::vector<ReadyStep> ready;
+  for (auto& [id, job] : aShard.mJobs) {
+    if (!IsFinal(job.mPhase)) {
+      CollectReadySteps(job, aNow.mWall, ready);
+    }
+  }
+  if (ready.empty()) {
+    return;
+  }
+  SortReadySteps(ready);
+  auto candidates = MakeCandidates(aShard.mExecutors, aNow.mAt);
+  for (const auto& step : ready) {
+    const auto& definition = step.mJob->mDefinition.mSteps[static_cast<std::size_t>(step.mStep)];
+    if (definition.mGang) {
+      PlaceGang(aShard, step, candidates, aNow.mAt);
+    } else {
+      PlaceEach(aShard, step, candidates, aNow.mAt);
+    }
+  }
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -0,0 +1,579 @@
+#include "LibSchedule/Pace.h"
+#include "LibSchedule/Shard.h"
+#include "LibSchedule/Vacate.h"
+
+#include <algorithm>
+#include <set>
+
+// Runs on executors: what their lists say, how they are started, renewed and stopped.
+namespace sesameseam::schedule {
+
+namespace {
+
+// An executor answers a hold at the first end, or after this time.
+constexpr std::chrono::milliseconds kHoldWait = 2s;
+// While a task that lasts is not at work yet, or tasks that fill run beside those that serve.
+constexpr std::chrono::milliseconds kCloseHoldWait = 400ms;
+// A renewal doesn't wait longer than this for ends to be written.
+constexpr Duration kRenewInterval = 2s;
+constexpr Duration kFirstRetryPause = 100ms;
+constexpr int kMaxRetryDoublings = 3;
+constexpr Duration kStopRetryPause = 400ms;
+constexpr int kAtWork = 100;
+// The longest list of ends that one answer holds.
+constexpr std::size_t kMaxListedEnds = 500;
+
+Executor*
+FindExecutor(Shard& aShard, const ExecutorAddress& aAddress)
+{
+  if (aAddress.mEpoch != aShard.mEpoch) {
+    return nullptr;
+  }
+  auto found = aShard.mExecutors.find(aAddress.mExecutor);
+  return found == aShard.mExecutors.end() ? nullptr : &found->second;
+}
+
+void
+NoteUnanswered(Executor& aExecutor, Instant aNow)
+{
+  auto doublings = std::min(aExecutor.mUnanswered, kMaxRetryDoublings);
+  aExecutor.mRetryAt = aNow + kFirstRetryPause * (1 << doublings);
+  ++aExecutor.mUnanswered;
+}
+
+void
+LogRun(std::string_view aEvent,
+       const TaskRun& aRun,
+       const Executor& aExecutor,
+       std::string aReason,
+       Actions& aActions)
+{
+  LogEntry entry{ LogLevel::Info, aEvent, aRun.mTask.mJob.mValue, aExecutor.mEntry.mId.mValue };
+  entry.mOutcome = std::to_string(aRun.mTask.mOccurrence) + "." + std::to_string(aRun.mTask.mStep) +
+                   "." + std::to_string(aRun.mTask.mIndex) + " run " + std::to_string(aRun.mRun);
+  entry.mReason = std::move(aReason);
+  aActions.emplace_back(std::move(entry));
+}
+
+void
+RemoveAttempt(Task& aTask, const ExecutorId& aExecutor, int aRun)
+{
+  std::erase_if(aTask.mAttempts, [&](const Attempt& aAttempt) {
+    return aAttempt.mRun == aRun && aAttempt.mExecutor == aExecutor;
+  });
+}
+
+const Step&
+StepOf(const Job& aJob, const TaskName& aTask)
+{
+  return aJob.mDefinition.mSteps[static_cast<std::size_t>(aTask.mStep)];
+}
+
+StepState&
+StateOf(Job& aJob, const TaskName& aTask)
+{
+  return aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
+    .mSteps[static_cast<std::size_t>(aTask.mStep)];
+}
+
+// A gang fails as a whole, once for each number of a run.
+std::size_t
+FailedRuns(Job& aJob, const TaskName& aTask)
+{
+  if (!StepOf(aJob, aTask).mGang) {
+    return FindTask(aJob, aTask)->mFailedRuns.size();
+  }
+  std::set<int> runs;
+  for (const auto& task : StateOf(aJob, aTask).mTasks) {
+    runs.insert(task.mFailedRuns.begin(), task.mFailedRuns.end());
+  }
+  return runs.size();
+}
+
+void
+StopAttempts(Shard& aShard, const TaskName& aName, const Task& aTask)
+{
+  for (const auto& attempt : aTask.mAttempts) {
+    auto found = aShard.mExecutors.find(attempt.mExecutor);
+    if (found != aShard.mExecutors.end()) {
+      detail::RequestStop(found->second, { aName, attempt.mRun });
+    }
+  }
+}
+
+void
+NoteDone(Shard& aShard, Job& aJob, const TaskName& aName, Actions& aActions)
+{
+  ++aShard.mCounters.mTasksDone;
+  auto& tasks = StateOf(aJob, aName).mTasks;
+  auto first = StepOf(aJob, aName).mGang ? 0 : aName.mIndex;
+  auto last = StepOf(aJob, aName).mGang ? static_cast<int>(tasks.size()) - 1 : aName.mIndex;
+  for (auto index = first; index <= last; ++index) {
+    auto name = aName;
+    name.mIndex = index;
+    SetTaskState(aJob, name, TaskState::Done);
+    StopAttempts(aShard, name, tasks[static_cast<std::size_t>(index)]);
+  }
+  if (AllDone(aJob)) {
+    detail::FinishJob(aShard, aJob, JobPhase::Completed, "all tasks are done", aActions);
+  }
+}
+
+void
+NoteFailed(Shard& aShard, Job& aJob, const TaskRun& aRun, const ExecutorId& aOn, Actions& aActions)
+{
+  ++aShard.mCounters.mTasksFailed;
+  auto* task = FindTask(aJob, aRun.mTask);
+  auto& failed = task->mFailedRuns;
+  if (std::find(failed.begin(), failed.end(), aRun.mRun) == failed.end()) {
+    failed.push_back(aRun.mRun);
+  }
+  task->mFailedOn.push_back(aOn);
+  if (StepOf(aJob, aRun.mTask).mLasting) {
+    failed.clear();
+    return;
+  }
+  if (FailedRuns(aJob, aRun.mTask) >= static_cast<std::size_t>(aJob.mDefinition.mAttempts)) {
+    auto reason = "a task failed " + std::to_string(aJob.mDefinition.mAttempts) + " times";
+    detail::FinishJob(aShard, aJob, JobPhase::Failed, reason, aActions);
+  }
+}
+
+// Returns whether the task that ended is one of ours that was not done yet.
+void
+TakeEnd(Shard& aShard, const Now& aNow, Executor& aExecutor, const TaskEnd& aEnd, Actions& aActions)
+{
+  aExecutor.mRuns.erase(aEnd.mRun);
+  aShard.mNeedsPass = true;
+  if (aEnd.mKind == EndKind::Done) {
+    NoteTaskDone(aExecutor);
+  } else if (aEnd.mKind == EndKind::Failed) {
+    NoteTaskFailed(aExecutor, aNow.mAt);
+  }
+  auto* job = detail::FindJob(aShard, aEnd.mRun.mTask.mJob);
+  auto* task = job == nullptr ? nullptr : FindTask(*job, aEnd.mRun.mTask);
+  if (task == nullptr || IsFinal(job->mPhase)) {
+    return;
+  }
+  RemoveAttempt(*task, aExecutor.mEntry.mId, aEnd.mRun.mRun);
+  detail::MarkDirty(aShard, *job);
+  if (task->mState == TaskState::Done) {
+    return;
+  }
+  if (!aEnd.mCheckpoint.empty()) {
+    task->mCheckpoint = aEnd.mCheckpoint;
+  }
+  if (aEnd.mKind == EndKind::Done && !StepOf(*job, aEnd.mRun.mTask).mLasting) {
+    NoteDone(aShard, *job, aEnd.mRun.mTask, aActions);
+    return;
+  }
+  if (aEnd.mKind == EndKind::Failed) {
+    LogRun("task-failed", aEnd.mRun, aExecutor, "reported by the executor", aActions);
+    NoteFailed(aShard, *job, aEnd.mRun, aExecutor.mEntry.mId, aActions);
+  }
+  if (task->mAttempts.empty()) {
+    SetTaskState(*job, aEnd.mRun.mTask, TaskState::Waiting);
+  }
+}
+
+void
+TakeEnds(Shard& aShard,
+         const Now& aNow,
+         Executor& aExecutor,
+         const HoldAnswer& aAnswer,
+         Actions& aActions)
+{
+  for (const auto& end : aAnswer.mEnds) {
+    if (end.mNumber <= aExecutor.mProcessedEnds) {
+      continue;
+    }
+    TakeEnd(aShard, aNow, aExecutor, end, aActions);
+    aExecutor.mProcessedEnds = end.mNumber;
+    aShard.mEndsToRecord[aExecutor.mEntry.mId] = end.mNumber;
+  }
+}
+
+void
+TakeRunning(Shard& aShard, const Now& aNow, Executor& aExecutor, const RunningTask& aRunning)
+{
+  auto [found, isNew] = aExecutor.mRuns.try_emplace(aRunning.mRun);
+  auto& run = found->second;
+  if (isNew) {
+    run.mSince = aNow.mAt;
+    run.mState = RunState::Running;
+  }
+  if (run.mState == RunState::Uncertain && !run.mStopWanted) {
+    run.mState = RunState::Running;
+    run.mSince = aNow.mAt;
+  }
+  if (run.mPercent != kAtWork && aRunning.mPercent == kAtWork) {
+    aShard.mNeedsPass = true;
+  }
+  run.mPercent = aRunning.mPercent;
+  run.mLoad = aRunning.mLoad;
+  auto* job = detail::FindJob(aShard, aRunning.mRun.mTask.mJob);
+  auto* task = job == nullptr ? nullptr : FindTask(*job, aRunning.mRun.mTask);
+  if (task == nullptr || IsFinal(job->mPhase) || task->mState == TaskState::Done || isNew) {
+    // Nothing waits for it.
+    detail::RequestStop(aExecutor, aRunning.mRun);
+    return;
+  }
+  run.mTargetTail = StepOf(*job, aRunning.mRun.mTask).mTargetTail;
+  if (!aRunning.mCheckpoint.empty()) {
+    task->mCheckpoint = aRunning.mCheckpoint;
+  }
+}
+
+// A run that is not listed has ended, if it was there when the list was asked for.
+void
+DropUnlisted(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer)
+{
+  std::set<TaskRun> listed;
+  for (const auto& running : aAnswer.mRunning) {
+    listed.insert(running.mRun);
+  }
+  std::vector<TaskRun> ended;
+  for (auto& [name, run] : aExecutor.mRuns) {
+    auto isSettled = run.mState != RunState::Recording && run.mState != RunState::Starting;
+    if (!isSettled || run.mSince >= aAnswer.mSentAt || listed.contains(name)) {
+      continue;
+    }
+    if (run.mState == RunState::Uncertain && run.mEpoch == aShard.mEpoch) {
+      // Its start may still arrive. A stop that is answered makes sure that it doesn't.
+      detail::RequestStop(aExecutor, name);
+      continue;
+    }
+    ended.push_back(name);
+  }
+  for (const auto& name : ended) {
+    ++aShard.mCounters.mTasksLost;
+    detail::DropRun(aShard, aExecutor, name);
+  }
+}
+
+void
+DropAll(Shard& aShard, Executor& aExecutor, bool aAlsoStarting)
+{
+  std::vector<TaskRun> names;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    auto isSent = run.mState != RunState::Recording;
+    if (isSent && (aAlsoStarting || run.mState != RunState::Starting)) {
+      names.push_back(name);
+    }
+  }
+  for (const auto& name : names) {
+    ++aShard.mCounters.mTasksLost;
+    detail::DropRun(aShard, aExecutor, name);
+  }
+}
+
+// A new incarnation runs nothing, and counts its ends anew.
+void
+TakeIncarnation(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer, Actions& aActions)
+{
+  auto known = aExecutor.mEntry.mIncarnation;
+  if (aAnswer.mIncarnation == 0 || known == aAnswer.mIncarnation) {
+    return;
+  }
+  aExecutor.mEntry.mIncarnation = aAnswer.mIncarnation;
+  if (known == 0) {
+    return;
+  }
+  LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
+  entry.mOutcome = std::to_string(aExecutor.mRuns.size()) + " runs lost";
+  aActions.emplace_back(std::move(entry));
+  DropAll(aShard, aExecutor, false);
+  aExecutor.mProcessedEnds = 0;
+  aExecutor.mRecordedEnds = 0;
+  aExecutor.mAcknowledgedEnds = 0;
+  aShard.mEndsToRecord.erase(aExecutor.mEntry.mId);
+  if (aShard.mWrite) {
+    aShard.mWrite->mEnds.erase(aExecutor.mEntry.mId);
+  }
+}
+
+bool
+IsOutstanding(const PlacedRun& aRun)
+{
+  return aRun.mState != RunState::Recording;
+}
+
+bool
+NeedsHold(const Executor& aExecutor, Instant aNow)
+{
+  if (aExecutor.mHoldPending || aNow < aExecutor.mRetryAt || aExecutor.mEntry.mAddress.empty()) {
+    return false;
+  }
+  auto hasRuns = std::any_of(aExecutor.mRuns.begin(),
+                             aExecutor.mRuns.end(),
+                             [](const auto& aEntry) { return IsOutstanding(aEntry.second); });
+  if (aExecutor.mEntry.mState == ExecutorState::Gone && !hasRuns) {
+    return false;
+  }
+  if (!aExecutor.mHeld || aExecutor.mUnanswered > 0) {
+    return true;
+  }
+  if (aExecutor.mProcessedEnds > aExecutor.mRecordedEnds) {
+    // The ends would only be listed again.
+    return hasRuns && aNow - aExecutor.mRenewedAt > kRenewInterval;
+  }
+  return hasRuns || aExecutor.mAcknowledgedEnds < aExecutor.mRecordedEnds;
+}
+
+std::chrono::milliseconds
+HoldWait(const Executor& aExecutor)
+{
+  if (!aExecutor.mHeld || aExecutor.mUnanswered > 0 ||
+      aExecutor.mProcessedEnds > aExecutor.mRecordedEnds) {
+    return 0ms;
+  }
+  auto hasRuns = false;
+  auto needsLook = false;
+  auto serves = false;
+  auto fills = false;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    hasRuns |= IsOutstanding(run);
+    needsLook |= run.mLasts && run.mPercent != kAtWork && run.mPace == kAtWork;
+    needsLook |= run.mState == RunState::Stopping || run.mState == RunState::Uncertain;
+    serves |= run.mServes;
+    fills |= run.mFills;
+  }
+  if (!hasRuns) {
+    return 0ms;
+  }
+  return needsLook || (serves && fills) ? kCloseHoldWait : kHoldWait;
+}
+
+void
+SendHold(Shard& aShard, Executor& aExecutor, Instant aNow, Actions& aActions)
+{
+  HoldCall call;
+  call.mTo = detail::AddressOf(aShard, aExecutor);
+  call.mLastSeen = aExecutor.mRecordedEnds;
+  call.mWait = HoldWait(aExecutor);
+  call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
+  NoteLease(aExecutor, call.mLeaseEnd);
+  aExecutor.mHoldPending = true;
+  aExecutor.mHoldSentAt = aNow;
+  aExecutor.mRenewedAt = aNow;
+  aActions.emplace_back(std::move(call));
+}
+
+void
+SendStops(Shard& aShard, Executor& aExecutor, Instant aNow, Actions& aActions)
+{
+  for (auto& [name, run] : aExecutor.mRuns) {
+    auto isSent = run.mState != RunState::Recording && run.mState != RunState::Starting;
+    if (!run.mStopWanted || run.mStopPending || !isSent || aNow < run.mStopRetryAt) {
+      continue;
+    }
+    StopCall call;
+    call.mTo = detail::AddressOf(aShard, aExecutor);
+    call.mRun = name;
+    run.mStopPending = true;
+    aActions.emplace_back(std::move(call));
+  }
+}
+
+}
+
+void
+OnHoldAnswer(Shard& aShard, const Now& aNow, const HoldAnswer& aAnswer, Actions& aActions)
+{
+  auto* executor = FindExecutor(aShard, aAnswer.mCall.mTo);
+  if (executor == nullptr) {
+    return;
+  }
+  executor->mHoldPending = false;
+  if (aAnswer.mFenced) {
+    detail::Lose(aShard, "an executor knows a later owner", aActions);
+    return;
+  }
+  if (aAnswer.mResult != CallResult::Done) {
+    if (executor->mUnanswered == 0) {
+      LogEntry entry{ LogLevel::Info, "executor-silent", {}, executor->mEntry.mId.mValue };
+      entry.mAge = ToMilliseconds(aNow.mAt - aAnswer.mSentAt);
+      aActions.emplace_back(std::move(entry));
+    }
+    NoteUnanswered(*executor, aNow.mAt);
+    return;
+  }
+  aShard.mNeedsPass |= !executor->mHeld || executor->mUnanswered > 0;
+  executor->mUnanswered = 0;
+  executor->mHeld = true;
+  executor->mAcknowledgedEnds = aAnswer.mCall.mLastSeen;
+  TakeIncarnation(aShard, *executor, aAnswer, aActions);
+  NoteClock(*executor, aAnswer.mClock, aNow.mAt);
+  TakeEnds(aShard, aNow, *executor, aAnswer, aActions);
+  for (const auto& running : aAnswer.mRunning) {
+    TakeRunning(aShard, aNow, *executor, running);
+  }
+  if (aAnswer.mEnds.size() < kMaxListedEnds) {
+    DropUnlisted(aShard, *executor, aAnswer);
+  }
+  detail::AdjustPace(aShard, *executor, aNow.mAt, aActions);
+}
+
+void
+OnStartAnswer(Shard& aShard, const Now& aNow, const StartAnswer& aAnswer, Actions& aActions)
+{
+  auto* executor = FindExecutor(aShard, aAnswer.mCall.mTo);
+  if (executor == nullptr) {
+    return;
+  }
+  auto found = executor->mRuns.find(aAnswer.mCall.mRun);
+  if (found == executor->mRuns.end()) {
+    return;
+  }
+  auto& run = found->second;
+  run.mSince = aNow.mAt;
+  if (aAnswer.mResult == CallResult::Done) {
+    run.mState = RunState::Running;
+    if (aAnswer.mClock.count() != 0) {
+      NoteClock(*executor, aAnswer.mClock, aNow.mAt);
+    }
+    return;
+  }
+  if (aAnswer.mResult == CallResult::Unanswered) {
+    ++aShard.mCounters.mStartsUnanswered;
+    run.mState = RunState::Uncertain;
+    executor->mUnanswered = std::max(executor->mUnanswered, 1);
+    LogRun("start-unanswered", aAnswer.mCall.mRun, *executor, "no answer in time", aActions);
+    return;
+  }
+  ++aShard.mCounters.mStartsRefused;
+  LogRun("start-refused",
+         aAnswer.mCall.mRun,
+         *executor,
+         "refusal " + std::to_string(static_cast<int>(aAnswer.mRefusal)),
+         aActions);
+  if (aAnswer.mRefusal == StartRefusal::Fenced) {
+    detail::Lose(aShard, "an executor knows a later owner", aActions);
+    return;
+  }
+  if (aAnswer.mRefusal == StartRefusal::Unhealthy || aAnswer.mRefusal == StartRefusal::NoRoom) {
+    NoteTaskFailed(*executor, aNow.mAt);
+    executor->mAvoidUntil = std::max(executor->mAvoidUntil, aNow.mAt + kStopRetryPause);
+  } else {
+    // Its clock or its runs are other than was thought; the next list tells.
+    executor->mUnanswered = std::max(executor->mUnanswered, 1);
+  }
+  detail::DropRun(aShard, *executor, aAnswer.mCall.mRun);
+}
+
+void
+OnStopAnswer(Shard& aShard, const Now& aNow, const StopAnswer& aAnswer, Actions& /*aActions*/)
+{
+  auto* executor = FindExecutor(aShard, aAnswer.mCall.mTo);
+  if (executor == nullptr) {
+    return;
+  }
+  auto found = executor->mRuns.find(aAnswer.mCall.mRun);
+  if (found == executor->mRuns.end()) {
+    return;
+  }
+  auto& run = found->second;
+  run.mStopPending = false;
+  if (aAnswer.mResult != CallResult::Done) {
+    run.mStopRetryAt = aNow.mAt + kStopRetryPause;
+    return;
+  }
+  run.mStopWanted = false;
+  run.mState = RunState::Stopping;
+  run.mSince = aNow.mAt;
+}
+
+namespace detail {
+
+void
+RequestStop(Executor& aExecutor, const TaskRun& aRun)
+{
+  auto found = aExecutor.mRuns.find(aRun);
+  if (found != aExecutor.mRuns.end() && found->second.mState != RunState::Stopping) {
+    found->second.mStopWanted = true;
+  }
+}
+
+void
+StopOrForget(Executor& aExecutor, const TaskRun& aRun)
+{
+  auto found = aExecutor.mRuns.find(aRun);
+  if (found != aExecutor.mRuns.end() && found->second.mState == RunState::Recording) {
+    aExecutor.mRuns.erase(found);
+    return;
+  }
+  RequestStop(aExecutor, aRun);
+}
+
+void
+DropRun(Shard& aShard, Executor& aExecutor, const TaskRun& aRun)
+{
+  aExecutor.mRuns.erase(aRun);
+  aShard.mNeedsPass = true;
+  auto* job = FindJob(aShard, aRun.mTask.mJob);
+  auto* task = job == nullptr ? nullptr : FindTask(*job, aRun.mTask);
+  if (task == nullptr || IsFinal(job->mPhase)) {
+    return;
+  }
+  RemoveAttempt(*task, aExecutor.mEntry.mId, aRun.mRun);
+  MarkDirty(aShard, *job);
+  if (task->mState == TaskState::Placed && task->mAttempts.empty()) {
+    SetTaskState(*job, aRun.mTask, TaskState::Waiting);
+  }
+}
+
+void
+SendStart(Shard& aShard, const Now& aNow, const TaskRun& aRun, Actions& aActions)
+{
+  auto* job = FindJob(aShard, aRun.mTask.mJob);
+  auto* task = job == nullptr ? nullptr : FindTask(*job, aRun.mTask);
+  if (task == nullptr || task->mAttempts.empty()) {
+    return;
+  }
+  auto& executor = aShard.mExecutors.at(task->mAttempts.back().mExecutor);
+  auto found = executor.mRuns.find(aRun);
+  if (found == executor.mRuns.end() || found->second.mState != RunState::Recording) {
+    return;
+  }
+  auto isStillRight = !IsFinal(job->mPhase) && !found->second.mStopWanted &&
+                      MayStart(aShard, aNow.mAt) && IsUsable(executor, aNow.mAt);
+  if (!isStillRight) {
+    DropRun(aShard, executor, aRun);
+    return;
+  }
+  StartCall call;
+  call.mTo = AddressOf(aShard, executor);
+  call.mRun = aRun;
+  call.mSpec = job->mDefinition.mSpec;
+  call.mCheckpoint = task->mCheckpoint;
+  call.mLeaseEnd = LeaseEnd(executor, aShard.mSettings.mLease, aNow.mAt);
+  NoteLease(executor, call.mLeaseEnd);
+  found->second.mState = RunState::Starting;
+  found->second.mEpoch = aShard.mEpoch;
+  found->second.mSince = aNow.mAt;
+  ++aShard.mCounters.mStarts;
+  aActions.emplace_back(std::move(call));
+}
+
+void
+AdvanceExecutors(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  if (!MayRenew(aShard, aNow.mAt)) {
+    return;
+  }
+  for (auto& [id, executor] : aShard.mExecutors) {
+    if (executor.mLapsedAt < aNow.mAt && !executor.mRuns.empty() &&
+        (executor.mUnanswered > 0 || executor.mEntry.mState == ExecutorState::Gone)) {
+      DropAll(aShard, executor, true);
+    }
+    EmptyLeavingExecutor(aShard, executor);
+    if (NeedsHold(executor, aNow.mAt)) {
+      SendHold(aShard, executor, aNow.mAt, aActions);
+    }
+    SendStops(aShard, executor, aNow.mAt, aActions);
+  }
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -0,0 +1,255 @@
+#include "LibSchedule/Shard.h"
+
+#include <algorithm>
+
+// How a host becomes the owner of a shard: a fencing token, the end of the former owner's writes,
+// then all that is stored. Each call is repeated until it is answered.
+namespace sesameseam::schedule {
+
+namespace {
+
+// Between tries of a call that failed.
+constexpr Duration kRetryPause = 150ms;
+constexpr int kOwnersPartition = 0;
+
+AppendCall
+ClaimCall(const Shard& aShard)
+{
+  AppendCall call;
+  call.mStream = Stream::Owners;
+  call.mPartition = kOwnersPartition;
+  call.mRecords.push_back({ std::to_string(aShard.mPartition), aShard.mSettings.mHost });
+  call.mTicket = aShard.mPartition;
+  return call;
+}
+
+AppendCall
+FenceCall(const Shard& aShard)
+{
+  AppendCall call;
+  call.mStream = Stream::Progress;
+  call.mPartition = aShard.mPartition;
+  call.mFence = AppendFence{ aShard.mEpoch, aShard.mSequence };
+  call.mTicket = aShard.mEpoch;
+  return call;
+}
+
+NewestCall
+LoadCall(const Shard& aShard, Stream aStream)
+{
+  NewestCall call;
+  call.mStream = aStream;
+  call.mPartition = aShard.mPartition;
+  call.mReader = Reader::Owner;
+  call.mAfterKey = aShard.mPageKey;
+  call.mTicket = aShard.mEpoch;
+  return call;
+}
+
+ReadCall
+FollowCall(const Shard& aShard)
+{
+  constexpr std::chrono::milliseconds kLongPoll = 1500ms;
+  ReadCall call;
+  call.mStream = Stream::Jobs;
+  call.mPartition = aShard.mPartition;
+  call.mReader = Reader::Owner;
+  call.mFrom = aShard.mJobsPosition;
+  call.mWait = kLongPoll;
+  call.mTicket = aShard.mEpoch;
+  return call;
+}
+
+void
+Become(Shard& aShard, ShardPhase aPhase)
+{
+  aShard.mPhase = aPhase;
+  aShard.mPageKey.clear();
+}
+
+void
+BecomeActive(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  Become(aShard, ShardPhase::Active);
+  aShard.mLoadedProgress.clear();
+  aShard.mNeedsPass = true;
+  LogEntry entry{ LogLevel::Info, "shard-owned" };
+  entry.mSubject = std::to_string(aShard.mPartition);
+  entry.mOutcome = std::to_string(aShard.mJobs.size()) + " unfinished jobs";
+  entry.mVersion = aShard.mEpoch;
+  entry.mAge = ToMilliseconds(aNow.mAt - aShard.mTakenOverAt);
+  aActions.emplace_back(std::move(entry));
+}
+
+void
+TakeProgress(Shard& aShard, const KeyedRecord& aRecord, Actions& aActions)
+{
+  auto progress = DecodeProgress(aRecord.mValue);
+  if (!progress.ok()) {
+    LogEntry entry{ LogLevel::Warning, "progress-unreadable", aRecord.mKey };
+    entry.mReason = std::string(progress.status().message());
+    entry.mVersion = aRecord.mOffset;
+    aActions.emplace_back(std::move(entry));
+    return;
+  }
+  aShard.mLoadedProgress[JobId(aRecord.mKey)] = *std::move(progress);
+}
+
+void
+OnClaimAnswer(Shard& aShard, const AppendAnswer& aAnswer)
+{
+  if (aShard.mPhase != ShardPhase::Claiming) {
+    return;
+  }
+  // Offsets begin at 0, and an executor takes a missing token for 0.
+  aShard.mEpoch = aAnswer.mOffset + 1;
+  Become(aShard, ShardPhase::Fencing);
+}
+
+void
+OnFenceAnswer(Shard& aShard, const AppendAnswer& aAnswer, Actions& aActions)
+{
+  if (aAnswer.mRefusal == AppendRefusal::Fenced) {
+    detail::Lose(aShard, "a later owner has fenced the log", aActions);
+    return;
+  }
+  if (aAnswer.mRefusal == AppendRefusal::Sequence) {
+    aShard.mSequence = aAnswer.mExpectedSequence;
+    return;
+  }
+  if (aAnswer.mResult == CallResult::Done) {
+    Become(aShard, ShardPhase::LoadingProgress);
+  }
+}
+
+}
+
+void
+OnAppendAnswer(Shard& aShard, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
+{
+  if (aAnswer.mCall.mStream == Stream::Progress && aAnswer.mCall.mTicket != aShard.mEpoch) {
+    return;
+  }
+  if (aAnswer.mResult == CallResult::Done) {
+    Confirm(aShard, aAnswer.mSentAt);
+  }
+  if (aShard.mWrite && aShard.mWrite->mInFlight) {
+    detail::OnWriteAnswer(aShard, aNow, aAnswer, aActions);
+    return;
+  }
+  aShard.mCallPending = false;
+  if (aAnswer.mResult != CallResult::Done) {
+    aShard.mRetryAt = aNow.mAt + kRetryPause;
+  }
+  if (aAnswer.mCall.mStream == Stream::Owners && aAnswer.mResult == CallResult::Done) {
+    OnClaimAnswer(aShard, aAnswer);
+  } else if (aAnswer.mCall.mStream == Stream::Progress) {
+    OnFenceAnswer(aShard, aAnswer, aActions);
+  }
+}
+
+void
+OnNewestAnswer(Shard& aShard, const Now& aNow, const NewestAnswer& aAnswer, Actions& aActions)
+{
+  if (aAnswer.mCall.mTicket != aShard.mEpoch) {
+    return;
+  }
+  aShard.mCallPending = false;
+  if (aAnswer.mResult != CallResult::Done) {
+    aShard.mRetryAt = aNow.mAt + kRetryPause;
+    return;
+  }
+  auto isProgress = aAnswer.mCall.mStream == Stream::Progress;
+  if (!isProgress && aAnswer.mCall.mAfterKey.empty()) {
+    // Pages are no snapshot: what changes while they are read is read again from here.
+    aShard.mJobsPosition = aAnswer.mEnd;
+  }
+  // A cancellation's key sorts after the keys of all jobs, so that its job is known by then.
+  for (const auto& record : aAnswer.mRecords) {
+    if (isProgress) {
+      TakeProgress(aShard, record, aActions);
+    } else {
+      detail::TakeJobRecord(aShard, aNow, record, aActions);
+    }
+  }
+  if (aAnswer.mHasMore && !aAnswer.mRecords.empty()) {
+    aShard.mPageKey = aAnswer.mRecords.back().mKey;
+    return;
+  }
+  if (isProgress) {
+    Become(aShard, ShardPhase::LoadingJobs);
+  } else {
+    BecomeActive(aShard, aNow, aActions);
+  }
+}
+
+void
+OnReadAnswer(Shard& aShard, const Now& aNow, const ReadAnswer& aAnswer, Actions& aActions)
+{
+  if (aAnswer.mCall.mTicket != aShard.mEpoch) {
+    return;
+  }
+  aShard.mCallPending = false;
+  if (aAnswer.mTrimmed) {
+    // The history is gone, but the newest record of each key stays.
+    Become(aShard, ShardPhase::LoadingJobs);
+    return;
+  }
+  if (aAnswer.mResult != CallResult::Done) {
+    aShard.mRetryAt = aNow.mAt + kRetryPause;
+    return;
+  }
+  for (const auto& record : aAnswer.mRecords) {
+    if (record.mOffset < aShard.mJobsPosition) {
+      continue;
+    }
+    detail::TakeJobRecord(aShard, aNow, record, aActions);
+    aShard.mJobsPosition = record.mOffset + 1;
+  }
+}
+
+namespace detail {
+
+void
+Lose(Shard& aShard, std::string aReason, Actions& aActions)
+{
+  aShard.mPhase = ShardPhase::Lost;
+  LogEntry entry{ LogLevel::Info, "shard-lost" };
+  entry.mSubject = std::to_string(aShard.mPartition);
+  entry.mReason = std::move(aReason);
+  entry.mVersion = aShard.mEpoch;
+  aActions.emplace_back(std::move(entry));
+}
+
+void
+AdvanceLog(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  if (aShard.mCallPending || aNow.mAt < aShard.mRetryAt) {
+    return;
+  }
+  aShard.mCallPending = true;
+  switch (aShard.mPhase) {
+    case ShardPhase::Claiming:
+      aActions.emplace_back(ClaimCall(aShard));
+      return;
+    case ShardPhase::Fencing:
+      aActions.emplace_back(FenceCall(aShard));
+      return;
+    case ShardPhase::LoadingProgress:
+      aActions.emplace_back(LoadCall(aShard, Stream::Progress));
+      return;
+    case ShardPhase::LoadingJobs:
+      aActions.emplace_back(LoadCall(aShard, Stream::Jobs));
+      return;
+    case ShardPhase::Active:
+      aActions.emplace_back(FollowCall(aShard));
+      return;
+    case ShardPhase::Lost:
+      aShard.mCallPending = false;
+      return;
+  }
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -0,0 +1,173 @@
+#include "LibSchedule/Shard.h"
+
+#include <algorithm>
+
+// Writes what has become of jobs. One append is under way at a time; what gathers meanwhile goes
+// with the next. Starts, acknowledgements of ends and final states wait until it is stored.
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr Duration kRetryPause = 60ms;
+// A write stays well below the largest request that the store takes.
+constexpr std::size_t kMaxWriteBytes = 1 << 20;
+// How long an ended job stays known to callers after its end.
+constexpr Duration kRetention = 600s;
+constexpr std::size_t kMaxForgottenPerWrite = 100;
+
+void
+AddForgottenJobs(Shard& aShard, Instant aNow, PendingWrite& aWrite)
+{
+  while (!aShard.mRetention.empty() && aNow - aShard.mRetention.front().mAt > kRetention &&
+         aWrite.mCall.mRecords.size() < kMaxForgottenPerWrite) {
+    aWrite.mCall.mRecords.push_back({ aShard.mRetention.front().mId.mValue, {} });
+    aShard.mRetention.pop_front();
+  }
+}
+
+void
+AddChangedJobs(Shard& aShard, PendingWrite& aWrite)
+{
+  std::size_t bytes = 0;
+  while (!aShard.mDirty.empty() && bytes < kMaxWriteBytes) {
+    auto id = *aShard.mDirty.begin();
+    aShard.mDirty.erase(aShard.mDirty.begin());
+    auto* job = detail::FindJob(aShard, id);
+    if (job == nullptr) {
+      continue;
+    }
+    job->mDirty = false;
+    auto value = EncodeProgress(ProgressOf(*job));
+    bytes += value.size();
+    aWrite.mCall.mRecords.push_back({ id.mValue, std::move(value) });
+    if (IsFinal(job->mPhase)) {
+      aWrite.mFinished.push_back(id);
+    }
+  }
+}
+
+PendingWrite
+MakeWrite(Shard& aShard, Instant aNow)
+{
+  PendingWrite write;
+  write.mCall.mStream = Stream::Progress;
+  write.mCall.mPartition = aShard.mPartition;
+  write.mCall.mTicket = aShard.mEpoch;
+  AddChangedJobs(aShard, write);
+  AddForgottenJobs(aShard, aNow, write);
+  if (!aShard.mDirty.empty()) {
+    // Not all fit: what depends on the rest goes with the next write.
+    return write;
+  }
+  write.mStarts.swap(aShard.mToRecord);
+  write.mEnds.swap(aShard.mEndsToRecord);
+  return write;
+}
+
+// Stops what still runs of a job that has ended, and forgets all but its name.
+void
+CloseJob(Shard& aShard, const JobId& aId, Instant aNow)
+{
+  auto found = aShard.mJobs.find(aId);
+  if (found == aShard.mJobs.end()) {
+    return;
+  }
+  for (auto& occurrence : found->second.mOccurrences) {
+    for (auto& step : occurrence.mSteps) {
+      for (auto& task : step.mTasks) {
+        for (const auto& attempt : task.mAttempts) {
+          auto executor = aShard.mExecutors.find(attempt.mExecutor);
+          if (executor == aShard.mExecutors.end()) {
+            continue;
+          }
+          TaskName name{ aId,
+                         static_cast<int>(&occurrence - found->second.mOccurrences.data()),
+                         static_cast<int>(&step - occurrence.mSteps.data()),
+                         static_cast<int>(&task - step.mTasks.data()) };
+          detail::StopOrForget(executor->second, { name, attempt.mRun });
+        }
+      }
+    }
+  }
+  aShard.mJobs.erase(found);
+  aShard.mFinished.insert(aId);
+  aShard.mRetention.push_back({ aId, aNow });
+}
+
+void
+CompleteWrite(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  auto write = std::move(*aShard.mWrite);
+  aShard.mWrite.reset();
+  ++aShard.mSequence;
+  for (const auto& [id, number] : write.mEnds) {
+    auto found = aShard.mExecutors.find(id);
+    if (found != aShard.mExecutors.end()) {
+      found->second.mRecordedEnds = std::max(found->second.mRecordedEnds, number);
+    }
+  }
+  for (const auto& id : write.mFinished) {
+    CloseJob(aShard, id, aNow.mAt);
+  }
+  for (const auto& run : write.mStarts) {
+    detail::SendStart(aShard, aNow, run, aActions);
+  }
+}
+
+}
+
+namespace detail {
+
+void
+WriteProgress(Shard& aShard, const Now& aNow, Actions& aActions)
+{
+  if (!aShard.mWrite) {
+    auto hasWork =
+      !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() ||
+      (!aShard.mRetention.empty() && aNow.mAt - aShard.mRetention.front().mAt > kRetention);
+    if (!hasWork) {
+      return;
+    }
+    aShard.mWrite = MakeWrite(aShard, aNow.mAt);
+    if (aShard.mWrite->mCall.mRecords.empty()) {
+      // Ends of jobs that are closed already: there is nothing to store.
+      --aShard.mSequence;
+      CompleteWrite(aShard, aNow, aActions);
+      return;
+    }
+  }
+  auto& write = *aShard.mWrite;
+  if (write.mInFlight || aNow.mAt < write.mRetryAt) {
+    return;
+  }
+  write.mInFlight = true;
+  write.mCall.mFence = AppendFence{ aShard.mEpoch, aShard.mSequence };
+  aActions.emplace_back(write.mCall);
+}
+
+void
+OnWriteAnswer(Shard& aShard, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
+{
+  auto& write = *aShard.mWrite;
+  write.mInFlight = false;
+  if (aAnswer.mRefusal == AppendRefusal::Fenced) {
+    Lose(aShard, "a later owner has fenced the log", aActions);
+    return;
+  }
+  if (aAnswer.mRefusal == AppendRefusal::Sequence) {
+    // The number is the store's: this write was not stored under any other.
+    aShard.mSequence = aAnswer.mExpectedSequence;
+    write.mRetryAt = aNow.mAt;
+    return;
+  }
+  if (aAnswer.mResult != CallResult::Done) {
+    // The same sequence number makes sure that it is stored once.
+    write.mRetryAt = aNow.mAt + kRetryPause;
+    return;
+  }
+  CompleteWrite(aShard, aNow, aActions);
+}
+
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/Vacate.cpp
@@ -0,0 +1,68 @@
+#include "LibSchedule/Vacate.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule::detail {
+
+namespace {
+
+constexpr int kAtWork = 100;
+
+bool
+IsAtWork(const Shard& aShard, const Attempt& aAttempt, const TaskName& aTask)
+{
+  auto executor = aShard.mExecutors.find(aAttempt.mExecutor);
+  if (executor == aShard.mExecutors.end() || executor->second.mUnanswered > 0) {
+    return false;
+  }
+  auto run = executor->second.mRuns.find({ aTask, aAttempt.mRun });
+  return run != executor->second.mRuns.end() && run->second.mState == RunState::Running &&
+         run->second.mPercent == kAtWork && !run->second.mStopWanted;
+}
+
+}
+
+int
+TasksAway(const Shard& aShard, Job& aJob, const TaskName& aTask)
+{
+  int away = 0;
+  auto name = aTask;
+  for (name.mIndex = 0;; ++name.mIndex) {
+    const auto* task = FindTask(aJob, name);
+    if (task == nullptr) {
+      return away;
+    }
+    if (name.mIndex == aTask.mIndex) {
+      continue;
+    }
+    auto isAtWork =
+      std::any_of(task->mAttempts.begin(), task->mAttempts.end(), [&](const Attempt& aAttempt) {
+        return IsAtWork(aShard, aAttempt, name);
+      });
+    away += isAtWork ? 0 : 1;
+  }
+}
+
+void
+EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor)
+{
+  auto drains = aExecutor.mEntry.mState == ExecutorState::Draining;
+  if (!drains && !aExecutor.mVacating) {
+    return;
+  }
+  for (auto& [name, run] : aExecutor.mRuns) {
+    if (!run.mLasts || run.mState != RunState::Running || run.mStopWanted) {
+      continue;
+    }
+    auto* job = FindJob(aShard, name.mTask.mJob);
+    if (job == nullptr || FindTask(*job, name.mTask) == nullptr) {
+      continue;
+    }
+    const auto& step = job->mDefinition.mSteps[static_cast<std::size_t>(name.mTask.mStep)];
+    if (drains || TasksAway(aShard, *job, name.mTask) < step.mMaxAway) {
+      run.mStopWanted = true;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -0,0 +1,73 @@
+// Records that entry hosts keep in the platform's log, in the compact protocol.
+namespace cpp sesameseam.schedule.record
+
+struct Step {
+  1: required i32 count,
+  2: optional i32 cpu_millicores,
+  3: optional i32 memory_mb,
+  4: optional i32 gpus,
+  5: optional i32 estimate_ms,
+  6: optional list<i32> after,
+  7: optional bool gang,
+  8: optional bool same_rack,
+  9: optional string required_label,
+  10: optional string preferred_rack,
+  11: optional i32 max_per_executor,
+  12: optional bool speculative,
+  13: optional bool lasting,
+  14: optional bool fills,
+  15: optional i32 max_away,
+  16: optional string image,
+  17: optional i32 target_tail_ms,
+  18: optional bool checkpoints,
+}
+
+struct Job {
+  1: required string queue,
+  2: required string service_name,
+  3: required string spec,
+  4: required list<Step> steps,
+  5: required i64 accepted_at_ms,
+  6: optional i32 attempts,
+  7: optional i32 priority,
+  8: optional i32 stretch_percent,
+  9: optional i32 response_goal_ms,
+  10: optional i32 run_count,
+  11: optional i64 start_time_ms,
+  12: optional i64 interval_ms,
+}
+
+// A request to cancel a job, stored beside the job under a key of its own.
+struct Cancellation {
+  1: required i64 accepted_at_ms,
+}
+
+// A task that has not ended and was started before.
+struct Task {
+  1: required i32 occurrence,
+  2: required i32 step,
+  3: required i32 index,
+  4: optional i32 highest_run,
+  5: optional list<i32> failed_runs,
+  6: optional string checkpoint,
+  7: optional bool done,
+  // Where runs may be that have not ended.
+  8: optional list<string> executors,
+}
+
+struct FinishedStep {
+  1: required i32 occurrence,
+  2: required i32 step,
+}
+
+struct Progress {
+  1: required i32 phase,
+  2: optional list<FinishedStep> finished_steps,
+  3: optional list<Task> tasks,
+}
+
+// One host's place in a maintenance wave.
+struct Upkeep {
+  1: required i32 phase,
+  2: required string former_executor,
+}
