Let leases end on silent executors, and waves of a reserve

Cause: a hold that was repeated on a silent executor renewed its lease in our books each time, so that tasks on a lost rack never came back (LOST); runs that a former owner had left were given no room (LIMIT); hosts of the reserve run no executor, so that their upkeep was never seen to end. Ruled out: late starts (no start stands in the log of that executor). Change: repeated holds renew nothing; an executor with a run of unknown size gets no work until it is gone; incarnations come from an executor's own lists; a reserve host is back when a later list shows it up.

--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -61,8 +61,13 @@
 bool
 IsUsable(const Executor& aExecutor, Instant aNow)
 {
-  return aExecutor.mEntry.mState == ExecutorState::Ready && aExecutor.mHeld &&
-         !aExecutor.mVacating && aExecutor.mUnanswered == 0 && aExecutor.mAvoidUntil <= aNow;
+  auto isReady = aExecutor.mEntry.mState == ExecutorState::Ready && aExecutor.mHeld;
+  auto isApart = aExecutor.mVacating || aExecutor.mUnanswered > 0 || aExecutor.mAvoidUntil > aNow;
+  // The room that foreign runs take is not known.
+  auto hasForeign = std::any_of(aExecutor.mRuns.begin(),
+                                aExecutor.mRuns.end(),
+                                [](const auto& aEntry) { return aEntry.second.mIsForeign; });
+  return isReady && !isApart && !hasForeign;
 }
 
 void
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -39,6 +39,8 @@
   bool mStopWanted = false;
   bool mStopPending = false;
   Instant mStopRetryAt;
+  // It was found running, and its size is not known.
+  bool mIsForeign = false;
   // The epoch of the owner that started it.
   std::int64_t mEpoch = 0;
 };
@@ -56,6 +58,8 @@
   // By then everything that runs there has surely ended, unless a lease is renewed.
   Instant mLapsedAt;
   Instant mRenewedAt;
+  // The incarnation that the ends and runs below belong to, from its own lists.
+  std::int64_t mHeldIncarnation = 0;
   // It has answered a hold of this owner, which shut out the former one.
   bool mHeld = false;
   bool mHoldPending = false;
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -330,7 +330,7 @@
       OnIntakeAnswer(aNode.mIntake, aNow, aAnswer, aActions);
       return;
     case Stream::Upkeep:
-      OnUpkeepAppend(aNode.mUpkeep, aNow, aAnswer);
+      OnUpkeepAppend(aNode.mUpkeep, aNow, aAnswer, aActions);
       return;
     case Stream::Owners:
       WithShard(
@@ -436,9 +436,9 @@
 }
 
 void
-On(Node& aNode, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& /*aActions*/)
+On(Node& aNode, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions)
 {
-  OnWaveStatus(aNode.mUpkeep, aNow, aAnswer);
+  OnWaveStatus(aNode.mUpkeep, aNow, aAnswer, aActions);
 }
 
 void
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -74,11 +74,7 @@
   if (executor.mEntry.mAddress != aEntry.mAddress) {
     executor.mRetryAt = aNow.mAt;
   }
-  auto incarnation = executor.mEntry.mIncarnation;
   executor.mEntry = aEntry;
-  if (aEntry.mIncarnation == 0) {
-    executor.mEntry.mIncarnation = incarnation;
-  }
   aShard.mNeedsPass |= becameReady;
 }
 
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 // Runs on executors: what their lists say, how they are started, renewed and stopped.
 namespace sesameseam::schedule {
@@ -201,6 +202,7 @@
   if (isNew) {
     run.mSince = aNow.mAt;
     run.mState = RunState::Running;
+    run.mIsForeign = true;
   }
   if (run.mState == RunState::Uncertain && !run.mStopWanted) {
     run.mState = RunState::Running;
@@ -271,12 +273,8 @@
 void
 TakeIncarnation(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer, Actions& aActions)
 {
-  auto known = aExecutor.mEntry.mIncarnation;
-  if (aAnswer.mIncarnation == 0 || known == aAnswer.mIncarnation) {
-    return;
-  }
-  aExecutor.mEntry.mIncarnation = aAnswer.mIncarnation;
-  if (known == 0) {
+  auto known = std::exchange(aExecutor.mHeldIncarnation, aAnswer.mIncarnation);
+  if (known == 0 || known == aAnswer.mIncarnation) {
     return;
   }
   LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
@@ -351,11 +349,14 @@
   call.mTo = detail::AddressOf(aShard, aExecutor);
   call.mLastSeen = aExecutor.mRecordedEnds;
   call.mWait = HoldWait(aExecutor);
-  call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
-  NoteLease(aExecutor, call.mLeaseEnd);
+  if (aExecutor.mUnanswered == 0) {
+    // Nothing is renewed on an executor that is silent, so that its runs are known to end.
+    call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
+    NoteLease(aExecutor, call.mLeaseEnd);
+    aExecutor.mRenewedAt = aNow;
+  }
   aExecutor.mHoldPending = true;
   aExecutor.mHoldSentAt = aNow;
-  aExecutor.mRenewedAt = aNow;
   aActions.emplace_back(std::move(call));
 }
 
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -40,6 +40,13 @@
   return key;
 }
 
+bool
+IsOver(const std::string& aValue)
+{
+  auto record = DecodeUpkeep(aValue);
+  return record.ok() && record->mPhase == UpkeepPhase::Over;
+}
+
 void
 TakeRecords(Upkeep& aUpkeep, const std::vector<KeyedRecord>& aRecords)
 {
@@ -140,6 +147,9 @@
     return;
   }
   aUpkeep.mMachinesPending = true;
+  if (aUpkeep.mMachinesPage.empty()) {
+    aUpkeep.mMachinesSentAt = aNow.mAt;
+  }
   aActions.emplace_back(MachinesCall{ aUpkeep.mMachinesPage });
 }
 
@@ -187,6 +197,23 @@
          detail::MayStart(aShard, aNow);
 }
 
+// A host that comes back runs another executor. In a reserve that is switched off it runs none, and
+// a list that was asked for after the order has to show it up.
+bool
+IsBack(const Upkeep& aUpkeep,
+       const Machine& aMachine,
+       const UpkeepRecord& aRecord,
+       const UpkeepTask& aTask)
+{
+  if (aMachine.mState != MachineState::Up) {
+    return false;
+  }
+  if (!aRecord.mFormerExecutor.IsEmpty()) {
+    return !aMachine.mExecutor.IsEmpty() && aMachine.mExecutor != aRecord.mFormerExecutor;
+  }
+  return aTask.mOrdered && aUpkeep.mMachinesAskedAt > aTask.mOrderedAt;
+}
+
 // Follows one host through its upkeep: emptied, recorded, ordered, back.
 void
 AdvanceMachine(Upkeep& aUpkeep,
@@ -205,8 +232,7 @@
     return;
   }
   if (record != nullptr) {
-    auto isBack = aMachine.mState == MachineState::Up &&
-                  aMachine.mExecutor != record->mFormerExecutor && !aMachine.mExecutor.IsEmpty();
+    auto isBack = IsBack(aUpkeep, aMachine, *record, aUpkeep.mTasks[key]);
     if (isBack && MayAppend(aUpkeep)) {
       AppendRecord(aUpkeep, key, { UpkeepPhase::Over, record->mFormerExecutor }, aActions);
     } else if (!isBack) {
@@ -335,13 +361,17 @@
 }
 
 void
-OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer)
+OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
 {
   aUpkeep.mAppendPending = false;
   aUpkeep.mAppending.reset();
   if (aAnswer.mResult == CallResult::Done) {
     TakeRecords(aUpkeep, { { aAnswer.mCall.mRecords[0].mKey, aAnswer.mCall.mRecords[0].mValue } });
     aUpkeep.mPosition = aAnswer.mOffset + 1;
+    LogEntry entry{ LogLevel::Info, "upkeep-recorded", {}, aAnswer.mCall.mRecords[0].mKey };
+    entry.mOutcome = IsOver(aAnswer.mCall.mRecords[0].mValue) ? "over" : "begun";
+    entry.mVersion = aAnswer.mOffset;
+    aActions.emplace_back(std::move(entry));
     return;
   }
   // What others have appended, or whether this record is there, shows the next read.
@@ -375,6 +405,7 @@
   aUpkeep.mMachines.swap(aUpkeep.mPageOfMachines);
   aUpkeep.mPageOfMachines.clear();
   aUpkeep.mMachinesKnown = true;
+  aUpkeep.mMachinesAskedAt = aUpkeep.mMachinesSentAt;
 }
 
 void
@@ -383,6 +414,7 @@
   auto& task = aUpkeep.mTasks[{ aAnswer.mCall.mWave, aAnswer.mCall.mMachine }];
   task.mCallPending = false;
   task.mOrdered = aAnswer.mResult == CallResult::Done;
+  task.mOrderedAt = aNow.mAt;
   task.mRetryAt = aNow.mAt + kRetryPause;
   LogEntry entry{ LogLevel::Info, "upkeep-ordered", {}, aAnswer.mCall.mMachine.mValue };
   entry.mOutcome = aAnswer.mResult == CallResult::Done      ? "done"
@@ -395,11 +427,14 @@
 }
 
 void
-OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer)
+OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions)
 {
   aUpkeep.mReporting.reset();
   if (aAnswer.mResult == CallResult::Done) {
     aUpkeep.mReported[aAnswer.mCall.mWave] = aAnswer.mCall.mCompleted;
+    LogEntry entry{ LogLevel::Info, "wave-reported", {}, std::to_string(aAnswer.mCall.mWave) };
+    entry.mOutcome = aAnswer.mCall.mCompleted ? "completed" : "running";
+    aActions.emplace_back(std::move(entry));
   }
   aUpkeep.mNextReportAt = aNow.mAt + kRetryPause;
 }
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -22,6 +22,7 @@
 {
   bool mCallPending = false;
   bool mOrdered = false;
+  Instant mOrderedAt;
   Instant mRetryAt;
 };
 
@@ -53,6 +54,9 @@
   std::string mMachinesPage;
   bool mMachinesPending = false;
   bool mMachinesKnown = false;
+  // When the list of machines that is known was asked for.
+  Instant mMachinesAskedAt;
+  Instant mMachinesSentAt;
   Instant mNextMachinesAt;
 
   std::map<UpkeepKey, UpkeepTask> mTasks;
@@ -77,13 +81,13 @@
 void
 OnUpkeepNewest(Upkeep& aUpkeep, const Now& aNow, const NewestAnswer& aAnswer);
 void
-OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer);
+OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions);
 void
 OnMachines(Upkeep& aUpkeep, const Now& aNow, const MachinesAnswer& aAnswer);
 void
 OnUpkeepAnswer(Upkeep& aUpkeep, const Now& aNow, const UpkeepAnswer& aAnswer, Actions& aActions);
 void
-OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer);
+OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions);
 
 void
 AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const UpkeepContext& aContext, Actions& aActions);
