--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -16,6 +16,14 @@
 constexpr Duration kFirstAvoidance = 2s;
 constexpr int kMaxDoublings = 3;
 
+// How long the slowest clock takes to count this.
+Duration
+OnSlowestClock(std::chrono::milliseconds aTime)
+{
+  auto length = static_cast<double>(aTime.count()) / kSlowestClock;
+  return std::chrono::milliseconds(static_cast<std::int64_t>(length));
+}
+
 }
 
 std::chrono::milliseconds
@@ -28,15 +36,20 @@
   return clock + aLimits.mMaximum - kLeaseMargin;
 }
 
+Instant
+LongestLapse(const LeaseLimits& aLimits, Instant aNow)
+{
+  return aNow + OnSlowestClock(aLimits.mMaximum) + kLapseMargin;
+}
+
 void
 NoteLease(Executor& aExecutor, std::chrono::milliseconds aEnd)
 {
   if (!aExecutor.mReading || aEnd.count() == 0) {
     return;
   }
-  auto length = static_cast<double>((aEnd - aExecutor.mReading->mClock).count()) / kSlowestClock;
-  auto lapsed = aExecutor.mReading->mAt +
-                std::chrono::milliseconds(static_cast<std::int64_t>(length)) + kLapseMargin;
+  auto lapsed =
+    aExecutor.mReading->mAt + OnSlowestClock(aEnd - aExecutor.mReading->mClock) + kLapseMargin;
   aExecutor.mLapsedAt = std::max(aExecutor.mLapsedAt, lapsed);
 }
 
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -92,6 +92,10 @@
 void
 NoteLease(Executor& aExecutor, std::chrono::milliseconds aEnd);
 
+// When the longest lease that is granted now has surely ended.
+Instant
+LongestLapse(const LeaseLimits& aLimits, Instant aNow);
+
 void
 NoteClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
 
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -253,13 +253,13 @@
   }
 }
 
+// The lease of everything there is over.
 void
-DropAll(Shard& aShard, Executor& aExecutor, bool aAlsoStarting)
+DropAll(Shard& aShard, Executor& aExecutor)
 {
   std::vector<TaskRun> names;
   for (const auto& [name, run] : aExecutor.mRuns) {
-    auto isSent = run.mState != RunState::Recording;
-    if (isSent && (aAlsoStarting || run.mState != RunState::Starting)) {
+    if (run.mState != RunState::Recording) {
       names.push_back(name);
     }
   }
@@ -269,7 +269,8 @@
   }
 }
 
-// A new incarnation runs nothing, and counts its ends anew.
+// A new incarnation counts its ends anew. What it runs is what it lists: a run may have been
+// started after the restart.
 void
 TakeIncarnation(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer, Actions& aActions)
 {
@@ -278,9 +279,7 @@
     return;
   }
   LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
-  entry.mOutcome = std::to_string(aExecutor.mRuns.size()) + " runs lost";
   aActions.emplace_back(std::move(entry));
-  DropAll(aShard, aExecutor, false);
   aExecutor.mProcessedEnds = 0;
   aExecutor.mRecordedEnds = 0;
   aExecutor.mAcknowledgedEnds = 0;
@@ -342,12 +341,21 @@
   return needsLook || (serves && fills) ? kCloseHoldWait : kHoldWait;
 }
 
+// Ends are acknowledged once, and only while the executor answers: a new incarnation counts from 1
+// again, and would take an old number for ends that nobody has seen.
+std::int64_t
+EndsToAcknowledge(const Executor& aExecutor)
+{
+  auto hasNew = aExecutor.mRecordedEnds > aExecutor.mAcknowledgedEnds;
+  return hasNew && aExecutor.mUnanswered == 0 ? aExecutor.mRecordedEnds : 0;
+}
+
 void
 SendHold(Shard& aShard, Executor& aExecutor, Instant aNow, Actions& aActions)
 {
   HoldCall call;
   call.mTo = detail::AddressOf(aShard, aExecutor);
-  call.mLastSeen = aExecutor.mRecordedEnds;
+  call.mLastSeen = EndsToAcknowledge(aExecutor);
   call.mWait = HoldWait(aExecutor);
   if (aExecutor.mUnanswered == 0) {
     // Nothing is renewed on an executor that is silent, so that its runs are known to end.
@@ -401,8 +409,12 @@
   }
   aShard.mNeedsPass |= !executor->mHeld || executor->mUnanswered > 0;
   executor->mUnanswered = 0;
+  if (!executor->mHeld) {
+    // The former owner is shut out, and the lease that it granted last ends by itself.
+    executor->mLapsedAt = LongestLapse(aShard.mSettings.mLease, aNow.mAt);
+  }
   executor->mHeld = true;
-  executor->mAcknowledgedEnds = aAnswer.mCall.mLastSeen;
+  executor->mAcknowledgedEnds = std::max(executor->mAcknowledgedEnds, aAnswer.mCall.mLastSeen);
   TakeIncarnation(aShard, *executor, aAnswer, aActions);
   NoteClock(*executor, aAnswer.mClock, aNow.mAt);
   TakeEnds(aShard, aNow, *executor, aAnswer, aActions);
@@ -565,7 +577,7 @@
   for (auto& [id, executor] : aShard.mExecutors) {
     if (executor.mLapsedAt < aNow.mAt && !executor.mRuns.empty() &&
         (executor.mUnanswered > 0 || executor.mEntry.mState == ExecutorState::Gone)) {
-      DropAll(aShard, executor, true);
+      DropAll(aShard, executor);
     }
     EmptyLeavingExecutor(aShard, executor);
     if (NeedsHold(executor, aNow.mAt)) {
--- /dev/null
+++ b/Libraries/LibStandIn/FakeExecutor.cpp
@@ -0,0 +1,187 @@
+#include "LibStandIn/FakeExecutor.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+
+namespace sesameseam::standin {
+
+namespace {
+
+using schedule::CallResult;
+using schedule::EndKind;
+using schedule::Instant;
+using schedule::StartRefusal;
+using schedule::TaskRun;
+
+constexpr std::chrono::milliseconds kStopTime = 200ms;
+constexpr int kAtWork = 100;
+
+void
+End(FakeExecutor& aExecutor, const TaskRun& aRun, EndKind aKind)
+{
+  schedule::TaskEnd end;
+  end.mNumber = aExecutor.mNextEnd++;
+  end.mRun = aRun;
+  end.mKind = aKind;
+  aExecutor.mEnds.push_back(end);
+  auto& highest = aExecutor.mHighestEnded[aRun.mTask];
+  highest = std::max(highest, aRun.mRun);
+  aExecutor.mRuns.erase(aRun);
+}
+
+void
+ExtendLease(FakeExecutor& aExecutor, std::chrono::milliseconds aEnd, Instant aNow)
+{
+  auto latest = ClockOf(aExecutor, aNow) + aExecutor.mMaxLease;
+  aExecutor.mLeaseEnd = std::max(aExecutor.mLeaseEnd, std::min(aEnd, latest));
+}
+
+bool
+HasEnded(const FakeExecutor& aExecutor, const TaskRun& aRun)
+{
+  auto found = aExecutor.mHighestEnded.find(aRun.mTask);
+  return found != aExecutor.mHighestEnded.end() && aRun.mRun <= found->second;
+}
+
+}
+
+FakeWork
+ParseWork(const std::string& aSpec)
+{
+  FakeWork work;
+  work.mLasts = aSpec == "lasts";
+  work.mFails = aSpec == "fails";
+  int milliseconds = 0;
+  if (absl::SimpleAtoi(aSpec, &milliseconds)) {
+    work.mTime = std::chrono::milliseconds(milliseconds);
+  }
+  return work;
+}
+
+std::chrono::milliseconds
+ClockOf(const FakeExecutor& aExecutor, Instant aNow)
+{
+  auto elapsed = static_cast<double>((aNow - aExecutor.mStartedAt).count());
+  return ToMilliseconds(Duration(static_cast<std::int64_t>(elapsed * aExecutor.mClockSpeed)));
+}
+
+void
+Advance(FakeExecutor& aExecutor, Instant aNow)
+{
+  std::vector<std::pair<TaskRun, EndKind>> ended;
+  auto lapsed = ClockOf(aExecutor, aNow) >= aExecutor.mLeaseEnd;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    if (run.mStoppedAt && aNow >= *run.mStoppedAt) {
+      ended.emplace_back(name, EndKind::Stopped);
+    } else if (!run.mLasts && aNow >= run.mEndsAt) {
+      ended.emplace_back(name, run.mFails ? EndKind::Failed : EndKind::Done);
+    } else if (lapsed) {
+      ended.emplace_back(name, EndKind::LeaseLapsed);
+    }
+  }
+  for (const auto& [name, kind] : ended) {
+    End(aExecutor, name, kind);
+  }
+}
+
+schedule::HoldAnswer
+Hold(FakeExecutor& aExecutor, const schedule::HoldCall& aCall, Instant aNow)
+{
+  Advance(aExecutor, aNow);
+  schedule::HoldAnswer answer;
+  answer.mCall = aCall;
+  answer.mClock = ClockOf(aExecutor, aNow);
+  answer.mIncarnation = aExecutor.mEntry.mIncarnation;
+  if (aCall.mTo.mEpoch < aExecutor.mFence) {
+    answer.mResult = CallResult::Refused;
+    answer.mFenced = true;
+    return answer;
+  }
+  aExecutor.mFence = aCall.mTo.mEpoch;
+  ExtendLease(aExecutor, aCall.mLeaseEnd, aNow);
+  std::erase_if(aExecutor.mEnds,
+                [&](const schedule::TaskEnd& aEnd) { return aEnd.mNumber <= aCall.mLastSeen; });
+  answer.mResult = CallResult::Done;
+  answer.mEnds = aExecutor.mEnds;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    schedule::RunningTask running;
+    running.mRun = name;
+    running.mPercent = kAtWork;
+    answer.mRunning.push_back(running);
+  }
+  return answer;
+}
+
+schedule::StartAnswer
+Start(FakeExecutor& aExecutor, const schedule::StartCall& aCall, Instant aNow)
+{
+  Advance(aExecutor, aNow);
+  schedule::StartAnswer answer;
+  answer.mCall = aCall;
+  answer.mClock = ClockOf(aExecutor, aNow);
+  answer.mResult = CallResult::Refused;
+  if (aCall.mTo.mExecutor != aExecutor.mEntry.mId) {
+    answer.mRefusal = StartRefusal::OtherIncarnation;
+    return answer;
+  }
+  if (aCall.mTo.mEpoch < aExecutor.mFence) {
+    answer.mRefusal = StartRefusal::Fenced;
+    return answer;
+  }
+  aExecutor.mFence = aCall.mTo.mEpoch;
+  if (aExecutor.mRuns.contains(aCall.mRun)) {
+    answer.mResult = CallResult::Done;
+    return answer;
+  }
+  if (HasEnded(aExecutor, aCall.mRun)) {
+    answer.mRefusal = StartRefusal::OldRun;
+    return answer;
+  }
+  if (aCall.mLeaseEnd <= answer.mClock) {
+    answer.mRefusal = StartRefusal::LeaseOver;
+    return answer;
+  }
+  ExtendLease(aExecutor, aCall.mLeaseEnd, aNow);
+  auto work = ParseWork(aCall.mSpec);
+  FakeRun run;
+  run.mEndsAt = aNow + work.mTime;
+  run.mLasts = work.mLasts;
+  run.mFails = work.mFails;
+  aExecutor.mRuns.emplace(aCall.mRun, run);
+  answer.mResult = CallResult::Done;
+  return answer;
+}
+
+schedule::StopAnswer
+Stop(FakeExecutor& aExecutor, const schedule::StopCall& aCall, Instant aNow)
+{
+  Advance(aExecutor, aNow);
+  if (aCall.mTo.mEpoch < aExecutor.mFence) {
+    return { aCall, CallResult::Refused };
+  }
+  aExecutor.mFence = aCall.mTo.mEpoch;
+  auto found = aExecutor.mRuns.find(aCall.mRun);
+  if (found == aExecutor.mRuns.end()) {
+    // A start of this run that comes later is refused.
+    auto& highest = aExecutor.mHighestEnded[aCall.mRun.mTask];
+    highest = std::max(highest, aCall.mRun.mRun);
+  } else if (!found->second.mStoppedAt) {
+    found->second.mStoppedAt = aNow + kStopTime;
+  }
+  return { aCall, CallResult::Done };
+}
+
+void
+Restart(FakeExecutor& aExecutor, Instant aNow)
+{
+  aExecutor.mRuns.clear();
+  aExecutor.mEnds.clear();
+  aExecutor.mHighestEnded.clear();
+  aExecutor.mNextEnd = 1;
+  aExecutor.mFence = 0;
+  aExecutor.mLeaseEnd = {};
+  aExecutor.mStartedAt = aNow;
+  ++aExecutor.mEntry.mIncarnation;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/FakeStore.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "LibSchedule/Calls.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+// Takes the place of the platform's store in tests: partitions of keyed records with fenced and
+// conditional appends, and a group to whose members partitions are dealt.
+namespace sesameseam::standin {
+
+struct StoredAppend
+{
+  std::int64_t mSequence = 0;
+  schedule::AppendAnswer mAnswer;
+};
+
+struct FakePartition
+{
+  std::vector<schedule::LogRecord> mRecords;
+  // Offsets below are not kept any more.
+  std::int64_t mFirst = 0;
+  std::map<std::string, std::int64_t> mNewest;
+  std::int64_t mEpoch = -1;
+  std::int64_t mNextSequence = 0;
+  std::vector<StoredAppend> mLastAppends;
+};
+
+struct FakeMember
+{
+  schedule::Instant mLastJoin;
+  std::int64_t mGeneration = 0;
+};
+
+struct FakeGroup
+{
+  int mPartitions = 24;
+  Duration mTimeToLive = 1500ms;
+  std::int64_t mGeneration = 0;
+  std::map<std::string, FakeMember> mMembers;
+  // Who should hold a partition, and who still does.
+  std::map<int, std::string> mAssigned;
+  std::map<int, std::string> mHeld;
+};
+
+struct PartitionKey
+{
+  schedule::Stream mStream = schedule::Stream::Jobs;
+  int mPartition = 0;
+
+  auto operator<=>(const PartitionKey&) const = default;
+};
+
+struct FakeStore
+{
+  std::map<PartitionKey, FakePartition> mPartitions;
+  FakeGroup mGroup;
+  std::size_t mPageSize = 500;
+};
+
+schedule::AppendAnswer
+Append(FakeStore& aStore, const schedule::AppendCall& aCall);
+schedule::ReadAnswer
+Read(const FakeStore& aStore, const schedule::ReadCall& aCall);
+schedule::NewestAnswer
+Newest(const FakeStore& aStore, const schedule::NewestCall& aCall);
+schedule::JoinAnswer
+Join(FakeStore& aStore,
+     const std::string& aMember,
+     const schedule::JoinCall& aCall,
+     schedule::Instant aNow);
+void
+Leave(FakeStore& aStore, const std::string& aMember);
+
+// Deals all partitions anew, as the platform does at times without being asked.
+void
+DealAnew(FakeStore& aStore);
+
+// Drops the history of all partitions; the newest record of each key stays.
+void
+ForgetHistory(FakeStore& aStore);
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -0,0 +1,696 @@
+#include "LibStandIn/Simulation.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace sesameseam::standin {
+
+namespace {
+
+using schedule::CallResult;
+using schedule::Event;
+using schedule::Instant;
+using schedule::Stream;
+
+constexpr char kService[] = "previews";
+constexpr char kHost[] = "studio.example";
+constexpr char kPrefix[] = "/previews/";
+constexpr Duration kTickInterval = 100ms;
+constexpr Duration kOneWay = 1ms;
+constexpr Duration kStoreTime = 4ms;
+constexpr Duration kCallTimeout = 900ms;
+constexpr Duration kReadCheck = 5ms;
+constexpr int kMillicores = 1000;
+constexpr std::int64_t kMemoryMb = 64 * 1024;
+constexpr TimePoint kWallStart = TimePoint(std::chrono::seconds(1'700'000'000));
+
+schedule::Manifest
+FirstManifest()
+{
+  schedule::Manifest manifest;
+  manifest.mVersion = 1;
+  schedule::Route route;
+  route.mQueue = schedule::QueueName("previews");
+  route.mHost = kHost;
+  route.mPrefix = kPrefix;
+  route.mService = schedule::ServiceName(kService);
+  route.mAttempts = 3;
+  route.mStretchPercent = 160;
+  route.mResponseGoal = 600ms;
+  manifest.mRoutes.push_back(route);
+  manifest.mServices.push_back({ schedule::ServiceName(kService), false });
+  return manifest;
+}
+
+}
+
+Simulation::Simulation(const SimulationSettings& aSettings)
+  : mSettings(aSettings)
+  , mRandom(aSettings.mSeed)
+{
+  PublishManifest(FirstManifest());
+  for (int i = 0; i < aSettings.mExecutors; ++i) {
+    FakeExecutor executor;
+    executor.mEntry.mId = schedule::ExecutorId("x" + std::to_string(i));
+    executor.mEntry.mService = schedule::ServiceName(kService);
+    executor.mEntry.mAddress = "executor-" + std::to_string(i);
+    executor.mEntry.mLabels = { "a", "rack-" + std::to_string(i / 2) };
+    executor.mEntry.mRoom = { std::int64_t(aSettings.mExecutorCores) * kMillicores, kMemoryMb, 0 };
+    executor.mEntry.mIncarnation = 1;
+    executor.mClockSpeed = i % 2 == 0 ? 1.0 : 0.98;
+    mExecutors.push_back(executor);
+    ListExecutor(i);
+    schedule::Machine machine;
+    machine.mId = schedule::MachineId("m" + std::to_string(i));
+    machine.mPool = executor.mEntry.mService;
+    machine.mState = schedule::MachineState::Up;
+    machine.mExecutor = executor.mEntry.mId;
+    mMachines[machine.mId] = machine;
+  }
+  for (int i = 0; i < aSettings.mHosts; ++i) {
+    mHosts.push_back({});
+    mHosts.back().mName = "e" + std::to_string(i);
+    mHosts.back().mIsUp = false;
+    Revive(i);
+  }
+}
+
+schedule::Now
+Simulation::Time() const
+{
+  return { mNow, kWallStart + mNow.time_since_epoch() };
+}
+
+void
+Simulation::After(Duration aTime, std::function<void()> aWork)
+{
+  mQueue.push({ mNow + aTime, mNextOrder++, std::move(aWork) });
+}
+
+bool
+Simulation::Chance(double aShare)
+{
+  return std::uniform_real_distribution<double>(0, 1)(mRandom) < aShare;
+}
+
+void
+Simulation::RunFor(Duration aTime)
+{
+  auto until = mNow + aTime;
+  while (!mQueue.empty() && mQueue.top().mAt <= until) {
+    auto work = mQueue.top().mWork;
+    mNow = mQueue.top().mAt;
+    mQueue.pop();
+    work();
+  }
+  mNow = until;
+}
+
+void
+Simulation::Feed(int aHost, const Event& aEvent)
+{
+  for (const auto& action : Handle(mHosts[static_cast<std::size_t>(aHost)].mNode, Time(), aEvent)) {
+    Carry(aHost, action);
+  }
+}
+
+void
+Simulation::Deliver(int aHost, int aLife, const Event& aEvent)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  if (!host.mIsUp || host.mLife != aLife) {
+    return;
+  }
+  if (host.mIsFrozen) {
+    host.mHeldBack.emplace_back([this, aHost, aLife, aEvent] { Deliver(aHost, aLife, aEvent); });
+    return;
+  }
+  Feed(aHost, aEvent);
+}
+
+void
+Simulation::Tick(int aHost, int aLife)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  if (!host.mIsUp || host.mLife != aLife) {
+    return;
+  }
+  if (!host.mIsFrozen) {
+    Feed(aHost, schedule::Tick{});
+  }
+  After(kTickInterval, [this, aHost, aLife] { Tick(aHost, aLife); });
+}
+
+void
+Simulation::Kill(int aHost)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  host.mIsUp = false;
+  host.mIsFrozen = false;
+  host.mHeldBack.clear();
+}
+
+void
+Simulation::Revive(int aHost)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  if (host.mIsUp) {
+    return;
+  }
+  ++host.mLife;
+  host.mIsUp = true;
+  schedule::NodeSettings settings;
+  settings.mName = host.mName;
+  settings.mPartitions = mStore.mGroup.mPartitions;
+  host.mNode = schedule::MakeNode(settings);
+  Tick(aHost, host.mLife);
+}
+
+void
+Simulation::Freeze(int aHost)
+{
+  mHosts[static_cast<std::size_t>(aHost)].mIsFrozen = true;
+}
+
+void
+Simulation::Thaw(int aHost)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  host.mIsFrozen = false;
+  auto held = std::move(host.mHeldBack);
+  host.mHeldBack.clear();
+  for (const auto& work : held) {
+    work();
+  }
+}
+
+void
+Simulation::StopGracefully(int aHost)
+{
+  Feed(aHost, schedule::StopAsked{});
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  After(3s, [this, aHost, life] {
+    if (mHosts[static_cast<std::size_t>(aHost)].mLife == life) {
+      Kill(aHost);
+    }
+  });
+}
+
+void
+Simulation::CutFromStore(int aHost, bool aIsCut)
+{
+  mHosts[static_cast<std::size_t>(aHost)].mReachesStore = !aIsCut;
+}
+
+void
+Simulation::CrashExecutor(int aExecutor)
+{
+  Restart(mExecutors[static_cast<std::size_t>(aExecutor)], mNow);
+  ListExecutor(aExecutor);
+}
+
+void
+Simulation::CutExecutor(int aExecutor, bool aIsCut)
+{
+  if (aIsCut) {
+    mCutExecutors.insert(aExecutor);
+  } else {
+    mCutExecutors.erase(aExecutor);
+  }
+}
+
+void
+Simulation::DrainExecutor(int aExecutor)
+{
+  mExecutors[static_cast<std::size_t>(aExecutor)].mEntry.mState = schedule::ExecutorState::Draining;
+  ListExecutor(aExecutor);
+}
+
+void
+Simulation::ListExecutor(int aExecutor)
+{
+  schedule::ForeignRecords records;
+  records.mExecutors.push_back(mExecutors[static_cast<std::size_t>(aExecutor)].mEntry);
+  mExecutorRecords.push_back(records);
+}
+
+void
+Simulation::AddWave(const schedule::Wave& aWave)
+{
+  schedule::ForeignRecords records;
+  records.mWaves.push_back(aWave);
+  mOperatorRecords.push_back(records);
+}
+
+void
+Simulation::PublishManifest(const schedule::Manifest& aManifest)
+{
+  schedule::ForeignRecords records;
+  records.mManifests.push_back(aManifest);
+  mOperatorRecords.push_back(records);
+}
+
+JobId
+Simulation::Submit(int aHost, std::vector<schedule::Step> aSteps, std::string aSpec)
+{
+  char name[17];
+  std::snprintf(name, sizeof name, "%016zx", mJobs.size() + 1);
+  JobId id(name);
+  schedule::JobDefinition definition;
+  definition.mSteps = std::move(aSteps);
+  definition.mSpec = std::move(aSpec);
+  mJobs[id].mDefinition = definition;
+  Send(aHost, schedule::RequestKind::Submit, id, &definition);
+  return id;
+}
+
+void
+Simulation::Send(int aHost,
+                 schedule::RequestKind aKind,
+                 const JobId& aJob,
+                 const schedule::JobDefinition* aDefinition)
+{
+  const auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  if (!host.mIsUp || host.mIsFrozen) {
+    return;
+  }
+  schedule::FrontRequest request;
+  request.mTicket = mNextRequest++;
+  request.mKind = aKind;
+  request.mHost = kHost;
+  request.mPath = kPrefix + aJob.mValue;
+  if (aDefinition != nullptr) {
+    request.mJob = *aDefinition;
+  }
+  mRequests[request.mTicket] = { aKind, aJob };
+  Feed(aHost, request);
+}
+
+void
+Simulation::Cancel(int aHost, const JobId& aJob)
+{
+  Send(aHost, schedule::RequestKind::Cancel, aJob, nullptr);
+}
+
+void
+Simulation::AskState(int aHost, const JobId& aJob)
+{
+  Send(aHost, schedule::RequestKind::State, aJob, nullptr);
+}
+
+schedule::ReplyKind
+Simulation::LastReply(const JobId& aJob) const
+{
+  auto found = mReplies.find(aJob);
+  return found == mReplies.end() ? schedule::ReplyKind::Unknown : found->second.mKind;
+}
+
+schedule::JobPhase
+Simulation::PhaseAt(const JobId& aJob) const
+{
+  auto found = mReplies.find(aJob);
+  return found == mReplies.end() ? schedule::JobPhase::Pending : found->second.mPhase;
+}
+
+void
+Simulation::Note(const schedule::Reply& aReply)
+{
+  auto found = mRequests.find(aReply.mTicket);
+  if (found == mRequests.end()) {
+    return;
+  }
+  auto request = found->second;
+  mRequests.erase(found);
+  mReplies[request.mJob] = aReply;
+  auto known = mJobs.find(request.mJob);
+  if (known == mJobs.end()) {
+    return;
+  }
+  auto& job = known->second;
+  if (aReply.mKind == schedule::ReplyKind::Accepted) {
+    job.mAccepted = true;
+  } else if (aReply.mKind == schedule::ReplyKind::Cancelled) {
+    job.mCancelled = true;
+    job.mCancelledAt = mNow;
+  } else if (aReply.mKind == schedule::ReplyKind::Refused) {
+    job.mRefused |= request.mKind == schedule::RequestKind::Submit;
+  } else if (aReply.mKind == schedule::ReplyKind::Gone && job.mAccepted) {
+    mBroken.push_back("accepted job " + request.mJob.mValue + " is not known");
+  }
+}
+
+void
+Simulation::CallStore(int aHost, const Event& aWithoutAnswer, std::function<Event()> aWork)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
+                Chance(mSettings.mRequestLoss);
+  if (isLost) {
+    After(kCallTimeout, [=, this] { Deliver(aHost, life, aWithoutAnswer); });
+    return;
+  }
+  After(kOneWay + kStoreTime, [=, this] {
+    auto answer = aWork();
+    if (Chance(mSettings.mAnswerLoss)) {
+      After(kCallTimeout, [=, this] { Deliver(aHost, life, aWithoutAnswer); });
+      return;
+    }
+    After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+  });
+}
+
+FakeExecutor*
+Simulation::FindExecutor(const schedule::ExecutorAddress& aTo)
+{
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    auto isCut = mCutExecutors.contains(static_cast<int>(i));
+    if (mExecutors[i].mEntry.mAddress == aTo.mAddress && mExecutors[i].mIsUp && !isCut) {
+      return &mExecutors[i];
+    }
+  }
+  return nullptr;
+}
+
+void
+Simulation::CallExecutor(int aHost,
+                         const schedule::ExecutorAddress& aTo,
+                         bool aIsOrder,
+                         const Event& aWithoutAnswer,
+                         std::function<Event(FakeExecutor&)> aWork)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  auto isLate = aIsOrder && Chance(mSettings.mLateOrders);
+  auto isLost = Chance(mSettings.mRequestLoss);
+  if (isLate) {
+    auto delay = std::chrono::seconds(2) + std::chrono::milliseconds(mRandom() % 6000);
+    // An order that is carried out late was received, so that it is lost with the process.
+    const auto* receiver = FindExecutor(aTo);
+    auto incarnation = receiver == nullptr ? 0 : receiver->mEntry.mIncarnation;
+    After(delay, [=, this] {
+      auto* executor = FindExecutor(aTo);
+      if (executor != nullptr && executor->mEntry.mIncarnation == incarnation) {
+        aWork(*executor);
+      }
+    });
+  }
+  if (isLate || isLost || FindExecutor(aTo) == nullptr) {
+    After(kCallTimeout, [=, this] { Deliver(aHost, life, aWithoutAnswer); });
+    return;
+  }
+  After(kOneWay, [=, this] {
+    auto* executor = FindExecutor(aTo);
+    if (executor == nullptr) {
+      After(kCallTimeout, [=, this] { Deliver(aHost, life, aWithoutAnswer); });
+      return;
+    }
+    auto answer = aWork(*executor);
+    auto isAnswerLost = Chance(mSettings.mAnswerLoss);
+    After(isAnswerLost ? Duration(kCallTimeout) : Duration(kOneWay),
+          [=, this] { Deliver(aHost, life, isAnswerLost ? aWithoutAnswer : answer); });
+  });
+}
+
+void
+Simulation::FillForeign(Stream aStream, std::int64_t aFrom, schedule::ForeignRecords& aOut)
+{
+  const auto& source = aStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+  for (auto i = static_cast<std::size_t>(aFrom); i < source.size(); ++i) {
+    const auto& records = source[i];
+    aOut.mManifests.insert(
+      aOut.mManifests.end(), records.mManifests.begin(), records.mManifests.end());
+    aOut.mWaves.insert(aOut.mWaves.end(), records.mWaves.begin(), records.mWaves.end());
+    aOut.mExecutors.insert(
+      aOut.mExecutors.end(), records.mExecutors.begin(), records.mExecutors.end());
+  }
+}
+
+void
+Simulation::AnswerRead(int aHost, int aLife, const schedule::ReadCall& aCall, Instant aUntil)
+{
+  auto isForeign = aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors;
+  schedule::ReadAnswer answer;
+  if (isForeign) {
+    const auto& source = aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+    answer.mCall = aCall;
+    answer.mResult = CallResult::Done;
+    FillForeign(aCall.mStream, aCall.mFrom, answer.mForeign);
+    answer.mEnd = static_cast<std::int64_t>(source.size());
+    for (auto offset = aCall.mFrom; offset < answer.mEnd; ++offset) {
+      answer.mRecords.push_back({ {}, {}, offset });
+    }
+  } else {
+    answer = Read(mStore, aCall);
+  }
+  answer.mSentAt = aUntil - aCall.mWait;
+  if (answer.mRecords.empty() && !answer.mTrimmed && mNow < aUntil) {
+    After(kReadCheck, [=, this] { AnswerRead(aHost, aLife, aCall, aUntil); });
+    return;
+  }
+  After(kOneWay, [=, this] { Deliver(aHost, aLife, answer); });
+}
+
+void
+Simulation::AnswerHold(int aHost, int aLife, const schedule::HoldCall& aCall, Instant aUntil)
+{
+  auto* executor = FindExecutor(aCall.mTo);
+  schedule::HoldAnswer lost;
+  lost.mCall = aCall;
+  lost.mSentAt = aUntil - aCall.mWait;
+  if (executor == nullptr) {
+    After(kCallTimeout, [=, this] { Deliver(aHost, aLife, lost); });
+    return;
+  }
+  Advance(*executor, mNow);
+  auto mayWait = executor->mEnds.empty() || executor->mEnds.back().mNumber <= aCall.mLastSeen;
+  if (mayWait && mNow < aUntil && aCall.mTo.mEpoch >= executor->mFence) {
+    After(kReadCheck, [=, this] { AnswerHold(aHost, aLife, aCall, aUntil); });
+    return;
+  }
+  auto answer = Hold(*executor, aCall, mNow);
+  answer.mSentAt = lost.mSentAt;
+  After(kOneWay, [=, this] { Deliver(aHost, aLife, answer); });
+}
+
+void
+Simulation::NoteAcknowledged(const FakeExecutor& aExecutor, std::int64_t aLastSeen)
+{
+  for (const auto& end : aExecutor.mEnds) {
+    if (end.mNumber <= aLastSeen && end.mKind == schedule::EndKind::Done) {
+      mDone.insert(end.mRun.mTask);
+    }
+  }
+}
+
+void
+Simulation::CheckStart(const FakeExecutor& aExecutor, const schedule::StartCall& aCall)
+{
+  const auto& name = aCall.mRun.mTask;
+  auto text =
+    name.mJob.mValue + "." + std::to_string(name.mStep) + "." + std::to_string(name.mIndex);
+  ++mRuns[name.mJob];
+  if (mDone.contains(name)) {
+    mBroken.push_back(text + " is started after it was done");
+  }
+  auto job = mJobs.find(name.mJob);
+  if (job == mJobs.end()) {
+    mBroken.push_back(text + " was never handed in");
+    return;
+  }
+  if (job->second.mCancelled && mNow - job->second.mCancelledAt > 3s) {
+    mBroken.push_back(text + " is started after its job was cancelled");
+  }
+  if (job->second.mRefused && !job->second.mAccepted) {
+    mBroken.push_back(text + " is started though its job was refused");
+  }
+  std::int64_t reserved = 0;
+  for (auto& executor : mExecutors) {
+    Advance(executor, mNow);
+    for (const auto& [run, state] : executor.mRuns) {
+      const auto& steps = mJobs.at(run.mTask.mJob).mDefinition.mSteps;
+      const auto& step = steps[static_cast<std::size_t>(run.mTask.mStep)];
+      if (&executor == &aExecutor) {
+        reserved += step.mNeeds.mCpuMillicores;
+      }
+      if (run.mTask == name && run.mRun != aCall.mRun.mRun) {
+        mBroken.push_back(text + " runs twice at once");
+      }
+    }
+  }
+  if (reserved > aExecutor.mEntry.mRoom.mCpuMillicores) {
+    mBroken.push_back(text + " is started without room for it");
+  }
+}
+
+void
+Simulation::Carry(int aHost, const schedule::Action& aAction)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  auto sentAt = mNow;
+  std::visit(
+    [&](const auto& aCall) {
+      using T = std::decay_t<decltype(aCall)>;
+      if constexpr (std::is_same_v<T, schedule::Reply>) {
+        Note(aCall);
+      } else if constexpr (std::is_same_v<T, schedule::AppendCall>) {
+        schedule::AppendAnswer lost;
+        lost.mCall = aCall;
+        CallStore(aHost, lost, [=, this]() -> Event {
+          auto answer = Append(mStore, aCall);
+          answer.mSentAt = sentAt;
+          answer.mCall = aCall;
+          return answer;
+        });
+      } else if constexpr (std::is_same_v<T, schedule::ReadCall>) {
+        schedule::ReadAnswer lost;
+        lost.mCall = aCall;
+        auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
+                      Chance(mSettings.mAnswerLoss);
+        if (isLost) {
+          After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
+        } else {
+          auto until = mNow + aCall.mWait;
+          After(kStoreTime, [=, this] { AnswerRead(aHost, life, aCall, until); });
+        }
+      } else if constexpr (std::is_same_v<T, schedule::NewestCall>) {
+        schedule::NewestAnswer lost;
+        lost.mCall = aCall;
+        CallStore(aHost, lost, [=, this]() -> Event {
+          auto answer = Newest(mStore, aCall);
+          answer.mCall = aCall;
+          FillForeign(aCall.mStream, 0, answer.mForeign);
+          if (aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors) {
+            const auto& source =
+              aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+            answer.mEnd = static_cast<std::int64_t>(source.size());
+          } else {
+            answer.mForeign = {};
+          }
+          return answer;
+        });
+      } else if constexpr (std::is_same_v<T, schedule::JoinCall>) {
+        schedule::JoinAnswer lost;
+        lost.mCall = aCall;
+        CallStore(aHost, lost, [=, this]() -> Event {
+          auto answer = Join(mStore, mHosts[static_cast<std::size_t>(aHost)].mName, aCall, mNow);
+          answer.mSentAt = sentAt;
+          return answer;
+        });
+      } else if constexpr (std::is_same_v<T, schedule::LeaveCall>) {
+        Leave(mStore, mHosts[static_cast<std::size_t>(aHost)].mName);
+      } else if constexpr (std::is_same_v<T, schedule::HoldCall>) {
+        schedule::HoldAnswer lost;
+        lost.mCall = aCall;
+        lost.mSentAt = sentAt;
+        if (FindExecutor(aCall.mTo) == nullptr || Chance(mSettings.mAnswerLoss)) {
+          After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
+          return;
+        }
+        After(kOneWay, [=, this] {
+          if (auto* executor = FindExecutor(aCall.mTo)) {
+            Advance(*executor, mNow);
+            if (aCall.mTo.mEpoch >= executor->mFence) {
+              NoteAcknowledged(*executor, aCall.mLastSeen);
+              // The lease is renewed and the fence raised when the call comes in.
+              Hold(*executor, aCall, mNow);
+            }
+          }
+          AnswerHold(aHost, life, aCall, sentAt + aCall.mWait);
+        });
+      } else if constexpr (std::is_same_v<T, schedule::StartCall>) {
+        schedule::StartAnswer lost;
+        lost.mCall = aCall;
+        CallExecutor(aHost, aCall.mTo, true, lost, [=, this](FakeExecutor& aExecutor) -> Event {
+          auto isNew = !aExecutor.mRuns.contains(aCall.mRun);
+          auto answer = Start(aExecutor, aCall, mNow);
+          answer.mSentAt = sentAt;
+          if (answer.mResult == CallResult::Done && isNew) {
+            CheckStart(aExecutor, aCall);
+          }
+          return answer;
+        });
+      } else if constexpr (std::is_same_v<T, schedule::StopCall>) {
+        CallExecutor(
+          aHost,
+          aCall.mTo,
+          true,
+          schedule::StopAnswer{ aCall },
+          [=, this](FakeExecutor& aExecutor) -> Event { return Stop(aExecutor, aCall, mNow); });
+      } else if constexpr (std::is_same_v<T, schedule::PaceCall>) {
+        CallExecutor(
+          aHost, aCall.mTo, true, schedule::PaceAnswer{ aCall }, [=](FakeExecutor&) -> Event {
+            return schedule::PaceAnswer{ aCall, CallResult::Done };
+          });
+      } else if constexpr (std::is_same_v<T, schedule::MachinesCall>) {
+        schedule::MachinesAnswer answer;
+        answer.mCall = aCall;
+        answer.mResult = CallResult::Done;
+        for (const auto& [id, machine] : mMachines) {
+          answer.mMachines.push_back(machine);
+        }
+        After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+      } else if constexpr (std::is_same_v<T, schedule::UpkeepCall>) {
+        mUpkeeps.push_back(aCall);
+        auto& machine = mMachines[aCall.mMachine];
+        if (machine.mState == schedule::MachineState::Up) {
+          machine.mState = schedule::MachineState::Upkeep;
+          After(2s, [this, id = aCall.mMachine] {
+            auto& back = mMachines[id];
+            back.mState = schedule::MachineState::Up;
+            for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+              if (mExecutors[i].mEntry.mId == back.mExecutor) {
+                auto gone = mExecutors[i].mEntry;
+                gone.mState = schedule::ExecutorState::Gone;
+                schedule::ForeignRecords records;
+                records.mExecutors.push_back(gone);
+                mExecutorRecords.push_back(records);
+                Restart(mExecutors[i], mNow);
+                mExecutors[i].mEntry.mId.mValue += "'";
+                back.mExecutor = mExecutors[i].mEntry.mId;
+                ListExecutor(static_cast<int>(i));
+                return;
+              }
+            }
+          });
+        }
+        schedule::UpkeepAnswer answer{ aCall, CallResult::Done };
+        After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+      } else if constexpr (std::is_same_v<T, schedule::WaveStatusCall>) {
+        mWaveReports.push_back(aCall);
+        After(kOneWay, [=, this] {
+          Deliver(aHost, life, schedule::WaveStatusAnswer{ aCall, CallResult::Done });
+        });
+      }
+    },
+    aAction);
+}
+
+bool
+Simulation::AllEnded() const
+{
+  // The newest progress of each job says how it ended.
+  std::set<JobId> ended;
+  for (const auto& [key, partition] : mStore.mPartitions) {
+    if (key.mStream != Stream::Progress) {
+      continue;
+    }
+    for (const auto& [id, offset] : partition.mNewest) {
+      const auto& record = partition.mRecords[static_cast<std::size_t>(offset)];
+      auto progress = schedule::DecodeProgress(record.mValue);
+      if (progress.ok() && schedule::IsFinal(progress->mPhase)) {
+        ended.insert(JobId(id));
+      }
+    }
+  }
+  return std::all_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+    return !aEntry.second.mAccepted || ended.contains(aEntry.first);
+  });
+}
+
+int
+Simulation::CountRuns(const JobId& aJob) const
+{
+  auto found = mRuns.find(aJob);
+  return found == mRuns.end() ? 0 : found->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibStandIn/Simulation.h
@@ -0,0 +1,167 @@
+#pragma once
+
+#include "LibSchedule/Node.h"
+#include "LibStandIn/FakeExecutor.h"
+#include "LibStandIn/FakeStore.h"
+
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+// Many entry hosts, a store and executors in one thread, on a clock of their own. Calls take time,
+// and a share of them is lost, or carried out late. Each promise is checked as things happen.
+namespace sesameseam::standin {
+
+struct SimulationSettings
+{
+  int mHosts = 3;
+  int mExecutors = 4;
+  int mExecutorCores = 8;
+  std::uint64_t mSeed = 1;
+  // Shares of the calls whose request or whose answer is lost.
+  double mRequestLoss = 0;
+  double mAnswerLoss = 0;
+  // The share of orders to executors that get no answer and are carried out 2 to 8 s later.
+  double mLateOrders = 0;
+};
+
+struct SimulatedHost
+{
+  std::string mName;
+  schedule::Node mNode;
+  bool mIsUp = true;
+  bool mIsFrozen = false;
+  bool mReachesStore = true;
+  // Tells answers to a former process from those to this one.
+  int mLife = 0;
+  std::vector<std::function<void()>> mHeldBack;
+};
+
+struct SubmittedJob
+{
+  schedule::JobDefinition mDefinition;
+  bool mAccepted = false;
+  bool mRefused = false;
+  bool mCancelled = false;
+  schedule::Instant mCancelledAt;
+};
+
+class Simulation
+{
+public:
+  explicit Simulation(const SimulationSettings& aSettings);
+
+  void RunFor(Duration aTime);
+  [[nodiscard]] schedule::Now Time() const;
+
+  // Hands in a job at one host. The answer is noted once it comes.
+  JobId Submit(int aHost, std::vector<schedule::Step> aSteps, std::string aSpec);
+  void Cancel(int aHost, const JobId& aJob);
+  // What a caller at that host is told now, once the answer comes.
+  void AskState(int aHost, const JobId& aJob);
+  [[nodiscard]] schedule::ReplyKind LastReply(const JobId& aJob) const;
+  // What the host's answer said last.
+  [[nodiscard]] schedule::JobPhase PhaseAt(const JobId& aJob) const;
+
+  void Kill(int aHost);
+  void Revive(int aHost);
+  void Freeze(int aHost);
+  void Thaw(int aHost);
+  void StopGracefully(int aHost);
+  void CutFromStore(int aHost, bool aIsCut);
+  void StoreDown(bool aIsDown) { mStoreDown = aIsDown; }
+  void CrashExecutor(int aExecutor);
+  // No call gets through, and it runs on.
+  void CutExecutor(int aExecutor, bool aIsCut);
+  void DrainExecutor(int aExecutor);
+  void ListExecutor(int aExecutor);
+  void AddWave(const schedule::Wave& aWave);
+  void PublishManifest(const schedule::Manifest& aManifest);
+
+  // Whether every accepted job has ended, and the promises that were broken so far.
+  [[nodiscard]] bool AllEnded() const;
+  [[nodiscard]] const std::vector<std::string>& Broken() const { return mBroken; }
+  [[nodiscard]] int CountRuns(const JobId& aJob) const;
+  [[nodiscard]] std::int64_t CompletedTasks() const { return mCompletedTasks; }
+
+  FakeStore mStore;
+  std::vector<SimulatedHost> mHosts;
+  std::vector<FakeExecutor> mExecutors;
+  std::map<JobId, SubmittedJob> mJobs;
+  std::map<schedule::MachineId, schedule::Machine> mMachines;
+  std::vector<schedule::UpkeepCall> mUpkeeps;
+  std::vector<schedule::WaveStatusCall> mWaveReports;
+
+private:
+  struct Timed
+  {
+    schedule::Instant mAt;
+    std::int64_t mOrder = 0;
+    std::function<void()> mWork;
+  };
+  struct Later
+  {
+    bool operator()(const Timed& aLeft, const Timed& aRight) const
+    {
+      return std::tie(aLeft.mAt, aLeft.mOrder) > std::tie(aRight.mAt, aRight.mOrder);
+    }
+  };
+
+  void After(Duration aTime, std::function<void()> aWork);
+  bool Chance(double aShare);
+  void Deliver(int aHost, int aLife, const schedule::Event& aEvent);
+  void Feed(int aHost, const schedule::Event& aEvent);
+  void Tick(int aHost, int aLife);
+  void Carry(int aHost, const schedule::Action& aAction);
+  void Note(const schedule::Reply& aReply);
+  void Send(int aHost,
+            schedule::RequestKind aKind,
+            const JobId& aJob,
+            const schedule::JobDefinition* aDefinition);
+
+  // Makes a call to the store: the request, what it does there, and the answer.
+  void CallStore(int aHost,
+                 const schedule::Event& aWithoutAnswer,
+                 std::function<schedule::Event()> aWork);
+  void CallExecutor(int aHost,
+                    const schedule::ExecutorAddress& aTo,
+                    bool aIsOrder,
+                    const schedule::Event& aWithoutAnswer,
+                    std::function<schedule::Event(FakeExecutor&)> aWork);
+  FakeExecutor* FindExecutor(const schedule::ExecutorAddress& aTo);
+  void AnswerRead(int aHost, int aLife, const schedule::ReadCall& aCall, schedule::Instant aUntil);
+  void AnswerHold(int aHost, int aLife, const schedule::HoldCall& aCall, schedule::Instant aUntil);
+  void FillForeign(schedule::Stream aStream, std::int64_t aFrom, schedule::ForeignRecords& aOut);
+
+  void CheckStart(const FakeExecutor& aExecutor, const schedule::StartCall& aCall);
+  void NoteAcknowledged(const FakeExecutor& aExecutor, std::int64_t aLastSeen);
+
+  SimulationSettings mSettings;
+  schedule::Instant mNow;
+  std::int64_t mNextOrder = 0;
+  std::priority_queue<Timed, std::vector<Timed>, Later> mQueue;
+  std::mt19937_64 mRandom;
+  bool mStoreDown = false;
+  std::set<int> mCutExecutors;
+  std::vector<schedule::ForeignRecords> mOperatorRecords;
+  std::vector<schedule::ForeignRecords> mExecutorRecords;
+  struct Request
+  {
+    schedule::RequestKind mKind = schedule::RequestKind::State;
+    JobId mJob;
+  };
+
+  std::map<schedule::RequestTicket, Request> mRequests;
+  schedule::RequestTicket mNextRequest = 1;
+  std::map<JobId, schedule::Reply> mReplies;
+  std::map<JobId, int> mRuns;
+  std::set<schedule::TaskName> mDone;
+  std::vector<std::string> mBroken;
+  std::int64_t mCompletedTasks = 0;
+};
+
+}
--- /dev/null
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -0,0 +1,212 @@
+#include "LibHttp/EventHttpClient.h"
+#include "LibHttp/EventHttpServer.h"
+#include "RawServer.h"
+
+#include <boost/test/unit_test.hpp>
+#include <event2/event.h>
+#include <memory>
+#include <thread>
+
+using namespace sesameseam;
+
+namespace {
+
+constexpr const char* kWholeAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+
+struct BaseDeleter
+{
+  void operator()(event_base* aBase) const { event_base_free(aBase); }
+};
+using Base = std::unique_ptr<event_base, BaseDeleter>;
+
+std::string
+AddressOf(const RawServer& aServer)
+{
+  return "127.0.0.1:" + std::to_string(aServer.Where().mPort);
+}
+
+EventHttpRequest
+Order(const std::string& aAddress, Duration aTimeout = 2s)
+{
+  EventHttpRequest request;
+  request.mAddress = aAddress;
+  request.mLane = "orders";
+  request.mIsPost = true;
+  request.mPath = "/run";
+  request.mBody = "order END";
+  request.mTimeout = aTimeout;
+  return request;
+}
+
+// Makes the calls one after the other and gives their answers.
+std::vector<EventHttpResponse>
+CallInTurn(event_base* aBase,
+           EventHttpClient& aClient,
+           const EventHttpRequest& aRequest,
+           int aCount)
+{
+  std::vector<EventHttpResponse> answers;
+  std::function<void()> next = [&] {
+    aClient.Call(aRequest, [&](const EventHttpResponse& aResponse) {
+      answers.push_back(aResponse);
+      if (static_cast<int>(answers.size()) < aCount) {
+        next();
+      } else {
+        event_base_loopbreak(aBase);
+      }
+    });
+  };
+  next();
+  event_base_dispatch(aBase);
+  return answers;
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(TestEventHttp)
+
+BOOST_AUTO_TEST_CASE(connections_are_kept)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, kWholeAnswer);
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto answers = CallInTurn(base.get(), client, Order(AddressOf(server)), 5);
+  for (const auto& answer : answers) {
+    BOOST_TEST(answer.mAnswered);
+    BOOST_TEST(answer.mBody == "done");
+  }
+  BOOST_TEST(server.Connections() == 1);
+  BOOST_TEST(client.Opened() == 1);
+}
+
+// The server reads the second request and closes without an answer.
+BOOST_AUTO_TEST_CASE(a_request_is_never_sent_again)
+{
+  RawServer server([](int aDescriptor, int aRequest) {
+    if (aRequest == 1) {
+      SendText(aDescriptor, kWholeAnswer);
+    }
+    return aRequest == 1;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto answers = CallInTurn(base.get(), client, Order(AddressOf(server)), 2);
+  BOOST_TEST(answers[0].mAnswered);
+  BOOST_TEST(!answers[1].mAnswered);
+  BOOST_TEST(server.Requests() == 2);
+}
+
+// Each byte resets the limit of a read, so that only a limit on the whole call ends it.
+BOOST_AUTO_TEST_CASE(the_timeout_bounds_the_whole_call)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\n");
+    for (int i = 0; i < 20; ++i) {
+      SendText(aDescriptor, "x");
+      std::this_thread::sleep_for(50ms);
+    }
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto answers = CallInTurn(base.get(), client, Order(AddressOf(server), 200ms), 1);
+  BOOST_TEST(!answers[0].mAnswered);
+  BOOST_TEST(answers[0].mBody.empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_truncated_answer_is_none)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\nhalf");
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  BOOST_TEST(!CallInTurn(base.get(), client, Order(AddressOf(server)), 1)[0].mAnswered);
+}
+
+BOOST_AUTO_TEST_CASE(a_closed_port_is_no_answer)
+{
+  std::string address;
+  {
+    RawServer server([](int, int) { return false; });
+    address = AddressOf(server);
+  }
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  BOOST_TEST(!CallInTurn(base.get(), client, Order(address, 500ms), 1)[0].mAnswered);
+}
+
+BOOST_AUTO_TEST_CASE(calls_beyond_the_connections_wait_their_turn)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, kWholeAnswer);
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), { 2 });
+  int answered = 0;
+  for (int i = 0; i < 10; ++i) {
+    client.Call(Order(AddressOf(server)), [&](const EventHttpResponse& aResponse) {
+      answered += aResponse.mAnswered ? 1 : 0;
+      if (answered == 10) {
+        event_base_loopbreak(base.get());
+      }
+    });
+  }
+  event_base_dispatch(base.get());
+  BOOST_TEST(answered == 10);
+  BOOST_TEST(client.Opened() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(the_server_answers_later_and_in_any_order)
+{
+  Base base(event_base_new());
+  std::unique_ptr<EventHttpServer> server;
+  std::vector<EventHttpIncoming> incoming;
+  std::string address;
+  for (int port = 20000; port < 20100; ++port) {
+    EventHttpServerSettings settings;
+    settings.mAddress = "127.0.0.1:" + std::to_string(port);
+    settings.mTimeoutHeader = "Deadline-Ms";
+    server =
+      std::make_unique<EventHttpServer>(base.get(), settings, [&](EventHttpIncoming aIncoming) {
+        incoming.push_back(std::move(aIncoming));
+        if (incoming.size() == 2) {
+          server->Reply(incoming[1].mTicket, { 200, "text/plain", "second" });
+          server->Reply(incoming[0].mTicket, { 503, "text/plain", "first", "1" });
+        }
+      });
+    if (server->Start().ok()) {
+      address = settings.mAddress;
+      break;
+    }
+  }
+  BOOST_REQUIRE(!address.empty());
+  EventHttpClient client(base.get(), {});
+  std::vector<std::string> bodies(2);
+  int count = 0;
+  for (int i = 0; i < 2; ++i) {
+    auto request = Order(address);
+    request.mPath = "/jobs/" + std::to_string(i) + "?x=1";
+    request.mHeaders.emplace_back("Deadline-Ms", "1500");
+    client.Call(request, [&, i](const EventHttpResponse& aResponse) {
+      bodies[static_cast<std::size_t>(i)] = aResponse.mBody;
+      if (++count == 2) {
+        event_base_loopbreak(base.get());
+      }
+    });
+  }
+  event_base_dispatch(base.get());
+  BOOST_TEST(incoming.size() == 2u);
+  BOOST_TEST(incoming[0].mPath == "/jobs/0");
+  BOOST_TEST((incoming[0].mTimeout == 1500ms));
+  BOOST_TEST(incoming[0].mHost == "127.0.0.1");
+  BOOST_TEST(bodies[0] == "first");
+  BOOST_TEST(bodies[1] == "second");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibSchedule/Steps.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "LibSchedule/Model.h"
+
+namespace sesameseam::schedule {
+
+// A step of tasks that each need whole cores.
+inline Step
+MakeStep(int aCount, int aCores, std::chrono::milliseconds aEstimate = 100ms)
+{
+  constexpr int kMillicores = 1000;
+  constexpr int kMemoryMb = 100;
+  Step step;
+  step.mCount = aCount;
+  step.mNeeds = { std::int64_t(aCores) * kMillicores, kMemoryMb, 0 };
+  step.mEstimate = aEstimate;
+  return step;
+}
+
+inline Step
+MakeLastingStep(int aCount, int aCores, int aMaxAway)
+{
+  auto step = MakeStep(aCount, aCores, 0ms);
+  step.mLasting = true;
+  step.mMaxPerExecutor = 1;
+  step.mMaxAway = aMaxAway;
+  return step;
+}
+
+inline Step
+After(Step aStep, std::vector<int> aBefore)
+{
+  aStep.mAfter = std::move(aBefore);
+  return aStep;
+}
+
+}
--- /dev/null
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -0,0 +1,132 @@
+#include "LibSchedule/Placement.h"
+#include "LibSchedule/QueueOrder.h"
+#include "Steps.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sesameseam;
+using namespace sesameseam::schedule;
+
+namespace {
+
+constexpr Instant kNow = Instant(100s);
+
+Executor
+MakeExecutor(const std::string& aName, int aCores, const std::string& aRack = "r1")
+{
+  Executor executor;
+  executor.mEntry.mId = ExecutorId(aName);
+  executor.mEntry.mService = ServiceName("s");
+  executor.mEntry.mRoom = { std::int64_t(aCores) * 1000, 10000, 0 };
+  executor.mEntry.mLabels = { "a", aRack };
+  executor.mHeld = true;
+  return executor;
+}
+
+struct Fleet
+{
+  std::map<ExecutorId, Executor> mExecutors;
+
+  Executor& Add(const std::string& aName, int aCores, const std::string& aRack = "r1")
+  {
+    auto executor = MakeExecutor(aName, aCores, aRack);
+    return mExecutors.emplace(executor.mEntry.mId, executor).first->second;
+  }
+
+  std::string Choose(const Step& aStep, const Task& aTask = {})
+  {
+    auto candidates = MakeCandidates(mExecutors, kNow);
+    PlacementRequest request{ &aStep, &aTask, { JobId("j"), 0, 0, 0 } };
+    auto* chosen = ChooseCandidate(candidates, ServiceName("s"), request);
+    return chosen == nullptr ? "" : chosen->mExecutor->mEntry.mId.mValue;
+  }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(ThePlacement)
+
+BOOST_AUTO_TEST_CASE(the_tightest_fit_keeps_room_for_large_tasks)
+{
+  Fleet fleet;
+  fleet.Add("large", 32);
+  fleet.Add("small", 4);
+  BOOST_TEST(fleet.Choose(MakeStep(1, 3)) == "small");
+  BOOST_TEST(fleet.Choose(MakeStep(1, 8)) == "large");
+  BOOST_TEST(fleet.Choose(MakeStep(1, 33)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(what_is_being_stopped_or_may_run_still_takes_room)
+{
+  Fleet fleet;
+  auto& executor = fleet.Add("x", 4);
+  PlacedRun run;
+  run.mReserved = { 3000, 0, 0 };
+  run.mState = RunState::Stopping;
+  executor.mRuns[{ { JobId("k"), 0, 0, 0 }, 1 }] = run;
+  BOOST_TEST(fleet.Choose(MakeStep(1, 2)) == "");
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
+}
+
+BOOST_AUTO_TEST_CASE(an_executor_with_a_run_of_unknown_size_gets_nothing)
+{
+  Fleet fleet;
+  auto& executor = fleet.Add("x", 4);
+  PlacedRun run;
+  run.mIsForeign = true;
+  executor.mRuns[{ { JobId("k"), 0, 0, 0 }, 1 }] = run;
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
+}
+
+BOOST_AUTO_TEST_CASE(executors_that_leave_fail_or_are_silent_get_nothing)
+{
+  Fleet fleet;
+  auto& executor = fleet.Add("x", 4);
+  executor.mEntry.mState = ExecutorState::Draining;
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
+  executor.mEntry.mState = ExecutorState::Ready;
+  executor.mVacating = true;
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
+  executor.mVacating = false;
+  executor.mUnanswered = 1;
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
+  executor.mUnanswered = 0;
+  NoteTaskFailed(executor, kNow);
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
+  NoteTaskFailed(executor, kNow);
+  NoteTaskFailed(executor, kNow);
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
+  NoteTaskDone(executor);
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
+}
+
+BOOST_AUTO_TEST_CASE(labels_racks_and_spreading_are_kept)
+{
+  Fleet fleet;
+  fleet.Add("near", 8, "r1");
+  fleet.Add("far", 4, "r2");
+  auto step = MakeStep(1, 1);
+  step.mPreferredRack = "r1";
+  BOOST_TEST(fleet.Choose(step) == "near");
+  step.mPreferredRack.clear();
+  step.mRequiredLabel = "gpu";
+  BOOST_TEST(fleet.Choose(step) == "");
+  step.mRequiredLabel.clear();
+  step.mMaxPerExecutor = 1;
+  fleet.mExecutors.at(ExecutorId("far")).mRuns[{ { JobId("j"), 0, 0, 5 }, 1 }] = {};
+  BOOST_TEST(fleet.Choose(step) == "near");
+}
+
+BOOST_AUTO_TEST_CASE(a_task_that_failed_is_tried_elsewhere_first)
+{
+  Fleet fleet;
+  fleet.Add("x", 4);
+  fleet.Add("y", 32);
+  Task task;
+  task.mFailedOn = { ExecutorId("x") };
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1), task) == "y");
+  task.mFailedOn = { ExecutorId("x"), ExecutorId("y") };
+  BOOST_TEST(fleet.Choose(MakeStep(1, 1), task) == "x");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -0,0 +1,416 @@
+#include "LibStandIn/Simulation.h"
+#include "Steps.h"
+
+#include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
+
+using namespace sesameseam;
+using namespace sesameseam::schedule;
+using namespace sesameseam::standin;
+
+namespace {
+
+constexpr Duration kStart = 1s;
+
+void
+CheckPromises(const Simulation& aSimulation)
+{
+  for (const auto& broken : aSimulation.Broken()) {
+    BOOST_TEST_MESSAGE(broken);
+  }
+  BOOST_TEST(aSimulation.Broken().size() == 0u);
+}
+
+int
+OwnerOf(const Simulation& aSimulation)
+{
+  for (std::size_t i = 0; i < aSimulation.mHosts.size(); ++i) {
+    const auto& host = aSimulation.mHosts[i];
+    for (const auto& [partition, shard] : host.mNode.mShards) {
+      if (host.mIsUp && shard.mPhase == ShardPhase::Active) {
+        return static_cast<int>(i);
+      }
+    }
+  }
+  return -1;
+}
+
+JobPhase
+AskPhase(Simulation& aSimulation, int aHost, const JobId& aJob)
+{
+  aSimulation.AskState(aHost, aJob);
+  aSimulation.RunFor(200ms);
+  return aSimulation.PhaseAt(aJob);
+}
+
+}
+
+BOOST_AUTO_TEST_SUITE(TheSimulation)
+
+BOOST_AUTO_TEST_CASE(a_job_is_accepted_run_and_shown_as_completed_at_every_host)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(3, 1), After(MakeStep(2, 2), { 0 }) }, "100");
+  simulation.RunFor(1s);
+  BOOST_TEST(simulation.CountRuns(job) == 5);
+  for (int host = 0; host < 3; ++host) {
+    BOOST_TEST((AskPhase(simulation, host, job) == JobPhase::Completed));
+  }
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_job_that_nobody_handed_in_is_not_known)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  JobId nobody("00000000000000ff");
+  simulation.AskState(1, nobody);
+  simulation.RunFor(200ms);
+  BOOST_TEST((simulation.LastReply(nobody) == ReplyKind::Gone));
+}
+
+BOOST_AUTO_TEST_CASE(a_job_fails_after_as_many_failed_runs_as_its_queue_allows)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(1, 1) }, "fails");
+  simulation.RunFor(6s);
+  BOOST_TEST(simulation.CountRuns(job) == 3);
+  BOOST_TEST((AskPhase(simulation, 1, job) == JobPhase::Failed));
+}
+
+BOOST_AUTO_TEST_CASE(a_cancelled_job_stops_and_starts_nothing_more)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(2, 1, 1) }, "lasts");
+  simulation.RunFor(1s);
+  simulation.Cancel(2, job);
+  simulation.RunFor(2s);
+  for (const auto& executor : simulation.mExecutors) {
+    BOOST_TEST(executor.mRuns.empty());
+  }
+  BOOST_TEST((AskPhase(simulation, 1, job) == JobPhase::Cancelled));
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(another_host_takes_over_from_a_killed_owner)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(4, 1), After(MakeStep(4, 1), { 0 }) }, "1500");
+  simulation.RunFor(500ms);
+  auto owner = OwnerOf(simulation);
+  BOOST_REQUIRE(owner >= 0);
+  simulation.Kill(owner);
+  simulation.RunFor(6s);
+  BOOST_TEST(simulation.AllEnded());
+  // What ran was taken over, and not started again.
+  BOOST_TEST(simulation.CountRuns(job) == 8);
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_no_task)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(4, 1) }, "2000");
+  simulation.RunFor(500ms);
+  simulation.StopGracefully(OwnerOf(simulation));
+  simulation.RunFor(4s);
+  BOOST_TEST(simulation.CountRuns(job) == 4);
+  BOOST_TEST(simulation.AllEnded());
+}
+
+BOOST_AUTO_TEST_CASE(all_hosts_at_once_may_die_right_after_an_acknowledgement)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(4, 1) }, "500");
+  simulation.RunFor(12ms);
+  BOOST_REQUIRE(simulation.mJobs.at(job).mAccepted);
+  for (int host = 0; host < 3; ++host) {
+    simulation.Kill(host);
+  }
+  simulation.RunFor(2s);
+  for (int host = 0; host < 3; ++host) {
+    simulation.Revive(host);
+  }
+  simulation.RunFor(5s);
+  BOOST_TEST(simulation.AllEnded());
+  CheckPromises(simulation);
+}
+
+// Found on a day on which a rack went dark: each repeated call renewed the lease in the books.
+BOOST_AUTO_TEST_CASE(tasks_on_a_silent_executor_start_elsewhere_once_its_lease_is_over)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(1, 1, 0) }, "lasts");
+  simulation.RunFor(1s);
+  int holder = 0;
+  for (int i = 0; i < 4; ++i) {
+    holder = simulation.mExecutors[static_cast<std::size_t>(i)].mRuns.empty() ? holder : i;
+  }
+  simulation.CutExecutor(holder, true);
+  simulation.RunFor(5s);
+  BOOST_TEST(simulation.CountRuns(job) == 1);
+  simulation.RunFor(4s);
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  CheckPromises(simulation);
+}
+
+// Found on a day of rolling stops: the tasks of a finished job, still being stopped, took no room.
+BOOST_AUTO_TEST_CASE(a_new_owner_counts_the_room_of_tasks_that_it_does_not_know)
+{
+  Simulation simulation({ .mHosts = 2, .mExecutors = 1, .mExecutorCores = 4 });
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(1, 3, 0) }, "lasts");
+  simulation.RunFor(1s);
+  simulation.CutExecutor(0, true);
+  simulation.Cancel(0, job);
+  simulation.RunFor(300ms);
+  simulation.Kill(OwnerOf(simulation));
+  simulation.RunFor(2500ms);
+  simulation.Submit(OwnerOf(simulation), { MakeStep(1, 3) }, "100");
+  simulation.CutExecutor(0, false);
+  simulation.RunFor(4s);
+  BOOST_TEST(simulation.AllEnded());
+  CheckPromises(simulation);
+}
+
+// An executor that came back counts its ends anew; those of its new life must not be skipped.
+BOOST_AUTO_TEST_CASE(ends_of_a_restarted_executor_are_taken_note_of)
+{
+  Simulation simulation({ .mHosts = 1, .mExecutors = 1 });
+  simulation.RunFor(kStart);
+  simulation.Submit(0, { MakeStep(6, 1) }, "50");
+  simulation.RunFor(1s);
+  simulation.CrashExecutor(0);
+  simulation.RunFor(1s);
+  simulation.Submit(0, { MakeStep(2, 1) }, "50");
+  simulation.RunFor(3s);
+  BOOST_TEST(simulation.AllEnded());
+  BOOST_TEST(simulation.mExecutors[0].mEnds.empty());
+}
+
+BOOST_AUTO_TEST_CASE(an_owner_that_is_cut_off_from_the_log_stops_placing_work)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto owner = OwnerOf(simulation);
+  simulation.CutFromStore(owner, true);
+  simulation.RunFor(4s);
+  auto other = OwnerOf(simulation) == owner ? (owner + 1) % 3 : OwnerOf(simulation);
+  auto job = simulation.Submit((owner + 1) % 3, { MakeStep(2, 1) }, "100");
+  simulation.RunFor(2s);
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  BOOST_TEST(other != owner);
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(lasting_tasks_outlive_an_outage_of_the_log)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(3, 1, 0) }, "lasts");
+  simulation.RunFor(1s);
+  simulation.StoreDown(true);
+  simulation.RunFor(6s);
+  simulation.StoreDown(false);
+  simulation.RunFor(4s);
+  BOOST_TEST(simulation.CountRuns(job) == 3);
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(callers_are_refused_at_once_while_the_log_is_away)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  simulation.StoreDown(true);
+  simulation.RunFor(2s);
+  auto first = simulation.Submit(0, { MakeStep(1, 1) }, "100");
+  auto second = simulation.Submit(0, { MakeStep(1, 1) }, "100");
+  simulation.RunFor(5s);
+  // The first was sent, so that nobody knows; the second was not.
+  BOOST_TEST((simulation.LastReply(first) == ReplyKind::Unknown));
+  BOOST_TEST((simulation.LastReply(second) == ReplyKind::Refused));
+  simulation.StoreDown(false);
+  simulation.RunFor(5s);
+  BOOST_TEST(simulation.CountRuns(second) == 0);
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_forgotten_history_loses_no_job)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  simulation.Submit(0, { MakeStep(2, 1) }, "300");
+  simulation.RunFor(100ms);
+  ForgetHistory(simulation.mStore);
+  simulation.Submit(1, { MakeStep(2, 1) }, "300");
+  simulation.RunFor(4s);
+  BOOST_TEST(simulation.AllEnded());
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_draining_executor_gets_no_work_and_its_lasting_tasks_move)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(1, 1, 0) }, "lasts");
+  simulation.RunFor(1s);
+  for (int i = 0; i < 4; ++i) {
+    if (!simulation.mExecutors[static_cast<std::size_t>(i)].mRuns.empty()) {
+      simulation.DrainExecutor(i);
+      break;
+    }
+  }
+  simulation.RunFor(3s);
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  for (const auto& executor : simulation.mExecutors) {
+    auto drains = executor.mEntry.mState == ExecutorState::Draining;
+    BOOST_TEST((!drains || executor.mRuns.empty()));
+  }
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_wave_takes_every_host_down_within_its_limit_and_is_reported)
+{
+  Simulation simulation({ .mHosts = 3, .mExecutors = 6 });
+  simulation.RunFor(kStart);
+  simulation.Submit(0, { MakeLastingStep(3, 2, 1) }, "lasts");
+  simulation.RunFor(1s);
+  Wave wave;
+  wave.mNumber = 1;
+  wave.mMaxAtOnce = 2;
+  for (const auto& [id, machine] : simulation.mMachines) {
+    wave.mMachines.push_back(id);
+  }
+  simulation.AddWave(wave);
+  auto most = 0;
+  for (int i = 0; i < 600; ++i) {
+    simulation.RunFor(100ms);
+    auto down = 0;
+    for (const auto& [id, machine] : simulation.mMachines) {
+      down += machine.mState == MachineState::Upkeep ? 1 : 0;
+    }
+    most = std::max(most, down);
+  }
+  BOOST_TEST(most <= 2);
+  std::set<MachineId> ordered;
+  for (const auto& order : simulation.mUpkeeps) {
+    ordered.insert(order.mMachine);
+  }
+  BOOST_TEST(ordered.size() == 6u);
+  BOOST_REQUIRE(!simulation.mWaveReports.empty());
+  BOOST_TEST(simulation.mWaveReports.back().mCompleted);
+  CheckPromises(simulation);
+}
+
+BOOST_AUTO_TEST_CASE(a_wave_of_a_reserve_that_is_switched_off_ends)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  for (auto& [id, machine] : simulation.mMachines) {
+    machine.mExecutor = ExecutorId();
+  }
+  Wave wave;
+  wave.mNumber = 1;
+  wave.mMachines = { MachineId("m0"), MachineId("m1") };
+  simulation.AddWave(wave);
+  simulation.RunFor(25s);
+  BOOST_REQUIRE(!simulation.mWaveReports.empty());
+  BOOST_TEST(simulation.mWaveReports.back().mCompleted);
+}
+
+// Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or carried
+// out late, partitions are dealt anew: whatever comes, no promise is broken, and in the end every
+// accepted job has ended.
+BOOST_AUTO_TEST_CASE(no_promise_is_broken_whatever_fails)
+{
+  auto holds = rc::check([] {
+    SimulationSettings settings;
+    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.mRequestLoss = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+    Simulation simulation(settings);
+    std::mt19937_64 random(settings.mSeed);
+    auto pick = [&](int aBelow) {
+      return static_cast<int>(random() % static_cast<unsigned>(aBelow));
+    };
+    simulation.RunFor(kStart);
+    std::vector<JobId> jobs;
+    for (int round = 0; round < 60; ++round) {
+      auto host = pick(3);
+      if (simulation.mHosts[static_cast<std::size_t>(host)].mIsUp) {
+        jobs.push_back(simulation.Submit(
+          host,
+          { MakeStep(1 + pick(4), 1 + pick(3)), After(MakeStep(1 + pick(3), 1), { 0 }) },
+          "250"));
+      }
+      auto executor = pick(4);
+      switch (pick(14)) {
+        case 0:
+          simulation.Kill(pick(3));
+          break;
+        case 1:
+          simulation.Freeze(pick(3));
+          break;
+        case 2:
+          simulation.CutFromStore(pick(3), true);
+          break;
+        case 3:
+          simulation.CrashExecutor(executor);
+          break;
+        case 4:
+          simulation.CutExecutor(executor, true);
+          break;
+        case 5:
+          DealAnew(simulation.mStore);
+          break;
+        case 6:
+          ForgetHistory(simulation.mStore);
+          break;
+        case 7:
+          simulation.StoreDown(true);
+          break;
+        case 8:
+          simulation.Cancel(pick(3), jobs[random() % jobs.size()]);
+          break;
+        default:
+          break;
+      }
+      simulation.RunFor(std::chrono::milliseconds(pick(400)));
+      if (pick(3) == 0) {
+        simulation.StoreDown(false);
+        for (int i = 0; i < 3; ++i) {
+          simulation.Thaw(i);
+          simulation.Revive(i);
+          simulation.CutFromStore(i, false);
+        }
+        simulation.CutExecutor(executor, false);
+      }
+    }
+    simulation.StoreDown(false);
+    for (int i = 0; i < 3; ++i) {
+      simulation.Thaw(i);
+      simulation.Revive(i);
+      simulation.CutFromStore(i, false);
+    }
+    for (int i = 0; i < 4; ++i) {
+      simulation.CutExecutor(i, false);
+    }
+    simulation.RunFor(60s);
+    for (const auto& broken : simulation.Broken()) {
+      RC_LOG() << broken << "\n";
+    }
+    RC_ASSERT(simulation.Broken().empty());
+    RC_ASSERT(simulation.AllEnded());
+  });
+  BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
