--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 namespace sesameseam {
@@ -64,24 +65,58 @@
 
 }
 
+namespace {
+
+struct ParsedCount
+{
+  double mCount = 0;
+  bool mIsWhole = true;
+  const char* mRest = nullptr;
+};
+
+// A number that may have a fraction: "3" or "1.5".
+std::optional<ParsedCount>
+ParseCount(std::string_view aText)
+{
+  const auto* end = aText.data() + aText.size();
+  std::int64_t whole = 0;
+  auto parsed = std::from_chars(aText.data(), end, whole);
+  if (parsed.ec != std::errc() || whole < 0) {
+    return std::nullopt;
+  }
+  ParsedCount count{ static_cast<double>(whole), true, parsed.ptr };
+  if (parsed.ptr == end || *parsed.ptr != '.') {
+    return count;
+  }
+  double fraction = 0;
+  parsed = std::from_chars(aText.data(), end, fraction, std::chars_format::fixed);
+  if (parsed.ec != std::errc()) {
+    return std::nullopt;
+  }
+  return ParsedCount{ fraction, false, parsed.ptr };
+}
+
+}
+
 std::optional<Duration>
 ParseDuration(std::string_view aText)
 {
-  std::int64_t count = 0;
   const auto* end = aText.data() + aText.size();
-  auto parsed = std::from_chars(aText.data(), end, count);
-  if (parsed.ec != std::errc() || count < 0) {
+  auto parsed = ParseCount(aText);
+  if (!parsed) {
     return std::nullopt;
   }
-  std::string_view unit(parsed.ptr, static_cast<std::size_t>(end - parsed.ptr));
+  std::string_view unit(parsed->mRest, static_cast<std::size_t>(end - parsed->mRest));
   for (const auto& known : kDurationUnits) {
     if (known.mName != unit) {
       continue;
     }
-    if (count > Duration::max().count() / known.mLength.count()) {
+    auto length = parsed->mCount * static_cast<double>(known.mLength.count());
+    if (length >= static_cast<double>(Duration::max().count())) {
       return std::nullopt;
     }
-    return known.mLength * count;
+    return parsed->mIsWhole ? known.mLength * static_cast<std::int64_t>(parsed->mCount)
+                            : Duration(std::llround(length));
   }
   return std::nullopt;
 }
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -24,6 +24,15 @@
   Unanswered,
 };
 
+inline std::string
+NameOf(CallResult aResult)
+{
+  if (aResult == CallResult::Done) {
+    return "done";
+  }
+  return aResult == CallResult::Refused ? "refused" : "unanswered";
+}
+
 // Streams of the platform's log. Except for the first two, the entry hosts write them.
 enum class Stream
 {
@@ -37,8 +46,8 @@
   Progress,
   // A record for each change of a shard's owner. Its offset is the fencing token.
   Owners,
-  // Hosts that were taken down in a wave.
-  Upkeep,
+  // What owners tell one another of hosts: upkeep, moves and demands.
+  Fleet,
   // What the operator reads.
   Status,
 };
@@ -316,7 +325,8 @@
 {
   MachineId mMachine;
   std::int64_t mWave = 0;
-  std::int64_t mEpoch = 0;
+  // Rises with each order for the machine.
+  std::int64_t mFence = 0;
   int mShard = 0;
 };
 
@@ -336,6 +346,20 @@
   UpkeepRefusal mRefusal = UpkeepRefusal::None;
 };
 
+// Moves a machine to another pool.
+struct MoveCall
+{
+  MachineId mMachine;
+  ServiceName mTo;
+  std::int64_t mFence = 0;
+};
+
+struct MoveAnswer
+{
+  MoveCall mCall;
+  CallResult mResult = CallResult::Unanswered;
+};
+
 // Tells the operator how far a wave is.
 struct WaveStatusCall
 {
@@ -431,6 +455,7 @@
                             PaceCall,
                             MachinesCall,
                             UpkeepCall,
+                            MoveCall,
                             WaveStatusCall,
                             Reply,
                             LogEntry>;
--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -75,7 +75,8 @@
 IsUsable(const Executor& aExecutor, Instant aNow)
 {
   auto isReady = aExecutor.mEntry.mState == ExecutorState::Ready && aExecutor.mHeld;
-  auto isApart = aExecutor.mVacating || aExecutor.mUnanswered > 0 || aExecutor.mAvoidUntil > aNow;
+  auto isApart = aExecutor.mVacating != Vacating::No || aExecutor.mUnanswered > 0 ||
+                 aExecutor.mAvoidUntil > aNow;
   // The room that foreign runs take is not known.
   auto hasForeign = std::any_of(aExecutor.mRuns.begin(),
                                 aExecutor.mRuns.end(),
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -45,6 +45,16 @@
   std::int64_t mEpoch = 0;
 };
 
+// Why an executor gets no new work although it is ready.
+enum class Vacating
+{
+  No,
+  // Its host is about to be taken down.
+  ForUpkeep,
+  // Its host is about to move to another pool.
+  ForMove,
+};
+
 struct ClockReading
 {
   std::chrono::milliseconds mClock{ 0 };
@@ -72,8 +82,7 @@
   std::int64_t mRecordedEnds = 0;
   std::int64_t mAcknowledgedEnds = 0;
   std::map<TaskRun, PlacedRun> mRuns;
-  // No new work, since its host is about to be taken down.
-  bool mVacating = false;
+  Vacating mVacating = Vacating::No;
   int mFailuresInARow = 0;
   Instant mAvoidUntil;
 };
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1655,4 +1655,257 @@
   out << ")";
 }
 
+
+PoolDemand::~PoolDemand() noexcept {
+}
+
+
+void PoolDemand::__set_wanted(const int32_t val) {
+  this->wanted = val;
+}
+
+void PoolDemand::__set_present(const int32_t val) {
+  this->present = val;
+}
+
+void PoolDemand::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const PoolDemand& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t PoolDemand::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_wanted = false;
+  bool isset_present = false;
+  bool isset_at_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->wanted);
+          isset_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->present);
+          isset_present = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          isset_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_wanted)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_present)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t PoolDemand::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("PoolDemand");
+
+  xfer += oprot->writeFieldBegin("wanted", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->wanted);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("present", ::apache::thrift::protocol::T_I32, 2);
+  xfer += oprot->writeI32(this->present);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(PoolDemand &a, PoolDemand &b) {
+  using ::std::swap;
+  swap(a.wanted, b.wanted);
+  swap(a.present, b.present);
+  swap(a.at_ms, b.at_ms);
+}
+
+PoolDemand::PoolDemand(const PoolDemand& other50) noexcept {
+  wanted = other50.wanted;
+  present = other50.present;
+  at_ms = other50.at_ms;
+}
+PoolDemand& PoolDemand::operator=(const PoolDemand& other51) noexcept {
+  wanted = other51.wanted;
+  present = other51.present;
+  at_ms = other51.at_ms;
+  return *this;
+}
+void PoolDemand::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "PoolDemand(";
+  out << "wanted=" << to_string(wanted);
+  out << ", " << "present=" << to_string(present);
+  out << ", " << "at_ms=" << to_string(at_ms);
+  out << ")";
+}
+
+
+HostMove::~HostMove() noexcept {
+}
+
+
+void HostMove::__set_to(const std::string& val) {
+  this->to = val;
+}
+
+void HostMove::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const HostMove& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t HostMove::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_to = false;
+  bool isset_at_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->to);
+          isset_to = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          isset_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_to)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t HostMove::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("HostMove");
+
+  xfer += oprot->writeFieldBegin("to", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->to);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(HostMove &a, HostMove &b) {
+  using ::std::swap;
+  swap(a.to, b.to);
+  swap(a.at_ms, b.at_ms);
+}
+
+HostMove::HostMove(const HostMove& other52) {
+  to = other52.to;
+  at_ms = other52.at_ms;
+}
+HostMove& HostMove::operator=(const HostMove& other53) {
+  to = other53.to;
+  at_ms = other53.at_ms;
+  return *this;
+}
+void HostMove::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "HostMove(";
+  out << "to=" << to_string(to);
+  out << ", " << "at_ms=" << to_string(at_ms);
+  out << ")";
+}
+
 }}} // namespace
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -35,6 +35,10 @@
 
 class Upkeep;
 
+class PoolDemand;
+
+class HostMove;
+
 typedef struct _Step__isset {
   _Step__isset() : cpu_millicores(false), memory_mb(false), gpus(false), estimate_ms(false), after(false), gang(false), same_rack(false), required_label(false), preferred_rack(false), max_per_executor(false), speculative(false), lasting(false), fills(false), max_away(false), image(false), target_tail_ms(false), checkpoints(false) {}
   bool cpu_millicores :1;
@@ -635,6 +639,98 @@
 
 std::ostream& operator<<(std::ostream& out, const Upkeep& obj);
 
+
+class PoolDemand : public virtual ::apache::thrift::TBase {
+ public:
+
+  PoolDemand(const PoolDemand&) noexcept;
+  PoolDemand& operator=(const PoolDemand&) noexcept;
+  PoolDemand() noexcept
+             : wanted(0),
+               present(0),
+               at_ms(0) {
+  }
+
+  virtual ~PoolDemand() noexcept;
+  int32_t wanted;
+  int32_t present;
+  int64_t at_ms;
+
+  void __set_wanted(const int32_t val);
+
+  void __set_present(const int32_t val);
+
+  void __set_at_ms(const int64_t val);
+
+  bool operator == (const PoolDemand & rhs) const
+  {
+    if (!(wanted == rhs.wanted))
+      return false;
+    if (!(present == rhs.present))
+      return false;
+    if (!(at_ms == rhs.at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const PoolDemand &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const PoolDemand & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(PoolDemand &a, PoolDemand &b);
+
+std::ostream& operator<<(std::ostream& out, const PoolDemand& obj);
+
+
+class HostMove : public virtual ::apache::thrift::TBase {
+ public:
+
+  HostMove(const HostMove&);
+  HostMove& operator=(const HostMove&);
+  HostMove() noexcept
+           : to(),
+             at_ms(0) {
+  }
+
+  virtual ~HostMove() noexcept;
+  std::string to;
+  int64_t at_ms;
+
+  void __set_to(const std::string& val);
+
+  void __set_at_ms(const int64_t val);
+
+  bool operator == (const HostMove & rhs) const
+  {
+    if (!(to == rhs.to))
+      return false;
+    if (!(at_ms == rhs.at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const HostMove &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const HostMove & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(HostMove &a, HostMove &b);
+
+std::ostream& operator<<(std::ostream& out, const HostMove& obj);
+
 }}} // namespace
 
 #endif
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -1,48 +1,17 @@
 #include "LibSchedule/JobRecords.h"
 
 #include "LibSchedule/Generated/schedule_types.h"
-
-#include <memory>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
+#include "LibSchedule/RecordCodec.h"
 
 namespace sesameseam::schedule {
 
 namespace {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-using Protocol = TCompactProtocolT<TMemoryBuffer>;
+using detail::Decode;
+using detail::Encode;
 
 constexpr char kCancellationPrefix = 'x';
 
-template<typename T>
-std::string
-Encode(const T& aRecord)
-{
-  auto buffer = std::make_shared<TMemoryBuffer>();
-  Protocol protocol(buffer);
-  aRecord.write(&protocol);
-  return buffer->getBufferAsString();
-}
-
-template<typename T>
-absl::StatusOr<T>
-Decode(std::string_view aBytes)
-{
-  // The buffer observes the bytes, and reading doesn't change them.
-  auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
-  auto buffer = std::make_shared<TMemoryBuffer>(bytes, static_cast<std::uint32_t>(aBytes.size()));
-  Protocol protocol(buffer);
-  T record;
-  try {
-    record.read(&protocol);
-  } catch (const apache::thrift::TException& error) {
-    return MakeError(ErrorKind::RecordUnreadable, error.what());
-  }
-  return record;
-}
-
 record::Step
 ToRecord(const Step& aStep)
 {
@@ -278,24 +247,4 @@
   return progress;
 }
 
-std::string
-EncodeUpkeep(const UpkeepRecord& aRecord)
-{
-  record::Upkeep out;
-  out.phase = static_cast<std::int32_t>(aRecord.mPhase);
-  out.former_executor = aRecord.mFormerExecutor.mValue;
-  return Encode(out);
-}
-
-absl::StatusOr<UpkeepRecord>
-DecodeUpkeep(std::string_view aBytes)
-{
-  auto record = TRY(Decode<record::Upkeep>(aBytes));
-  if (record.phase != 0 && record.phase != 1) {
-    return MakeError(ErrorKind::RecordUnreadable, "unknown phase " + std::to_string(record.phase));
-  }
-  return UpkeepRecord{ static_cast<UpkeepPhase>(record.phase),
-                       ExecutorId(std::move(record.former_executor)) };
-}
-
 }
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -62,22 +62,4 @@
 absl::StatusOr<JobProgress>
 DecodeProgress(std::string_view aBytes);
 
-enum class UpkeepPhase
-{
-  Begun,
-  Over,
-};
-
-struct UpkeepRecord
-{
-  UpkeepPhase mPhase = UpkeepPhase::Begun;
-  // The executor that the host ran before; another one shows that the upkeep is over.
-  ExecutorId mFormerExecutor;
-};
-
-std::string
-EncodeUpkeep(const UpkeepRecord& aRecord);
-absl::StatusOr<UpkeepRecord>
-DecodeUpkeep(std::string_view aBytes);
-
 }
--- /dev/null
+++ b/Libraries/LibSchedule/MachineList.cpp
@@ -0,0 +1,61 @@
+#include "LibSchedule/MachineList.h"
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr Duration kInterval = 500ms;
+
+}
+
+void
+OnMachines(MachineList& aList, const Now& aNow, const MachinesAnswer& aAnswer)
+{
+  aList.mPending = false;
+  aList.mNextReadAt = aNow.mAt + kInterval;
+  if (aAnswer.mResult != CallResult::Done) {
+    aList.mNextPage.clear();
+    aList.mPages.clear();
+    return;
+  }
+  for (const auto& machine : aAnswer.mMachines) {
+    aList.mPages[machine.mId] = machine;
+  }
+  aList.mNextPage = aAnswer.mNextPage;
+  if (!aAnswer.mNextPage.empty()) {
+    aList.mNextReadAt = aNow.mAt;
+    return;
+  }
+  for (const auto& [id, machine] : aList.mPages) {
+    const auto* known = FindMachine(aList, id);
+    if (known == nullptr || known->mPool != machine.mPool) {
+      aList.mInPoolSince[id] = aNow.mAt;
+    }
+  }
+  aList.mMachines.swap(aList.mPages);
+  aList.mPages.clear();
+  aList.mAskedAt = aList.mFirstPageAt;
+  aList.mIsKnown = true;
+}
+
+void
+AdvanceMachineList(MachineList& aList, const Now& aNow, Actions& aActions)
+{
+  if (aList.mPending || aNow.mAt < aList.mNextReadAt) {
+    return;
+  }
+  aList.mPending = true;
+  if (aList.mNextPage.empty()) {
+    aList.mFirstPageAt = aNow.mAt;
+  }
+  aActions.emplace_back(MachinesCall{ aList.mNextPage });
+}
+
+const Machine*
+FindMachine(const MachineList& aList, const MachineId& aId)
+{
+  auto found = aList.mMachines.find(aId);
+  return found == aList.mMachines.end() ? nullptr : &found->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/MachineList.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibSchedule/Calls.h"
+
+#include <map>
+
+// The platform's list of machines, read at intervals where something depends on it.
+namespace sesameseam::schedule {
+
+struct MachineList
+{
+  std::map<MachineId, Machine> mMachines;
+  // Since when a machine is known to be in its pool.
+  std::map<MachineId, Instant> mInPoolSince;
+  bool mIsKnown = false;
+  // When the list that is known was asked for.
+  Instant mAskedAt;
+
+  // The pages that were read of the next list.
+  std::map<MachineId, Machine> mPages;
+  std::string mNextPage;
+  Instant mFirstPageAt;
+  bool mPending = false;
+  Instant mNextReadAt;
+};
+
+void
+OnMachines(MachineList& aList, const Now& aNow, const MachinesAnswer& aAnswer);
+
+void
+AdvanceMachineList(MachineList& aList, const Now& aNow, Actions& aActions);
+
+const Machine*
+FindMachine(const MachineList& aList, const MachineId& aId);
+
+}
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -293,6 +293,21 @@
   }
 }
 
+FleetContext
+MakeFleetContext(Node& aNode)
+{
+  auto inUse = PartitionsInUse(aNode);
+  FleetContext context;
+  context.mWaves = &aNode.mFollower.mWaves;
+  context.mShards = &aNode.mShards;
+  context.mLog = &aNode.mFleetLog;
+  context.mMachines = &aNode.mMachines;
+  context.mPartitions = aNode.mSettings.mPartitions;
+  context.mReportingShard = inUse.empty() ? -1 : *inUse.begin();
+  context.mHolderLease = aNode.mSettings.mHolderLease;
+  return context;
+}
+
 template<typename Answer, typename Function>
 void
 WithShard(Node& aNode, int aPartition, const Answer& aAnswer, Function aFunction)
@@ -329,8 +344,11 @@
     case Stream::Jobs:
       OnIntakeAnswer(aNode.mIntake, aNow, aAnswer, aActions);
       return;
-    case Stream::Upkeep:
-      OnUpkeepAppend(aNode.mUpkeep, aNow, aAnswer, aActions);
+    case Stream::Fleet:
+      if (OnFleetAppend(aNode.mFleetLog, aNow, aAnswer, aActions)) {
+        OnUpkeepRecorded(aNode.mUpkeep, aAnswer, aActions);
+        OnMoveRecorded(aNode.mRebalance, aNow, aAnswer, aActions);
+      }
       return;
     case Stream::Owners:
       WithShard(
@@ -349,8 +367,8 @@
 On(Node& aNode, const Now& aNow, const ReadAnswer& aAnswer, Actions& aActions)
 {
   const auto& call = aAnswer.mCall;
-  if (call.mStream == Stream::Upkeep) {
-    OnUpkeepRead(aNode.mUpkeep, aNow, aAnswer);
+  if (call.mStream == Stream::Fleet) {
+    OnFleetRead(aNode.mFleetLog, aNow, aAnswer, aActions);
   } else if (call.mReader == Reader::Follower) {
     ApplyChanges(aNode, aNow, OnFollowerRead(aNode.mFollower, aNow, aAnswer, aActions));
   } else if (call.mReader == Reader::View) {
@@ -366,8 +384,8 @@
 On(Node& aNode, const Now& aNow, const NewestAnswer& aAnswer, Actions& aActions)
 {
   const auto& call = aAnswer.mCall;
-  if (call.mStream == Stream::Upkeep) {
-    OnUpkeepNewest(aNode.mUpkeep, aNow, aAnswer);
+  if (call.mStream == Stream::Fleet) {
+    OnFleetNewest(aNode.mFleetLog, aNow, aAnswer, aActions);
   } else if (call.mReader == Reader::Follower) {
     ApplyChanges(aNode, aNow, OnFollowerNewest(aNode.mFollower, aNow, aAnswer, aActions));
   } else if (call.mReader == Reader::View) {
@@ -426,7 +444,7 @@
 void
 On(Node& aNode, const Now& aNow, const MachinesAnswer& aAnswer, Actions& /*aActions*/)
 {
-  OnMachines(aNode.mUpkeep, aNow, aAnswer);
+  OnMachines(aNode.mMachines, aNow, aAnswer);
 }
 
 void
@@ -435,12 +453,33 @@
   OnUpkeepAnswer(aNode.mUpkeep, aNow, aAnswer, aActions);
 }
 
+void
+On(Node& aNode, const Now& aNow, const MoveAnswer& aAnswer, Actions& aActions)
+{
+  OnMoveAnswer(aNode.mRebalance, aNow, MakeFleetContext(aNode), aAnswer, aActions);
+}
+
 void
 On(Node& aNode, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions)
 {
   OnWaveStatus(aNode.mUpkeep, aNow, aAnswer, aActions);
 }
 
+// Hosts concern only owners of shards.
+void
+AdvanceFleet(Node& aNode, const Now& aNow, Actions& aActions)
+{
+  if (aNode.mShards.empty() || !aNode.mFollower.mManifest) {
+    return;
+  }
+  AdvanceFleetLog(aNode.mFleetLog, aNow, aActions);
+  AdvanceMachineList(aNode.mMachines, aNow, aActions);
+  auto context = MakeFleetContext(aNode);
+  AdvanceUpkeep(aNode.mUpkeep, aNow, context, aActions);
+  const auto& services = aNode.mFollower.mManifest->mServices;
+  AdvanceRebalance(aNode.mRebalance, aNode.mSettings.mRebalance, aNow, context, services, aActions);
+}
+
 void
 AdvanceAll(Node& aNode, const Now& aNow, Actions& aActions)
 {
@@ -455,13 +494,7 @@
   for (auto& [partition, shard] : aNode.mShards) {
     Advance(shard, aNow, aActions);
   }
-  auto inUse = PartitionsInUse(aNode);
-  UpkeepContext context;
-  context.mWaves = &aNode.mFollower.mWaves;
-  context.mShards = &aNode.mShards;
-  context.mPartitions = aNode.mSettings.mPartitions;
-  context.mReportingShard = inUse.empty() ? -1 : *inUse.begin();
-  AdvanceUpkeep(aNode.mUpkeep, aNow, context, aActions);
+  AdvanceFleet(aNode, aNow, aActions);
 }
 
 }
@@ -471,7 +504,6 @@
 {
   Node node;
   node.mSettings = aSettings;
-  node.mUpkeep.mSettings.mHolderLease = aSettings.mHolderLease;
   return node;
 }
 
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -3,6 +3,7 @@
 #include "LibSchedule/Follower.h"
 #include "LibSchedule/Group.h"
 #include "LibSchedule/Intake.h"
+#include "LibSchedule/Rebalance.h"
 #include "LibSchedule/Shard.h"
 #include "LibSchedule/StatusView.h"
 #include "LibSchedule/Upkeep.h"
@@ -23,6 +24,7 @@
   std::chrono::milliseconds mStopTime{ 900 };
   std::chrono::milliseconds mNoticeTime{ 4500 };
   std::chrono::milliseconds mHolderLease{ 3000 };
+  RebalanceSettings mRebalance;
 };
 
 struct NodeCounters
@@ -39,7 +41,10 @@
   Group mGroup;
   Follower mFollower;
   Intake mIntake;
+  FleetLog mFleetLog;
+  MachineList mMachines;
   Upkeep mUpkeep;
+  Rebalance mRebalance;
   std::map<int, Shard> mShards;
   std::map<int, StatusView> mViews;
   NodeCounters mCounters;
@@ -69,6 +74,7 @@
                            PaceAnswer,
                            MachinesAnswer,
                            UpkeepAnswer,
+                           MoveAnswer,
                            WaveStatusAnswer>;
 
 Node
--- /dev/null
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "LibSchedule/Demand.h"
+#include "LibSchedule/Upkeep.h"
+
+#include <map>
+
+// Moves idle hosts to pools that lack them. The owner of a pool with a lack says so in the fleet
+// log; owners of pools with idle hosts give them, each in a conditional append, so that together
+// they give no more than is wanted.
+namespace sesameseam::schedule {
+
+struct MoveTask
+{
+  ServiceName mTo;
+  std::int64_t mFence = 0;
+  bool mCallPending = false;
+  bool mOrdered = false;
+  Instant mRetryAt;
+  Instant mGiveUpAt;
+};
+
+struct PublishedDemand
+{
+  PoolDemand mDemand;
+  Instant mAt;
+};
+
+struct Rebalance
+{
+  std::map<ServiceName, PublishedDemand> mPublished;
+  std::map<MachineId, MoveTask> mTasks;
+  Instant mNextCheckAt;
+  std::int64_t mMoves = 0;
+};
+
+struct RebalanceSettings
+{
+  // How long a host is away when it moves.
+  std::chrono::milliseconds mMoveTime{ 1500 };
+};
+
+void
+OnMoveRecorded(Rebalance& aRebalance,
+               const Now& aNow,
+               const AppendAnswer& aAnswer,
+               Actions& aActions);
+void
+OnMoveAnswer(Rebalance& aRebalance,
+             const Now& aNow,
+             const FleetContext& aContext,
+             const MoveAnswer& aAnswer,
+             Actions& aActions);
+
+void
+AdvanceRebalance(Rebalance& aRebalance,
+                 const RebalanceSettings& aSettings,
+                 const Now& aNow,
+                 const FleetContext& aContext,
+                 const std::vector<Service>& aServices,
+                 Actions& aActions);
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/RecordCodec.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "LibBase/Error.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+// Records of the log in Thrift's compact protocol.
+namespace sesameseam::schedule::detail {
+
+using RecordBuffer = apache::thrift::transport::TMemoryBuffer;
+using RecordProtocol = apache::thrift::protocol::TCompactProtocolT<RecordBuffer>;
+
+template<typename T>
+std::string
+Encode(const T& aRecord)
+{
+  auto buffer = std::make_shared<RecordBuffer>();
+  RecordProtocol protocol(buffer);
+  aRecord.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+template<typename T>
+absl::StatusOr<T>
+Decode(std::string_view aBytes)
+{
+  // The buffer observes the bytes, and reading doesn't change them.
+  auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
+  auto buffer = std::make_shared<RecordBuffer>(bytes, static_cast<std::uint32_t>(aBytes.size()));
+  RecordProtocol protocol(buffer);
+  T record;
+  try {
+    record.read(&protocol);
+  } catch (const apache::thrift::TException& error) {
+    return MakeError(ErrorKind::RecordUnreadable, error.what());
+  }
+  return record;
+}
+
+}
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -9,244 +9,119 @@
 namespace {
 
 constexpr Duration kRetryPause = 200ms;
-constexpr Duration kReadInterval = 400ms;
-constexpr Duration kMachinesInterval = 500ms;
 constexpr Duration kHolderMargin = 300ms;
-constexpr char kKeySeparator = '/';
-constexpr int kOwnedPartition = 0;
+// An order to move a host is not repeated for longer.
+constexpr Duration kMoveOrderLifetime = 6s;
 
-std::string
-KeyText(const UpkeepKey& aKey)
-{
-  return std::to_string(aKey.mWave) + kKeySeparator + aKey.mMachine.mValue;
-}
-
-std::optional<UpkeepKey>
-ParseKey(const std::string& aText)
+const UpkeepRecord*
+FindRecord(const FleetLog& aLog, const UpkeepKey& aKey)
 {
-  auto separator = aText.find(kKeySeparator);
-  if (separator == std::string::npos || separator == 0) {
-    return std::nullopt;
-  }
-  UpkeepKey key;
-  for (std::size_t i = 0; i < separator; ++i) {
-    if (aText[i] < '0' || aText[i] > '9') {
-      return std::nullopt;
-    }
-    constexpr int kBase = 10;
-    key.mWave = key.mWave * kBase + (aText[i] - '0');
-  }
-  key.mMachine = MachineId(aText.substr(separator + 1));
-  return key;
+  auto found = aLog.mUpkeeps.find(aKey);
+  return found == aLog.mUpkeeps.end() ? nullptr : &found->second;
 }
 
 bool
-IsOver(const std::string& aValue)
-{
-  auto record = DecodeUpkeep(aValue);
-  return record.ok() && record->mPhase == UpkeepPhase::Over;
-}
-
-void
-TakeRecords(Upkeep& aUpkeep, const std::vector<KeyedRecord>& aRecords)
-{
-  for (const auto& record : aRecords) {
-    auto key = ParseKey(record.mKey);
-    auto value = DecodeUpkeep(record.mValue);
-    if (key && value.ok()) {
-      aUpkeep.mRecords[*key] = *value;
-    }
-  }
-}
-
-Shard*
-ShardOf(const UpkeepContext& aContext, const ServiceName& aPool)
+IsOver(const FleetLog& aLog, const UpkeepKey& aKey)
 {
-  auto found = aContext.mShards->find(PartitionOf(aPool, aContext.mPartitions));
-  if (found == aContext.mShards->end() || found->second.mPhase != ShardPhase::Active) {
-    return nullptr;
-  }
-  return &found->second;
-}
-
-const Machine*
-FindMachine(const Upkeep& aUpkeep, const MachineId& aId)
-{
-  auto found = aUpkeep.mMachines.find(aId);
-  return found == aUpkeep.mMachines.end() ? nullptr : &found->second;
-}
-
-const UpkeepRecord*
-FindRecord(const Upkeep& aUpkeep, const UpkeepKey& aKey)
-{
-  auto found = aUpkeep.mRecords.find(aKey);
-  return found == aUpkeep.mRecords.end() ? nullptr : &found->second;
+  const auto* record = FindRecord(aLog, aKey);
+  return record != nullptr && record->mPhase == UpkeepPhase::Over;
 }
 
 int
-CountDown(const Upkeep& aUpkeep, std::int64_t aWave)
+CountDown(const FleetContext& aContext, std::int64_t aWave)
 {
-  return static_cast<int>(
-    std::count_if(aUpkeep.mRecords.begin(), aUpkeep.mRecords.end(), [&](const auto& aEntry) {
-      const auto& [key, record] = aEntry;
-      return key.mWave == aWave && record.mPhase == UpkeepPhase::Begun &&
-             FindMachine(aUpkeep, key.mMachine) != nullptr;
-    }));
-}
-
-// Whether the host has had its upkeep, or is not there any more.
-bool
-IsDone(const Upkeep& aUpkeep, const UpkeepKey& aKey)
-{
-  const auto* record = FindRecord(aUpkeep, aKey);
-  auto isOver = record != nullptr && record->mPhase == UpkeepPhase::Over;
-  return isOver || FindMachine(aUpkeep, aKey.mMachine) == nullptr;
+  int count = 0;
+  for (const auto& [key, record] : aContext.mLog->mUpkeeps) {
+    auto isDown = key.mWave == aWave && record.mPhase == UpkeepPhase::Begun &&
+                  FindMachine(*aContext.mMachines, key.mMachine) != nullptr;
+    count += isDown ? 1 : 0;
+  }
+  return count;
 }
 
+// Every host has had its upkeep, or is not there any more.
 bool
-IsWaveDone(const Upkeep& aUpkeep, const Wave& aWave)
+IsWaveDone(const FleetContext& aContext, const Wave& aWave)
 {
   return std::all_of(aWave.mMachines.begin(), aWave.mMachines.end(), [&](const MachineId& aId) {
-    return IsDone(aUpkeep, { aWave.mNumber, aId });
+    return IsOver(*aContext.mLog, { aWave.mNumber, aId }) ||
+           FindMachine(*aContext.mMachines, aId) == nullptr;
   });
 }
 
+// An order to move the host may be under way, or repeated.
 bool
-HasOpenWave(const Upkeep& aUpkeep, const UpkeepContext& aContext)
+IsMoving(const FleetLog& aLog, const MachineId& aMachine, TimePoint aNow)
 {
-  return std::any_of(aContext.mWaves->begin(), aContext.mWaves->end(), [&](const auto& aEntry) {
-    auto reported = aUpkeep.mReported.find(aEntry.first);
-    return reported == aUpkeep.mReported.end() || !reported->second;
-  });
-}
-
-void
-ReadRecords(Upkeep& aUpkeep, const Now& aNow, Actions& aActions)
-{
-  if (aUpkeep.mReadPending || aNow.mAt < aUpkeep.mNextReadAt) {
-    return;
-  }
-  aUpkeep.mReadPending = true;
-  if (!aUpkeep.mLoaded) {
-    NewestCall call;
-    call.mStream = Stream::Upkeep;
-    call.mAfterKey = aUpkeep.mPageKey;
-    aActions.emplace_back(std::move(call));
-    return;
-  }
-  ReadCall call;
-  call.mStream = Stream::Upkeep;
-  call.mFrom = aUpkeep.mPosition;
-  aActions.emplace_back(std::move(call));
+  auto found = aLog.mMoves.find(aMachine);
+  return found != aLog.mMoves.end() && aNow - found->second.mAt < kMoveOrderLifetime;
 }
 
-void
-ReadMachines(Upkeep& aUpkeep, const Now& aNow, Actions& aActions)
-{
-  if (aUpkeep.mMachinesPending || aNow.mAt < aUpkeep.mNextMachinesAt) {
-    return;
-  }
-  aUpkeep.mMachinesPending = true;
-  if (aUpkeep.mMachinesPage.empty()) {
-    aUpkeep.mMachinesSentAt = aNow.mAt;
-  }
-  aActions.emplace_back(MachinesCall{ aUpkeep.mMachinesPage });
-}
-
-void
-AppendRecord(Upkeep& aUpkeep, const UpkeepKey& aKey, const UpkeepRecord& aRecord, Actions& aActions)
-{
-  AppendCall call;
-  call.mStream = Stream::Upkeep;
-  call.mPartition = kOwnedPartition;
-  call.mRecords.push_back({ KeyText(aKey), EncodeUpkeep(aRecord) });
-  call.mExpectedEnd = aUpkeep.mPosition;
-  aUpkeep.mAppending = aKey;
-  aUpkeep.mAppendPending = true;
-  aActions.emplace_back(std::move(call));
-}
-
-// Without a call under way, so that the records are those that an append is conditional on.
+// A list that was asked for after the order was carried out shows the host up.
 bool
-MayAppend(const Upkeep& aUpkeep)
+IsBack(const FleetContext& aContext, const Machine& aMachine, const UpkeepTask& aTask)
 {
-  return aUpkeep.mLoaded && !aUpkeep.mReadPending && !aUpkeep.mAppendPending;
+  return aTask.mOrdered && aMachine.mState == MachineState::Up &&
+         aContext.mMachines->mAskedAt > aTask.mOrderedAt;
 }
 
 void
-OrderUpkeep(Upkeep& aUpkeep,
+OrderUpkeep(UpkeepTask& aTask,
             const Now& aNow,
             const UpkeepKey& aKey,
             const Shard& aShard,
             Actions& aActions)
 {
-  auto& task = aUpkeep.mTasks[aKey];
-  if (task.mCallPending || task.mOrdered || aNow.mAt < task.mRetryAt) {
+  if (aTask.mCallPending || aTask.mOrdered || aNow.mAt < aTask.mRetryAt) {
     return;
   }
-  task.mCallPending = true;
-  aActions.emplace_back(UpkeepCall{ aKey.mMachine, aKey.mWave, aShard.mEpoch, aShard.mPartition });
-}
-
-bool
-MayOrder(const Upkeep& aUpkeep, const Shard& aShard, const MachineId& aMachine, Instant aNow)
-{
-  auto wait = aUpkeep.mSettings.mHolderLease + kHolderMargin;
-  auto since = aUpkeep.mInPoolSince.find(aMachine);
-  return aNow - aShard.mTakenOverAt > wait && since != aUpkeep.mInPoolSince.end() &&
-         detail::MayStart(aShard, aNow);
+  aTask.mCallPending = true;
+  aActions.emplace_back(UpkeepCall{ aKey.mMachine, aKey.mWave, aTask.mFence, aShard.mPartition });
 }
 
-// A host that comes back runs another executor. In a reserve that is switched off it runs none, and
-// a list that was asked for after the order has to show it up.
 bool
-IsBack(const Upkeep& aUpkeep,
-       const Machine& aMachine,
-       const UpkeepRecord& aRecord,
-       const UpkeepTask& aTask)
+IsEmpty(const Shard& aShard, const ExecutorId& aId)
 {
-  if (aMachine.mState != MachineState::Up) {
-    return false;
-  }
-  if (!aRecord.mFormerExecutor.IsEmpty()) {
-    return !aMachine.mExecutor.IsEmpty() && aMachine.mExecutor != aRecord.mFormerExecutor;
-  }
-  return aTask.mOrdered && aUpkeep.mMachinesAskedAt > aTask.mOrderedAt;
+  auto found = aShard.mExecutors.find(aId);
+  return found == aShard.mExecutors.end() ||
+         (found->second.mVacating == Vacating::ForUpkeep && found->second.mRuns.empty());
 }
 
 // Follows one host through its upkeep: emptied, recorded, ordered, back.
 void
 AdvanceMachine(Upkeep& aUpkeep,
                const Now& aNow,
+               const FleetContext& aContext,
                const Wave& aWave,
                const Machine& aMachine,
-               Shard& aShard,
+               const Shard& aShard,
                Actions& aActions)
 {
   UpkeepKey key{ aWave.mNumber, aMachine.mId };
-  const auto* record = FindRecord(aUpkeep, key);
-  if (record != nullptr && record->mPhase == UpkeepPhase::Over) {
+  if (IsOver(*aContext.mLog, key) || !MayOrder(aContext, aShard, aMachine.mId, aNow.mAt)) {
     return;
   }
-  if (!MayOrder(aUpkeep, aShard, aMachine.mId, aNow.mAt)) {
+  auto& task = aUpkeep.mTasks[key];
+  if (task.mFence != 0) {
+    if (!IsBack(aContext, aMachine, task)) {
+      OrderUpkeep(task, aNow, key, aShard, aActions);
+    } else if (MayAppend(*aContext.mLog)) {
+      auto record = ToRecord(key, { UpkeepPhase::Over, aMachine.mExecutor });
+      AppendIfUnchanged(*aContext.mLog, { record }, aActions);
+    }
     return;
   }
-  if (record != nullptr) {
-    auto isBack = IsBack(aUpkeep, aMachine, *record, aUpkeep.mTasks[key]);
-    if (isBack && MayAppend(aUpkeep)) {
-      AppendRecord(aUpkeep, key, { UpkeepPhase::Over, record->mFormerExecutor }, aActions);
-    } else if (!isBack) {
-      OrderUpkeep(aUpkeep, aNow, key, aShard, aActions);
-    }
+  if (!MayAppend(*aContext.mLog)) {
     return;
   }
-  auto executor = aShard.mExecutors.find(aMachine.mExecutor);
-  auto isEmpty = executor == aShard.mExecutors.end() ||
-                 (executor->second.mVacating && executor->second.mRuns.empty());
-  auto isUp = aMachine.mState == MachineState::Up;
-  if (isUp && isEmpty && MayAppend(aUpkeep) &&
-      CountDown(aUpkeep, aWave.mNumber) < aWave.mMaxAtOnce) {
-    AppendRecord(aUpkeep, key, { UpkeepPhase::Begun, aMachine.mExecutor }, aActions);
+  // A host that a former owner has recorded is down already, or about to be.
+  auto isRecorded = FindRecord(*aContext.mLog, key) != nullptr;
+  auto hasPlace = CountDown(aContext, aWave.mNumber) < aWave.mMaxAtOnce;
+  auto isReady = aMachine.mState == MachineState::Up && IsEmpty(aShard, aMachine.mExecutor) &&
+                 !IsMoving(*aContext.mLog, aMachine.mId, aNow.mWall);
+  if (isRecorded || (isReady && hasPlace)) {
+    auto record = ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor });
+    AppendIfUnchanged(*aContext.mLog, { record }, aActions);
   }
 }
 
@@ -257,52 +132,67 @@
   return ReservedRoom(aExecutor).mCpuMillicores;
 }
 
-// Chooses the hosts of a shard that get no new work, so that the wave goes on as soon as its limit
-// allows.
-void
-ChooseVacating(Upkeep& aUpkeep, const Wave& aWave, Shard& aShard, const UpkeepContext& aContext)
+struct VacatingHosts
 {
-  std::vector<Executor*> waiting;
-  auto chosen = 0;
+  // Hosts that get no new work, and those that could be next.
+  int mChosen = 0;
+  std::vector<Executor*> mNext;
+};
+
+VacatingHosts
+FindVacating(const FleetContext& aContext, const Wave& aWave, Shard& aShard)
+{
+  VacatingHosts vacating;
   for (const auto& id : aWave.mMachines) {
-    const auto* machine = FindMachine(aUpkeep, id);
-    if (machine == nullptr || ShardOf(aContext, machine->mPool) != &aShard) {
+    const auto* machine = FindMachine(*aContext.mMachines, id);
+    if (machine == nullptr || FindShard(aContext, machine->mPool) != &aShard) {
       continue;
     }
-    const auto* record = FindRecord(aUpkeep, { aWave.mNumber, id });
-    auto executor = aShard.mExecutors.find(machine->mExecutor);
-    if (executor == aShard.mExecutors.end()) {
+    auto found = aShard.mExecutors.find(machine->mExecutor);
+    // A recorded host is down or back by now, with another executor.
+    auto isRecorded = FindRecord(*aContext.mLog, { aWave.mNumber, id }) != nullptr;
+    if (found == aShard.mExecutors.end() || isRecorded) {
       continue;
     }
-    auto isOver = record != nullptr && record->mPhase == UpkeepPhase::Over;
-    if (isOver) {
-      executor->second.mVacating = false;
-    } else if (executor->second.mVacating) {
-      ++chosen;
-    } else if (machine->mState == MachineState::Up) {
-      waiting.push_back(&executor->second);
+    if (found->second.mVacating == Vacating::ForUpkeep) {
+      ++vacating.mChosen;
+    } else if (found->second.mVacating == Vacating::No && machine->mState == MachineState::Up) {
+      vacating.mNext.push_back(&found->second);
     }
   }
-  if (chosen >= aWave.mMaxAtOnce || waiting.empty()) {
+  return vacating;
+}
+
+// Chooses the hosts of a shard that get no new work, so that the wave goes on as soon as its limit
+// allows.
+void
+ChooseVacating(const FleetContext& aContext, const Wave& aWave, Shard& aShard)
+{
+  auto vacating = FindVacating(aContext, aWave, aShard);
+  if (vacating.mChosen >= aWave.mMaxAtOnce || vacating.mNext.empty()) {
     return;
   }
-  auto least = std::min_element(
-    waiting.begin(), waiting.end(), [](const Executor* aLeft, const Executor* aRight) {
-      return UsedCpu(*aLeft) < UsedCpu(*aRight);
-    });
-  auto isIdle = (*least)->mRuns.empty();
-  if (chosen == 0 || isIdle) {
-    (*least)->mVacating = true;
+  auto* least = *std::min_element(vacating.mNext.begin(),
+                                  vacating.mNext.end(),
+                                  [](const Executor* aLeft, const Executor* aRight) {
+                                    return UsedCpu(*aLeft) < UsedCpu(*aRight);
+                                  });
+  if (vacating.mChosen == 0 || least->mRuns.empty()) {
+    least->mVacating = Vacating::ForUpkeep;
   }
 }
 
 void
-ReportWave(Upkeep& aUpkeep, const Now& aNow, const Wave& aWave, Actions& aActions)
+ReportWave(Upkeep& aUpkeep,
+           const Now& aNow,
+           const FleetContext& aContext,
+           const Wave& aWave,
+           Actions& aActions)
 {
   if (aUpkeep.mReporting || aNow.mAt < aUpkeep.mNextReportAt) {
     return;
   }
-  auto isDone = IsWaveDone(aUpkeep, aWave);
+  auto isDone = IsWaveDone(aContext, aWave);
   auto reported = aUpkeep.mReported.find(aWave.mNumber);
   if (reported != aUpkeep.mReported.end() && (reported->second || !isDone)) {
     return;
@@ -319,93 +209,56 @@
   return static_cast<int>(StableHash(aService.mValue) % static_cast<std::uint64_t>(aPartitions));
 }
 
-void
-OnUpkeepRead(Upkeep& aUpkeep, const Now& aNow, const ReadAnswer& aAnswer)
+Shard*
+FindShard(const FleetContext& aContext, const ServiceName& aPool)
 {
-  aUpkeep.mReadPending = false;
-  aUpkeep.mNextReadAt =
-    aNow.mAt + (aAnswer.mResult == CallResult::Done ? kReadInterval : kRetryPause);
-  if (aAnswer.mTrimmed) {
-    aUpkeep.mLoaded = false;
-    aUpkeep.mPageKey.clear();
-    aUpkeep.mPagedEnd = -1;
-    aUpkeep.mNextReadAt = aNow.mAt;
-    return;
-  }
-  if (aAnswer.mResult == CallResult::Done) {
-    TakeRecords(aUpkeep, aAnswer.mRecords);
-    if (!aAnswer.mRecords.empty()) {
-      aUpkeep.mPosition = aAnswer.mRecords.back().mOffset + 1;
-    }
+  auto found = aContext.mShards->find(PartitionOf(aPool, aContext.mPartitions));
+  if (found == aContext.mShards->end() || found->second.mPhase != ShardPhase::Active) {
+    return nullptr;
   }
+  return &found->second;
 }
 
-void
-OnUpkeepNewest(Upkeep& aUpkeep, const Now& aNow, const NewestAnswer& aAnswer)
+bool
+MayOrder(const FleetContext& aContext, const Shard& aShard, const MachineId& aMachine, Instant aNow)
 {
-  aUpkeep.mReadPending = false;
-  if (aAnswer.mResult != CallResult::Done) {
-    aUpkeep.mNextReadAt = aNow.mAt + kRetryPause;
-    return;
-  }
-  if (aUpkeep.mPagedEnd < 0) {
-    aUpkeep.mPagedEnd = aAnswer.mEnd;
-  }
-  TakeRecords(aUpkeep, aAnswer.mRecords);
-  if (aAnswer.mHasMore && !aAnswer.mRecords.empty()) {
-    aUpkeep.mPageKey = aAnswer.mRecords.back().mKey;
-    return;
-  }
-  aUpkeep.mLoaded = true;
-  aUpkeep.mPosition = aUpkeep.mPagedEnd;
+  auto wait = aContext.mHolderLease + kHolderMargin;
+  auto since = aContext.mMachines->mInPoolSince.find(aMachine);
+  return aNow - aShard.mTakenOverAt > wait && since != aContext.mMachines->mInPoolSince.end() &&
+         aNow - since->second > wait && detail::MayStart(aShard, aNow);
 }
 
-void
-OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
+bool
+HasOpenWave(const Upkeep& aUpkeep, const std::map<std::int64_t, Wave>& aWaves)
 {
-  aUpkeep.mAppendPending = false;
-  aUpkeep.mAppending.reset();
-  if (aAnswer.mResult == CallResult::Done) {
-    TakeRecords(aUpkeep, { { aAnswer.mCall.mRecords[0].mKey, aAnswer.mCall.mRecords[0].mValue } });
-    aUpkeep.mPosition = aAnswer.mOffset + 1;
-    LogEntry entry{ LogLevel::Info, "upkeep-recorded", {}, aAnswer.mCall.mRecords[0].mKey };
-    entry.mOutcome = IsOver(aAnswer.mCall.mRecords[0].mValue) ? "over" : "begun";
-    entry.mVersion = aAnswer.mOffset;
-    aActions.emplace_back(std::move(entry));
-    return;
-  }
-  // What others have appended, or whether this record is there, shows the next read.
-  aUpkeep.mNextReadAt = aNow.mAt;
+  return std::any_of(aWaves.begin(), aWaves.end(), [&](const auto& aEntry) {
+    auto reported = aUpkeep.mReported.find(aEntry.first);
+    return reported == aUpkeep.mReported.end() || !reported->second;
+  });
 }
 
 void
-OnMachines(Upkeep& aUpkeep, const Now& aNow, const MachinesAnswer& aAnswer)
+OnUpkeepRecorded(Upkeep& aUpkeep, const AppendAnswer& aAnswer, Actions& aActions)
 {
-  aUpkeep.mMachinesPending = false;
-  aUpkeep.mNextMachinesAt = aNow.mAt + kMachinesInterval;
-  if (aAnswer.mResult != CallResult::Done) {
-    aUpkeep.mMachinesPage.clear();
-    aUpkeep.mPageOfMachines.clear();
-    return;
-  }
-  for (const auto& machine : aAnswer.mMachines) {
-    aUpkeep.mPageOfMachines[machine.mId] = machine;
-  }
-  aUpkeep.mMachinesPage = aAnswer.mNextPage;
-  if (!aAnswer.mNextPage.empty()) {
-    aUpkeep.mNextMachinesAt = aNow.mAt;
-    return;
-  }
-  for (const auto& [id, machine] : aUpkeep.mPageOfMachines) {
-    const auto* known = FindMachine(aUpkeep, id);
-    if (known == nullptr || known->mPool != machine.mPool) {
-      aUpkeep.mInPoolSince[id] = aNow.mAt;
+  FleetLog stored;
+  auto offset = aAnswer.mOffset;
+  for (const auto& record : aAnswer.mCall.mRecords) {
+    // Offsets begin at 0, and a missing token counts as 0.
+    ++offset;
+    stored.mUpkeeps.clear();
+    if (!TakeFleetRecord(stored, record.mKey, record.mValue).ok() || stored.mUpkeeps.empty()) {
+      continue;
+    }
+    const auto& [key, upkeep] = *stored.mUpkeeps.begin();
+    auto isOver = upkeep.mPhase == UpkeepPhase::Over;
+    if (!isOver) {
+      aUpkeep.mTasks[key].mFence = offset;
     }
+    LogEntry entry{ LogLevel::Info, "upkeep-recorded", {}, key.mMachine.mValue };
+    entry.mOutcome = isOver ? "over" : "begun";
+    entry.mVersion = offset;
+    aActions.emplace_back(std::move(entry));
   }
-  aUpkeep.mMachines.swap(aUpkeep.mPageOfMachines);
-  aUpkeep.mPageOfMachines.clear();
-  aUpkeep.mMachinesKnown = true;
-  aUpkeep.mMachinesAskedAt = aUpkeep.mMachinesSentAt;
 }
 
 void
@@ -417,12 +270,10 @@
   task.mOrderedAt = aNow.mAt;
   task.mRetryAt = aNow.mAt + kRetryPause;
   LogEntry entry{ LogLevel::Info, "upkeep-ordered", {}, aAnswer.mCall.mMachine.mValue };
-  entry.mOutcome = aAnswer.mResult == CallResult::Done      ? "done"
-                   : aAnswer.mResult == CallResult::Refused ? "refused"
-                                                            : "unanswered";
+  entry.mOutcome = NameOf(aAnswer.mResult);
   entry.mReason = "wave " + std::to_string(aAnswer.mCall.mWave) + " refusal " +
                   std::to_string(static_cast<int>(aAnswer.mRefusal));
-  entry.mVersion = aAnswer.mCall.mEpoch;
+  entry.mVersion = aAnswer.mCall.mFence;
   aActions.emplace_back(std::move(entry));
 }
 
@@ -430,43 +281,37 @@
 OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions)
 {
   aUpkeep.mReporting.reset();
-  if (aAnswer.mResult == CallResult::Done) {
-    aUpkeep.mReported[aAnswer.mCall.mWave] = aAnswer.mCall.mCompleted;
-    LogEntry entry{ LogLevel::Info, "wave-reported", {}, std::to_string(aAnswer.mCall.mWave) };
-    entry.mOutcome = aAnswer.mCall.mCompleted ? "completed" : "running";
-    aActions.emplace_back(std::move(entry));
-  }
   aUpkeep.mNextReportAt = aNow.mAt + kRetryPause;
+  if (aAnswer.mResult != CallResult::Done) {
+    return;
+  }
+  aUpkeep.mReported[aAnswer.mCall.mWave] = aAnswer.mCall.mCompleted;
+  LogEntry entry{ LogLevel::Info, "wave-reported", {}, std::to_string(aAnswer.mCall.mWave) };
+  entry.mOutcome = aAnswer.mCall.mCompleted ? "completed" : "running";
+  aActions.emplace_back(std::move(entry));
 }
 
 void
-AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const UpkeepContext& aContext, Actions& aActions)
+AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const FleetContext& aContext, Actions& aActions)
 {
-  if (aContext.mShards->empty() || !HasOpenWave(aUpkeep, aContext)) {
-    return;
-  }
-  if (!aUpkeep.mAppendPending) {
-    ReadRecords(aUpkeep, aNow, aActions);
-  }
-  ReadMachines(aUpkeep, aNow, aActions);
-  if (!aUpkeep.mLoaded || !aUpkeep.mMachinesKnown) {
+  if (!aContext.mLog->mLoaded || !aContext.mMachines->mIsKnown) {
     return;
   }
   for (const auto& [number, wave] : *aContext.mWaves) {
     for (auto& [partition, shard] : *aContext.mShards) {
       if (shard.mPhase == ShardPhase::Active) {
-        ChooseVacating(aUpkeep, wave, shard, aContext);
+        ChooseVacating(aContext, wave, shard);
       }
     }
     for (const auto& id : wave.mMachines) {
-      const auto* machine = FindMachine(aUpkeep, id);
-      auto* shard = machine == nullptr ? nullptr : ShardOf(aContext, machine->mPool);
+      const auto* machine = FindMachine(*aContext.mMachines, id);
+      const auto* shard = machine == nullptr ? nullptr : FindShard(aContext, machine->mPool);
       if (shard != nullptr) {
-        AdvanceMachine(aUpkeep, aNow, wave, *machine, *shard, aActions);
+        AdvanceMachine(aUpkeep, aNow, aContext, wave, *machine, *shard, aActions);
       }
     }
     if (aContext.mShards->contains(aContext.mReportingShard)) {
-      ReportWave(aUpkeep, aNow, wave, aActions);
+      ReportWave(aUpkeep, aNow, aContext, wave, aActions);
     }
   }
 }
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -1,99 +1,79 @@
 #pragma once
 
 #include "LibSchedule/Calls.h"
-#include "LibSchedule/JobRecords.h"
+#include "LibSchedule/FleetLog.h"
+#include "LibSchedule/MachineList.h"
 #include "LibSchedule/Shard.h"
 
 #include <map>
 #include <optional>
 
-// Takes the hosts of a wave down, a few at a time. Each owner does so for the hosts of its shards.
-// A record in the log for each host, appended only if nothing else was appended meanwhile, keeps
-// all owners together within the wave's limit.
+// Takes the hosts of a wave down, a few at a time. Each owner does so for the hosts of its shards;
+// the fleet log keeps all owners together within the wave's limit.
 namespace sesameseam::schedule {
 
-struct UpkeepSettings
-{
-  // Two holders may not order one host within this time.
-  std::chrono::milliseconds mHolderLease{ 3000 };
-};
-
+// An order for a host, which this owner recorded in the fleet log.
 struct UpkeepTask
 {
+  // The offset of this owner's record; an order of another owner needs a record of its own.
+  std::int64_t mFence = 0;
   bool mCallPending = false;
   bool mOrdered = false;
   Instant mOrderedAt;
   Instant mRetryAt;
 };
 
-struct UpkeepKey
-{
-  std::int64_t mWave = 0;
-  MachineId mMachine;
-
-  auto operator<=>(const UpkeepKey&) const = default;
-};
-
 struct Upkeep
 {
-  UpkeepSettings mSettings;
-  // What the log says of each host of a wave.
-  std::map<UpkeepKey, UpkeepRecord> mRecords;
-  std::int64_t mPosition = 0;
-  bool mLoaded = false;
-  std::string mPageKey;
-  std::int64_t mPagedEnd = -1;
-  bool mReadPending = false;
-  Instant mNextReadAt;
-  // The record that is being appended.
-  std::optional<UpkeepKey> mAppending;
-  bool mAppendPending = false;
-
-  std::map<MachineId, Machine> mMachines;
-  std::map<MachineId, Machine> mPageOfMachines;
-  std::string mMachinesPage;
-  bool mMachinesPending = false;
-  bool mMachinesKnown = false;
-  // When the list of machines that is known was asked for.
-  Instant mMachinesAskedAt;
-  Instant mMachinesSentAt;
-  Instant mNextMachinesAt;
-
   std::map<UpkeepKey, UpkeepTask> mTasks;
-  std::map<MachineId, Instant> mInPoolSince;
+  // Waves whose state was told to the operator, and whether they were completed.
   std::map<std::int64_t, bool> mReported;
   std::optional<WaveStatusCall> mReporting;
   Instant mNextReportAt;
 };
 
-// What the module needs to know of the shards of this host.
-struct UpkeepContext
+// What decisions on hosts need to know of this entry host.
+struct FleetContext
 {
   const std::map<std::int64_t, Wave>* mWaves = nullptr;
   std::map<int, Shard>* mShards = nullptr;
+  FleetLog* mLog = nullptr;
+  MachineList* mMachines = nullptr;
   int mPartitions = 1;
   // The shard whose owner reports the state of waves.
   int mReportingShard = 0;
+  // Two holders may not order one host within this time.
+  std::chrono::milliseconds mHolderLease{ 3000 };
 };
 
+// The shard of the pool, if this host is its owner by now.
+Shard*
+FindShard(const FleetContext& aContext, const ServiceName& aPool);
+
+// Whether no other holder can have ordered the host within the time that holders must leave.
+bool
+MayOrder(const FleetContext& aContext,
+         const Shard& aShard,
+         const MachineId& aMachine,
+         Instant aNow);
+
+// The partition that holds the jobs of a service.
+int
+PartitionOf(const ServiceName& aService, int aPartitions);
+
+// A wave whose hosts are not all done.
+bool
+HasOpenWave(const Upkeep& aUpkeep, const std::map<std::int64_t, Wave>& aWaves);
+
+// Notes the fencing token of the records that were stored.
 void
-OnUpkeepRead(Upkeep& aUpkeep, const Now& aNow, const ReadAnswer& aAnswer);
-void
-OnUpkeepNewest(Upkeep& aUpkeep, const Now& aNow, const NewestAnswer& aAnswer);
-void
-OnUpkeepAppend(Upkeep& aUpkeep, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions);
-void
-OnMachines(Upkeep& aUpkeep, const Now& aNow, const MachinesAnswer& aAnswer);
+OnUpkeepRecorded(Upkeep& aUpkeep, const AppendAnswer& aAnswer, Actions& aActions);
 void
 OnUpkeepAnswer(Upkeep& aUpkeep, const Now& aNow, const UpkeepAnswer& aAnswer, Actions& aActions);
 void
 OnWaveStatus(Upkeep& aUpkeep, const Now& aNow, const WaveStatusAnswer& aAnswer, Actions& aActions);
 
 void
-AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const UpkeepContext& aContext, Actions& aActions);
-
-// The partition that holds the jobs of a service.
-int
-PartitionOf(const ServiceName& aService, int aPartitions);
+AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const FleetContext& aContext, Actions& aActions);
 
 }
--- a/Libraries/LibSchedule/Vacate.cpp
+++ b/Libraries/LibSchedule/Vacate.cpp
@@ -47,7 +47,7 @@
 EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor)
 {
   auto drains = aExecutor.mEntry.mState == ExecutorState::Draining;
-  if (!drains && !aExecutor.mVacating) {
+  if (!drains && aExecutor.mVacating == Vacating::No) {
     return;
   }
   for (auto& [name, run] : aExecutor.mRuns) {
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -71,3 +71,16 @@
   1: required i32 phase,
   2: required string former_executor,
 }
+
+// How many hosts a pool wants, and how many it has.
+struct PoolDemand {
+  1: required i32 wanted,
+  2: required i32 present,
+  3: required i64 at_ms,
+}
+
+// A host on its way from one pool to another.
+struct HostMove {
+  1: required string to,
+  2: required i64 at_ms,
+}
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -15,6 +15,8 @@
 constexpr char kService[] = "previews";
 constexpr char kHost[] = "studio.example";
 constexpr char kPrefix[] = "/previews/";
+constexpr char kOtherService[] = "archives";
+constexpr char kOtherPrefix[] = "/archives/";
 constexpr Duration kTickInterval = 100ms;
 constexpr Duration kOneWay = 1ms;
 constexpr Duration kStoreTime = 4ms;
@@ -39,6 +41,11 @@
   route.mResponseGoal = 600ms;
   manifest.mRoutes.push_back(route);
   manifest.mServices.push_back({ schedule::ServiceName(kService), false });
+  route.mQueue = schedule::QueueName("archives");
+  route.mPrefix = kOtherPrefix;
+  route.mService = schedule::ServiceName(kOtherService);
+  manifest.mRoutes.push_back(route);
+  manifest.mServices.push_back({ schedule::ServiceName(kOtherService), false });
   return manifest;
 }
 
@@ -49,10 +56,11 @@
   , mRandom(aSettings.mSeed)
 {
   PublishManifest(FirstManifest());
-  for (int i = 0; i < aSettings.mExecutors; ++i) {
+  for (int i = 0; i < aSettings.mExecutors + aSettings.mOtherExecutors; ++i) {
     FakeExecutor executor;
     executor.mEntry.mId = schedule::ExecutorId("x" + std::to_string(i));
-    executor.mEntry.mService = schedule::ServiceName(kService);
+    executor.mEntry.mService =
+      schedule::ServiceName(i < aSettings.mExecutors ? kService : kOtherService);
     executor.mEntry.mAddress = "executor-" + std::to_string(i);
     executor.mEntry.mLabels = { "a", "rack-" + std::to_string(i / 2) };
     executor.mEntry.mRoom = { std::int64_t(aSettings.mExecutorCores) * kMillicores, kMemoryMb, 0 };
@@ -630,30 +638,13 @@
         After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
       } else if constexpr (std::is_same_v<T, schedule::UpkeepCall>) {
         mUpkeeps.push_back(aCall);
-        auto& machine = mMachines[aCall.mMachine];
-        if (machine.mState == schedule::MachineState::Up) {
-          machine.mState = schedule::MachineState::Upkeep;
-          After(2s, [this, id = aCall.mMachine] {
-            auto& back = mMachines[id];
-            back.mState = schedule::MachineState::Up;
-            for (std::size_t i = 0; i < mExecutors.size(); ++i) {
-              if (mExecutors[i].mEntry.mId == back.mExecutor) {
-                auto gone = mExecutors[i].mEntry;
-                gone.mState = schedule::ExecutorState::Gone;
-                schedule::ForeignRecords records;
-                records.mExecutors.push_back(gone);
-                mExecutorRecords.push_back(records);
-                Restart(mExecutors[i], mNow);
-                mExecutors[i].mEntry.mId.mValue += "'";
-                back.mExecutor = mExecutors[i].mEntry.mId;
-                ListExecutor(static_cast<int>(i));
-                return;
-              }
-            }
-          });
-        }
+        TakeAway(aCall.mMachine, aCall.mFence, 2s, mMachines[aCall.mMachine].mPool);
         schedule::UpkeepAnswer answer{ aCall, CallResult::Done };
         After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+      } else if constexpr (std::is_same_v<T, schedule::MoveCall>) {
+        auto isTaken = TakeAway(aCall.mMachine, aCall.mFence, 1500ms, aCall.mTo);
+        auto result = isTaken ? CallResult::Done : CallResult::Refused;
+        After(kOneWay, [=, this] { Deliver(aHost, life, schedule::MoveAnswer{ aCall, result }); });
       } else if constexpr (std::is_same_v<T, schedule::WaveStatusCall>) {
         mWaveReports.push_back(aCall);
         After(kOneWay, [=, this] {
@@ -664,6 +655,57 @@
     aAction);
 }
 
+bool
+Simulation::TakeAway(const schedule::MachineId& aMachine,
+                     std::int64_t aFence,
+                     Duration aTime,
+                     const schedule::ServiceName& aTo)
+{
+  auto& highest = mMachineFences[aMachine];
+  if (aFence < highest) {
+    mBroken.push_back("machine " + aMachine.mValue + " gets an order with a lower fencing token");
+  }
+  highest = std::max(highest, aFence);
+  auto& machine = mMachines[aMachine];
+  if (machine.mState != schedule::MachineState::Up) {
+    return true;
+  }
+  machine.mState = schedule::MachineState::Upkeep;
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    if (mExecutors[i].mEntry.mId != machine.mExecutor) {
+      continue;
+    }
+    auto gone = mExecutors[i].mEntry;
+    gone.mState = schedule::ExecutorState::Gone;
+    schedule::ForeignRecords records;
+    records.mExecutors.push_back(gone);
+    mExecutorRecords.push_back(records);
+    mExecutors[i].mIsUp = false;
+    mExecutors[i].mRuns.clear();
+  }
+  After(aTime, [=, this] { BringBack(aMachine, aTo); });
+  return true;
+}
+
+void
+Simulation::BringBack(const schedule::MachineId& aMachine, const schedule::ServiceName& aTo)
+{
+  auto& machine = mMachines[aMachine];
+  machine.mState = schedule::MachineState::Up;
+  machine.mPool = aTo;
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    if (mExecutors[i].mEntry.mId == machine.mExecutor) {
+      Restart(mExecutors[i], mNow);
+      mExecutors[i].mIsUp = true;
+      mExecutors[i].mEntry.mId.mValue += "'";
+      mExecutors[i].mEntry.mService = aTo;
+      machine.mExecutor = mExecutors[i].mEntry.mId;
+      ListExecutor(static_cast<int>(i));
+      return;
+    }
+  }
+}
+
 bool
 Simulation::AllEnded() const
 {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -20,6 +20,8 @@
 {
   int mHosts = 3;
   int mExecutors = 4;
+  // Executors of a second pool, whose queue gets no jobs.
+  int mOtherExecutors = 0;
   int mExecutorCores = 8;
   std::uint64_t mSeed = 1;
   // Shares of the calls whose request or whose answer is lost.
@@ -138,6 +140,12 @@
   void FillForeign(schedule::Stream aStream, std::int64_t aFrom, schedule::ForeignRecords& aOut);
 
   void CheckStart(const FakeExecutor& aExecutor, const schedule::StartCall& aCall);
+  // Carries out an order that takes a machine down and brings it back in a pool.
+  bool TakeAway(const schedule::MachineId& aMachine,
+                std::int64_t aFence,
+                Duration aTime,
+                const schedule::ServiceName& aTo);
+  void BringBack(const schedule::MachineId& aMachine, const schedule::ServiceName& aTo);
   void NoteAcknowledged(const FakeExecutor& aExecutor, std::int64_t aLastSeen);
 
   SimulationSettings mSettings;
@@ -159,6 +167,7 @@
   schedule::RequestTicket mNextRequest = 1;
   std::map<JobId, schedule::Reply> mReplies;
   std::map<JobId, int> mRuns;
+  std::map<schedule::MachineId, std::int64_t> mMachineFences;
   std::set<schedule::TaskName> mDone;
   std::vector<std::string> mBroken;
   std::int64_t mCompletedTasks = 0;
--- a/Tests/LibSchedule/TestJobRecords.cpp
+++ b/Tests/LibSchedule/TestJobRecords.cpp
@@ -1,3 +1,4 @@
+#include "LibSchedule/FleetLog.h"
 #include "LibSchedule/JobRecords.h"
 #include "Steps.h"
 
@@ -68,7 +69,11 @@
     }
     auto progress = DecodeProgress(bytes);
     RC_ASSERT(progress.ok() || KindOf(progress.status()) == ErrorKind::RecordUnreadable);
-    DecodeUpkeep(bytes).IgnoreError();
+    FleetLog log;
+    for (const auto* key : { "upkeep/1/m", "demand/s", "move/m" }) {
+      TakeFleetRecord(log, key, bytes).IgnoreError();
+    }
+    TakeFleetRecord(log, bytes, bytes).IgnoreError();
   });
 }
 
--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -85,9 +85,9 @@
   executor.mEntry.mState = ExecutorState::Draining;
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
   executor.mEntry.mState = ExecutorState::Ready;
-  executor.mVacating = true;
+  executor.mVacating = Vacating::ForMove;
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
-  executor.mVacating = false;
+  executor.mVacating = Vacating::No;
   executor.mUnanswered = 1;
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
   executor.mUnanswered = 0;
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -325,6 +325,52 @@
   BOOST_TEST(simulation.mWaveReports.back().mCompleted);
 }
 
+// A queue's burst needs twice its pool, while the other pool is idle.
+BOOST_AUTO_TEST_CASE(idle_hosts_move_to_the_pool_with_a_burst)
+{
+  Simulation simulation({ .mHosts = 3, .mExecutors = 2, .mOtherExecutors = 4 });
+  simulation.RunFor(6s);
+  std::vector<JobId> jobs;
+  for (int i = 0; i < 40; ++i) {
+    jobs.push_back(simulation.Submit(i % 3, { MakeStep(4, 2, 1000ms) }, "1000"));
+    simulation.RunFor(100ms);
+  }
+  simulation.RunFor(8s);
+  auto moved = std::count_if(
+    simulation.mExecutors.begin() + 2,
+    simulation.mExecutors.end(),
+    [](const FakeExecutor& aExecutor) { return aExecutor.mEntry.mService.mValue == "previews"; });
+  BOOST_TEST(moved >= 2);
+  // The last host of a pool stays.
+  BOOST_TEST(moved <= 3);
+  BOOST_TEST(simulation.AllEnded());
+  CheckPromises(simulation);
+}
+
+// Found on a mix day: a host that came back from its upkeep was emptied again, for good.
+BOOST_AUTO_TEST_CASE(a_host_is_emptied_once_for_a_wave)
+{
+  Simulation simulation({ .mHosts = 3, .mExecutors = 4 });
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(3, 2, 1) }, "lasts");
+  simulation.RunFor(4s);
+  Wave wave;
+  wave.mNumber = 1;
+  wave.mMaxAtOnce = 1;
+  for (const auto& [id, machine] : simulation.mMachines) {
+    wave.mMachines.push_back(id);
+  }
+  simulation.AddWave(wave);
+  simulation.RunFor(60s);
+  auto running = 0;
+  for (const auto& executor : simulation.mExecutors) {
+    running += static_cast<int>(executor.mRuns.size());
+  }
+  BOOST_TEST(running == 3);
+  BOOST_TEST(simulation.CountRuns(job) <= 3 + 4);
+  CheckPromises(simulation);
+}
+
 // Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or carried
 // out late, partitions are dealt anew: whatever comes, no promise is broken, and in the end every
 // accepted job has ended.
@@ -336,6 +382,7 @@
     settings.mRequestLoss = *rc::gen::element(0.0, 0.02, 0.1);
     settings.mAnswerLoss = *rc::gen::element(0.0, 0.02, 0.1);
     settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mOtherExecutors = *rc::gen::element(0, 2);
     Simulation simulation(settings);
     std::mt19937_64 random(settings.mSeed);
     auto pick = [&](int aBelow) {
