End a call at once when its time is over

Ruled out: the server's side (requests whose connection closed are detached by libevent). Change: the timeout frees the connection at once, without a callback.

--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -165,6 +165,12 @@
 {
   auto& exchange = *static_cast<Exchange*>(aExchange);
   exchange.mLane->mWaiting.remove(&exchange);
+  if (exchange.mConnection != nullptr) {
+    // At once and without a callback: an answer may be there already, and would find no call.
+    evhttp_connection_free(exchange.mConnection);
+    exchange.mConnection = nullptr;
+    --exchange.mLane->mOpen;
+  }
   exchange.mClient->Finish(exchange, {}, false);
 }
 
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -2,9 +2,12 @@
 #include "LibHttp/EventHttpServer.h"
 #include "RawServer.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 #include <event2/event.h>
 #include <memory>
+#include <random>
 #include <thread>
 
 using namespace sesameseam;
@@ -117,6 +120,51 @@
   BOOST_TEST(answers[0].mBody.empty());
 }
 
+// Found as a corrupted heap on a small host under load: an answer came in the same turn of the loop
+// as the end of its time, and found a call that was gone. Answers and timeouts meet here often.
+BOOST_AUTO_TEST_CASE(a_call_whose_answer_comes_with_its_timeout_ends_once)
+{
+  constexpr int kCalls = 1500;
+  constexpr int kAtOnce = 60;
+  signal(SIGPIPE, SIG_IGN);
+  std::mt19937 random(20261204);
+  RawServer server([](int aDescriptor, int aRequest) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(aRequest * 7 % 60));
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n");
+    if (aRequest % 5 == 0) {
+      std::this_thread::sleep_for(10ms);
+    }
+    SendText(aDescriptor, "done");
+    return aRequest % 10 != 0;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), { 6 });
+  std::vector<int> ends(kCalls + kAtOnce);
+  int begun = 0;
+  int ended = 0;
+  std::function<void()> next = [&] {
+    auto call = begun++;
+    auto request = Order(AddressOf(server), std::chrono::milliseconds(5 + random() % 60));
+    request.mLane = std::to_string(call % 5);
+    client.Call(request, [&, call](const EventHttpResponse&) {
+      ++ends[static_cast<std::size_t>(call)];
+      if (random() % 50 == 0) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(random() % 40));
+      }
+      if (++ended < kCalls) {
+        next();
+      } else {
+        event_base_loopbreak(base.get());
+      }
+    });
+  };
+  for (int i = 0; i < kAtOnce; ++i) {
+    next();
+  }
+  event_base_dispatch(base.get());
+  BOOST_TEST(std::count(ends.begin(), ends.end(), 1) == kCalls);
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_none)
 {
   RawServer server([](int aDescriptor, int) {
