Let a new owner of a shard begin its orders for hosts anew

Ruled out: retried moves (they end before the next holder's wait does). Change: orders belong to the epoch of the shard; a recorded host that is up is emptied before it is ordered down. Both tests failed on the former code by its logic; they were written with the change.

--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -165,7 +165,7 @@
       records.push_back(ToRecord(id, HostMove{ lack.mPool, aNow.mWall }));
       // Nothing is placed there from now on; if the append fails, that is taken back.
       SetVacating(aContext, id, Vacating::ForMove);
-      aRebalance.mTasks[id] = { lack.mPool };
+      aRebalance.mTasks[id] = { lack.mPool, shard->mEpoch };
     }
   }
   if (!records.empty()) {
@@ -180,7 +180,9 @@
     auto& [id, task] = aEntry;
     const auto* machine = FindMachine(*aContext.mMachines, id);
     auto isElsewhere = machine == nullptr || machine->mPool == task.mTo;
-    return task.mOrdered && (isElsewhere || aNow.mAt > task.mGiveUpAt);
+    const auto* shard = isElsewhere ? nullptr : FindShard(aContext, machine->mPool);
+    auto isOwned = shard != nullptr && shard->mEpoch == task.mEpoch;
+    return !isOwned || (task.mOrdered && aNow.mAt > task.mGiveUpAt);
   });
   for (auto& [id, task] : aRebalance.mTasks) {
     auto isDue = task.mFence != 0 && !task.mOrdered && !task.mCallPending;
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -13,6 +13,8 @@
 struct MoveTask
 {
   ServiceName mTo;
+  // The token under which the shard was owned that gave the host.
+  std::int64_t mEpoch = 0;
   std::int64_t mFence = 0;
   bool mCallPending = false;
   bool mOrdered = false;
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -102,6 +102,10 @@
     return;
   }
   auto& task = aUpkeep.mTasks[key];
+  if (task.mEpoch != aShard.mEpoch) {
+    task = {};
+    task.mEpoch = aShard.mEpoch;
+  }
   if (task.mFence != 0) {
     if (!IsBack(aContext, aMachine, task)) {
       OrderUpkeep(task, aNow, key, aShard, aActions);
@@ -114,12 +118,13 @@
   if (!MayAppend(*aContext.mLog)) {
     return;
   }
-  // A host that a former owner has recorded is down already, or about to be.
+  // A host that a former owner has recorded has its place in the wave, but may be at work again.
   auto isRecorded = FindRecord(*aContext.mLog, key) != nullptr;
-  auto hasPlace = CountDown(aContext, aWave.mNumber) < aWave.mMaxAtOnce;
-  auto isReady = aMachine.mState == MachineState::Up && IsEmpty(aShard, aMachine.mExecutor) &&
-                 !IsMoving(*aContext.mLog, aMachine.mId, aNow.mWall);
-  if (isRecorded || (isReady && hasPlace)) {
+  auto hasPlace = isRecorded || CountDown(aContext, aWave.mNumber) < aWave.mMaxAtOnce;
+  auto isIdle =
+    IsEmpty(aShard, aMachine.mExecutor) && !IsMoving(*aContext.mLog, aMachine.mId, aNow.mWall);
+  auto isDown = isRecorded && aMachine.mState == MachineState::Upkeep;
+  if (isDown || (aMachine.mState == MachineState::Up && isIdle && hasPlace)) {
     auto record = ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor });
     AppendIfUnchanged(*aContext.mLog, { record }, aActions);
   }
@@ -139,8 +144,25 @@
   std::vector<Executor*> mNext;
 };
 
+bool
+HasOrder(const Upkeep& aUpkeep, const UpkeepKey& aKey, const Shard& aShard)
+{
+  auto task = aUpkeep.mTasks.find(aKey);
+  return task != aUpkeep.mTasks.end() && task->second.mEpoch == aShard.mEpoch &&
+         task->second.mFence != 0;
+}
+
+// A host on the way to another pool stays so.
+void
+SetVacating(Executor& aExecutor, bool aForUpkeep)
+{
+  if (aExecutor.mVacating != Vacating::ForMove) {
+    aExecutor.mVacating = aForUpkeep ? Vacating::ForUpkeep : Vacating::No;
+  }
+}
+
 VacatingHosts
-FindVacating(const FleetContext& aContext, const Wave& aWave, Shard& aShard)
+FindVacating(const Upkeep& aUpkeep, const FleetContext& aContext, const Wave& aWave, Shard& aShard)
 {
   VacatingHosts vacating;
   for (const auto& id : aWave.mMachines) {
@@ -149,9 +171,15 @@
       continue;
     }
     auto found = aShard.mExecutors.find(machine->mExecutor);
-    // A recorded host is down or back by now, with another executor.
-    auto isRecorded = FindRecord(*aContext.mLog, { aWave.mNumber, id }) != nullptr;
-    if (found == aShard.mExecutors.end() || isRecorded) {
+    if (found == aShard.mExecutors.end()) {
+      continue;
+    }
+    UpkeepKey key{ aWave.mNumber, id };
+    if (FindRecord(*aContext.mLog, key) != nullptr) {
+      // One that this owner has recorded is down or back by now, with another executor.
+      auto isBack = HasOrder(aUpkeep, key, aShard) && found->second.mVacating == Vacating::No;
+      auto needsOrder = !isBack && !IsOver(*aContext.mLog, key);
+      SetVacating(found->second, needsOrder && machine->mState == MachineState::Up);
       continue;
     }
     if (found->second.mVacating == Vacating::ForUpkeep) {
@@ -166,9 +194,12 @@
 // Chooses the hosts of a shard that get no new work, so that the wave goes on as soon as its limit
 // allows.
 void
-ChooseVacating(const FleetContext& aContext, const Wave& aWave, Shard& aShard)
+ChooseVacating(const Upkeep& aUpkeep,
+               const FleetContext& aContext,
+               const Wave& aWave,
+               Shard& aShard)
 {
-  auto vacating = FindVacating(aContext, aWave, aShard);
+  auto vacating = FindVacating(aUpkeep, aContext, aWave, aShard);
   if (vacating.mChosen >= aWave.mMaxAtOnce || vacating.mNext.empty()) {
     return;
   }
@@ -300,7 +331,7 @@
   for (const auto& [number, wave] : *aContext.mWaves) {
     for (auto& [partition, shard] : *aContext.mShards) {
       if (shard.mPhase == ShardPhase::Active) {
-        ChooseVacating(aContext, wave, shard);
+        ChooseVacating(aUpkeep, aContext, wave, shard);
       }
     }
     for (const auto& id : wave.mMachines) {
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -17,6 +17,9 @@
 {
   // The offset of this owner's record; an order of another owner needs a record of its own.
   std::int64_t mFence = 0;
+  // The token under which the shard was owned. Who owns it again begins anew, since another owner
+  // may have given orders meanwhile.
+  std::int64_t mEpoch = 0;
   bool mCallPending = false;
   bool mOrdered = false;
   Instant mOrderedAt;
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -109,7 +109,9 @@
   auto pool = owner.AddPool("previews");
   auto& executor = owner.AddHost("m1", pool);
   owner.mWaves[1] = WaveOf({ MachineId("m1") });
-  owner.mLog.mUpkeeps[{ 1, MachineId("m1") }] = { UpkeepPhase::Begun, ExecutorId("former") };
+  UpkeepKey key{ 1, MachineId("m1") };
+  owner.mLog.mUpkeeps[key] = { UpkeepPhase::Begun, ExecutorId("former") };
+  owner.mUpkeep.mTasks[key].mFence = 5;
   owner.mLog.mAppendPending = true;
   owner.AdvanceWaves();
   BOOST_TEST((executor.mVacating == Vacating::No));
@@ -131,6 +133,42 @@
   BOOST_TEST(CountAppended(owner.AdvanceWaves(), "upkeep/") == 1);
 }
 
+// Found on scale-2: a new owner ordered the upkeep that a former one had recorded, of a host on
+// which tasks had been placed since.
+BOOST_AUTO_TEST_CASE(a_host_that_a_former_owner_recorded_is_emptied_first)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  auto& executor = owner.AddHost("m1", pool);
+  executor.mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  owner.mLog.mUpkeeps[{ 1, MachineId("m1") }] = { UpkeepPhase::Begun, executor.mEntry.mId };
+  BOOST_TEST(CountAppended(owner.AdvanceWaves(), "upkeep/") == 0);
+  BOOST_TEST((executor.mVacating == Vacating::ForUpkeep));
+  executor.mRuns.clear();
+  BOOST_TEST(CountAppended(owner.AdvanceWaves(), "upkeep/") == 1);
+}
+
+// Found on trouble-1: an owner that had lost its shard meanwhile went on with its former token.
+BOOST_AUTO_TEST_CASE(an_owner_begins_anew_when_it_owns_a_shard_again)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  owner.AddHost("m1", pool).mVacating = Vacating::ForUpkeep;
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  auto& shard = owner.mShards.begin()->second;
+  shard.mEpoch = 7;
+  UpkeepKey key{ 1, MachineId("m1") };
+  owner.mLog.mUpkeeps[key] = { UpkeepPhase::Begun, ExecutorId("x-m1") };
+  owner.mUpkeep.mTasks[key].mFence = 5;
+  owner.mUpkeep.mTasks[key].mEpoch = 4;
+  auto actions = owner.AdvanceWaves();
+  for (const auto& action : actions) {
+    BOOST_TEST(!std::holds_alternative<UpkeepCall>(action));
+  }
+  BOOST_TEST(CountAppended(actions, "upkeep/") == 1);
+}
+
 BOOST_AUTO_TEST_CASE(a_host_that_is_down_does_not_move)
 {
   Owner owner;
@@ -151,6 +189,7 @@
   owner.AddHost("m3", pool);
   owner.mWaves[1] = WaveOf({ MachineId("m1"), MachineId("m2"), MachineId("m3") });
   owner.mLog.mUpkeeps[{ 1, MachineId("m3") }] = { UpkeepPhase::Begun, ExecutorId() };
+  owner.mMachines.mMachines[MachineId("m3")].mState = MachineState::Upkeep;
   // What a former owner has recorded is recorded again, for a token of this owner's.
   auto actions = owner.AdvanceWaves();
   BOOST_TEST(CountAppended(actions, "upkeep/1/m3") == 1);
