--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -91,7 +91,11 @@
   auto host = HeaderOf(aRequest, "Host");
   incoming.mHost = host.substr(0, host.rfind(':'));
   std::string uri = evhttp_request_get_uri(aRequest);
-  incoming.mPath = uri.substr(0, uri.find('?'));
+  auto question = uri.find('?');
+  incoming.mPath = uri.substr(0, question);
+  if (question != std::string::npos) {
+    incoming.mQuery = uri.substr(question + 1);
+  }
   if (!server.mSettings.mTimeoutHeader.empty()) {
     incoming.mTimeout = ParseMilliseconds(HeaderOf(aRequest, server.mSettings.mTimeoutHeader));
   }
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -27,7 +27,9 @@
   std::int64_t mTicket = 0;
   EventHttpMethod mMethod = EventHttpMethod::Get;
   std::string mHost;
+  // Without the query.
   std::string mPath;
+  std::string mQuery;
   std::string mBody;
   // How long the caller waits, from its header; 0 where it says nothing.
   std::chrono::milliseconds mTimeout{ 0 };
