Tell later owners when the lease on a silent executor ends

Ruled out: a shorter wait (the former owner may renew without the log for 4 s, and its lease lasts 6 s). Change: the owner notes a silent executor beside the progress, renews nothing there from then on, and takes the note back before it uses the executor again. The test fails without the note (seen) and passes with it; the tests of take-overs now name the owner of the shard that they mean.

--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -76,7 +76,7 @@
 {
   auto isReady = aExecutor.mEntry.mState == ExecutorState::Ready && aExecutor.mHeld;
   auto isApart = aExecutor.mVacating != Vacating::No || aExecutor.mUnanswered > 0 ||
-                 aExecutor.mAvoidUntil > aNow;
+                 aExecutor.mIsSilent || aExecutor.mAvoidUntil > aNow;
   // The room that foreign runs take is not known.
   auto hasForeign = std::any_of(aExecutor.mRuns.begin(),
                                 aExecutor.mRuns.end(),
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -76,6 +76,8 @@
   Instant mHoldSentAt;
   Instant mRetryAt;
   int mUnanswered = 0;
+  // The log says that it is silent. Nothing is renewed or started until that is taken back there.
+  bool mIsSilent = false;
   // Ends up to here are processed.
   std::int64_t mProcessedEnds = 0;
   // Ends up to here are also in the log and may be acknowledged.
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1541,6 +1541,98 @@
 }
 
 
+Silence::~Silence() noexcept {
+}
+
+
+void Silence::__set_lapsed_at_ms(const int64_t val) {
+  this->lapsed_at_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const Silence& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Silence::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_lapsed_at_ms = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lapsed_at_ms);
+          isset_lapsed_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_lapsed_at_ms)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t Silence::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Silence");
+
+  xfer += oprot->writeFieldBegin("lapsed_at_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->lapsed_at_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Silence &a, Silence &b) {
+  using ::std::swap;
+  swap(a.lapsed_at_ms, b.lapsed_at_ms);
+}
+
+Silence::Silence(const Silence& other48) noexcept {
+  lapsed_at_ms = other48.lapsed_at_ms;
+}
+Silence& Silence::operator=(const Silence& other49) noexcept {
+  lapsed_at_ms = other49.lapsed_at_ms;
+  return *this;
+}
+void Silence::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Silence(";
+  out << "lapsed_at_ms=" << to_string(lapsed_at_ms);
+  out << ")";
+}
+
+
 Upkeep::~Upkeep() noexcept {
 }
 
@@ -1638,13 +1730,13 @@
   swap(a.former_executor, b.former_executor);
 }
 
-Upkeep::Upkeep(const Upkeep& other48) {
-  phase = other48.phase;
-  former_executor = other48.former_executor;
+Upkeep::Upkeep(const Upkeep& other50) {
+  phase = other50.phase;
+  former_executor = other50.former_executor;
 }
-Upkeep& Upkeep::operator=(const Upkeep& other49) {
-  phase = other49.phase;
-  former_executor = other49.former_executor;
+Upkeep& Upkeep::operator=(const Upkeep& other51) {
+  phase = other51.phase;
+  former_executor = other51.former_executor;
   return *this;
 }
 void Upkeep::printTo(std::ostream& out) const {
@@ -1773,15 +1865,15 @@
   swap(a.at_ms, b.at_ms);
 }
 
-PoolDemand::PoolDemand(const PoolDemand& other50) noexcept {
-  wanted = other50.wanted;
-  present = other50.present;
-  at_ms = other50.at_ms;
+PoolDemand::PoolDemand(const PoolDemand& other52) noexcept {
+  wanted = other52.wanted;
+  present = other52.present;
+  at_ms = other52.at_ms;
 }
-PoolDemand& PoolDemand::operator=(const PoolDemand& other51) noexcept {
-  wanted = other51.wanted;
-  present = other51.present;
-  at_ms = other51.at_ms;
+PoolDemand& PoolDemand::operator=(const PoolDemand& other53) noexcept {
+  wanted = other53.wanted;
+  present = other53.present;
+  at_ms = other53.at_ms;
   return *this;
 }
 void PoolDemand::printTo(std::ostream& out) const {
@@ -1891,13 +1983,13 @@
   swap(a.at_ms, b.at_ms);
 }
 
-HostMove::HostMove(const HostMove& other52) {
-  to = other52.to;
-  at_ms = other52.at_ms;
+HostMove::HostMove(const HostMove& other54) {
+  to = other54.to;
+  at_ms = other54.at_ms;
 }
-HostMove& HostMove::operator=(const HostMove& other53) {
-  to = other53.to;
-  at_ms = other53.at_ms;
+HostMove& HostMove::operator=(const HostMove& other55) {
+  to = other55.to;
+  at_ms = other55.at_ms;
   return *this;
 }
 void HostMove::printTo(std::ostream& out) const {
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -33,6 +33,8 @@
 
 class Progress;
 
+class Silence;
+
 class Upkeep;
 
 class PoolDemand;
@@ -597,6 +599,43 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 
+class Silence : public virtual ::apache::thrift::TBase {
+ public:
+
+  Silence(const Silence&) noexcept;
+  Silence& operator=(const Silence&) noexcept;
+  Silence() noexcept
+          : lapsed_at_ms(0) {
+  }
+
+  virtual ~Silence() noexcept;
+  int64_t lapsed_at_ms;
+
+  void __set_lapsed_at_ms(const int64_t val);
+
+  bool operator == (const Silence & rhs) const
+  {
+    if (!(lapsed_at_ms == rhs.lapsed_at_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const Silence &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Silence & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Silence &a, Silence &b);
+
+std::ostream& operator<<(std::ostream& out, const Silence& obj);
+
+
 class Upkeep : public virtual ::apache::thrift::TBase {
  public:
 
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -11,6 +11,7 @@
 using detail::Encode;
 
 constexpr char kCancellationPrefix = 'x';
+constexpr char kSilencePrefix = '!';
 
 record::Step
 ToRecord(const Step& aStep)
@@ -182,6 +183,38 @@
   return JobId(std::string(IsCancellationKey(aKey) ? aKey.substr(1) : aKey));
 }
 
+std::string
+SilenceKey(const ExecutorId& aExecutor)
+{
+  return kSilencePrefix + aExecutor.mValue;
+}
+
+bool
+IsSilenceKey(std::string_view aKey)
+{
+  return !aKey.empty() && aKey.front() == kSilencePrefix;
+}
+
+ExecutorId
+ExecutorOfKey(std::string_view aKey)
+{
+  return ExecutorId(std::string(aKey.substr(1)));
+}
+
+std::string
+EncodeSilence(TimePoint aLapsedAt)
+{
+  record::Silence out;
+  out.lapsed_at_ms = UnixMilliseconds(aLapsedAt);
+  return Encode(out);
+}
+
+absl::StatusOr<TimePoint>
+DecodeSilence(std::string_view aBytes)
+{
+  return FromUnixMilliseconds(TRY(Decode<record::Silence>(aBytes)).lapsed_at_ms);
+}
+
 std::string
 EncodeProgress(const JobProgress& aProgress)
 {
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -57,6 +57,19 @@
   std::vector<TaskProgress> mTasks;
 };
 
+// The owner of a shard notes silent executors beside the progress of jobs, so that a later owner
+// knows when their leases end. The time is never earlier than that.
+std::string
+SilenceKey(const ExecutorId& aExecutor);
+bool
+IsSilenceKey(std::string_view aKey);
+ExecutorId
+ExecutorOfKey(std::string_view aKey);
+std::string
+EncodeSilence(TimePoint aLapsedAt);
+absl::StatusOr<TimePoint>
+DecodeSilence(std::string_view aBytes);
+
 std::string
 EncodeProgress(const JobProgress& aProgress);
 absl::StatusOr<JobProgress>
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -11,30 +11,22 @@
 // Leases are renewed longer, so that lasting tasks outlive a short outage of the log.
 constexpr Duration kRenewWithoutConfirmation = 4s;
 
-// A former owner may have renewed leases until it had to stop for want of confirmation.
-Instant
-LapseOfFormerOwner(const Shard& aShard)
-{
-  constexpr Duration kClockError = 500ms;
-  return aShard.mTakenOverAt + kRenewWithoutConfirmation + aShard.mSettings.mLease.mMaximum +
-         kClockError;
-}
-
 Executor&
-FindOrAddExecutor(Shard& aShard, const ExecutorId& aId)
+FindOrAddExecutor(Shard& aShard, const ExecutorId& aId, const Now& aNow)
 {
   auto [found, isNew] = aShard.mExecutors.try_emplace(aId);
   if (isNew) {
     found->second.mEntry.mId = aId;
     found->second.mEntry.mState = ExecutorState::Gone;
-    found->second.mLapsedAt = LapseOfFormerOwner(aShard);
+    found->second.mLapsedAt = detail::LapseOfFormerOwner(aShard, aId, aNow);
+    found->second.mIsSilent = aShard.mLoadedSilence.contains(aId);
   }
   return found->second;
 }
 
 // Whether runs of the former owner still run is not known until their executors say so.
 void
-AdoptAttempts(Shard& aShard, const Job& aJob, const JobProgress& aProgress, Instant aNow)
+AdoptAttempts(Shard& aShard, const Job& aJob, const JobProgress& aProgress, const Now& aNow)
 {
   for (const auto& row : aProgress.mTasks) {
     if (row.mDone || static_cast<std::size_t>(row.mStep) >= aJob.mDefinition.mSteps.size()) {
@@ -43,8 +35,8 @@
     const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(row.mStep)];
     TaskRun name{ { aJob.mId, row.mOccurrence, row.mStep, row.mIndex }, row.mHighestRun };
     for (const auto& id : row.mExecutors) {
-      auto run = detail::MakeRun(step, RunState::Uncertain, aNow);
-      FindOrAddExecutor(aShard, id).mRuns.emplace(name, run);
+      auto run = detail::MakeRun(step, RunState::Uncertain, aNow.mAt);
+      FindOrAddExecutor(aShard, id, aNow).mRuns.emplace(name, run);
     }
   }
 }
@@ -65,7 +57,7 @@
 void
 UpdateExecutor(Shard& aShard, const Now& aNow, const ExecutorEntry& aEntry)
 {
-  auto& executor = FindOrAddExecutor(aShard, aEntry.mId);
+  auto& executor = FindOrAddExecutor(aShard, aEntry.mId, aNow);
   if (aEntry.mState == ExecutorState::Gone) {
     executor.mEntry.mState = ExecutorState::Gone;
     return;
@@ -101,6 +93,20 @@
 
 namespace detail {
 
+Instant
+LapseOfFormerOwner(const Shard& aShard, const ExecutorId& aExecutor, const Now& aNow)
+{
+  constexpr Duration kClockError = 500ms;
+  // Without word of it, the former owner may have renewed until it had to stop.
+  auto latest = aShard.mTakenOverAt + kRenewWithoutConfirmation + aShard.mSettings.mLease.mMaximum +
+                kClockError;
+  auto silence = aShard.mLoadedSilence.find(aExecutor);
+  if (silence == aShard.mLoadedSilence.end()) {
+    return latest;
+  }
+  return std::min(latest, aNow.mAt + (silence->second - aNow.mWall));
+}
+
 bool
 MayStart(const Shard& aShard, Instant aNow)
 {
@@ -188,7 +194,7 @@
   }
   auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
   if (progress != nullptr) {
-    AdoptAttempts(aShard, job, *progress, aNow.mAt);
+    AdoptAttempts(aShard, job, *progress, aNow);
   }
   aShard.mNeedsPass = true;
 }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -45,6 +45,8 @@
   std::vector<TaskRun> mStarts;
   std::map<ExecutorId, std::int64_t> mEnds;
   std::vector<JobId> mFinished;
+  // Executors that the log no longer calls silent once this is stored.
+  std::vector<ExecutorId> mAudible;
 };
 
 // A job that has ended and is kept for callers who ask.
@@ -92,6 +94,9 @@
   // Runs whose placement is to be written, in the order of their choice.
   std::vector<TaskRun> mToRecord;
   std::set<JobId> mDirty;
+  // Executors that have fallen silent or answer again, which the log doesn't say yet.
+  std::set<ExecutorId> mSilenceToRecord;
+  std::map<ExecutorId, TimePoint> mLoadedSilence;
   // Ends that were processed and wait for the next write.
   std::map<ExecutorId, std::int64_t> mEndsToRecord;
   std::int64_t mSequence = 0;
@@ -144,6 +149,10 @@
 ExecutorAddress
 AddressOf(const Shard& aShard, const Executor& aExecutor);
 
+// When the lease on an executor has surely ended that this owner has not reached.
+Instant
+LapseOfFormerOwner(const Shard& aShard, const ExecutorId& aExecutor, const Now& aNow);
+
 PlacedRun
 MakeRun(const Step& aStep, RunState aState, Instant aNow);
 
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -357,7 +357,7 @@
   call.mTo = detail::AddressOf(aShard, aExecutor);
   call.mLastSeen = EndsToAcknowledge(aExecutor);
   call.mWait = HoldWait(aExecutor);
-  if (aExecutor.mUnanswered == 0) {
+  if (aExecutor.mUnanswered == 0 && !aExecutor.mIsSilent) {
     // Nothing is renewed on an executor that is silent, so that its runs are known to end.
     call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
     NoteLease(aExecutor, call.mLeaseEnd);
@@ -405,8 +405,14 @@
       aActions.emplace_back(std::move(entry));
     }
     NoteUnanswered(*executor, aNow.mAt);
+    if (!executor->mIsSilent && !executor->mRuns.empty()) {
+      aShard.mSilenceToRecord.insert(executor->mEntry.mId);
+    }
     return;
   }
+  if (executor->mIsSilent) {
+    aShard.mSilenceToRecord.insert(executor->mEntry.mId);
+  }
   aShard.mNeedsPass |= !executor->mHeld || executor->mUnanswered > 0;
   executor->mUnanswered = 0;
   if (!executor->mHeld) {
@@ -578,6 +584,9 @@
     if (executor.mLapsedAt < aNow.mAt && !executor.mRuns.empty() &&
         (executor.mUnanswered > 0 || executor.mEntry.mState == ExecutorState::Gone)) {
       DropAll(aShard, executor);
+      if (executor.mIsSilent) {
+        aShard.mSilenceToRecord.insert(id);
+      }
     }
     EmptyLeavingExecutor(aShard, executor);
     if (NeedsHold(executor, aNow.mAt)) {
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -82,8 +82,29 @@
 }
 
 void
-TakeProgress(Shard& aShard, const KeyedRecord& aRecord, Actions& aActions)
+TakeSilence(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord)
 {
+  auto lapsed = DecodeSilence(aRecord.mValue);
+  if (!lapsed.ok()) {
+    // The longest lease holds for it.
+    return;
+  }
+  auto id = ExecutorOfKey(aRecord.mKey);
+  aShard.mLoadedSilence[id] = *lapsed;
+  auto found = aShard.mExecutors.find(id);
+  if (found != aShard.mExecutors.end()) {
+    found->second.mLapsedAt = detail::LapseOfFormerOwner(aShard, id, aNow);
+    found->second.mIsSilent = true;
+  }
+}
+
+void
+TakeProgress(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord, Actions& aActions)
+{
+  if (IsSilenceKey(aRecord.mKey)) {
+    TakeSilence(aShard, aNow, aRecord);
+    return;
+  }
   auto progress = DecodeProgress(aRecord.mValue);
   if (!progress.ok()) {
     LogEntry entry{ LogLevel::Warning, "progress-unreadable", aRecord.mKey };
@@ -167,7 +188,7 @@
   // A cancellation's key sorts after the keys of all jobs, so that its job is known by then.
   for (const auto& record : aAnswer.mRecords) {
     if (isProgress) {
-      TakeProgress(aShard, record, aActions);
+      TakeProgress(aShard, aNow, record, aActions);
     } else {
       detail::TakeJobRecord(aShard, aNow, record, aActions);
     }
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -1,6 +1,7 @@
 #include "LibSchedule/Shard.h"
 
 #include <algorithm>
+#include <utility>
 
 // Writes what has become of jobs. One append is under way at a time; what gathers meanwhile goes
 // with the next. Starts, acknowledgements of ends and final states wait until it is stored.
@@ -46,15 +47,40 @@
   }
 }
 
+void
+AddSilence(Shard& aShard, const Now& aNow, PendingWrite& aWrite)
+{
+  // A later owner goes by the time of day of its host.
+  constexpr Duration kWallClockError = 2500ms;
+  for (const auto& id : std::exchange(aShard.mSilenceToRecord, {})) {
+    auto found = aShard.mExecutors.find(id);
+    if (found == aShard.mExecutors.end()) {
+      continue;
+    }
+    auto& executor = found->second;
+    // Without runs there is nothing that a later owner would have to wait for.
+    if (executor.mUnanswered == 0 || executor.mRuns.empty()) {
+      aWrite.mCall.mRecords.push_back({ SilenceKey(id), {} });
+      aWrite.mAudible.push_back(id);
+      continue;
+    }
+    // From here on nothing is renewed until the log says that it answers again.
+    executor.mIsSilent = true;
+    auto lapsed = aNow.mWall + (executor.mLapsedAt - aNow.mAt) + kWallClockError;
+    aWrite.mCall.mRecords.push_back({ SilenceKey(id), EncodeSilence(lapsed) });
+  }
+}
+
 PendingWrite
-MakeWrite(Shard& aShard, Instant aNow)
+MakeWrite(Shard& aShard, const Now& aNow)
 {
   PendingWrite write;
   write.mCall.mStream = Stream::Progress;
   write.mCall.mPartition = aShard.mPartition;
   write.mCall.mTicket = aShard.mEpoch;
   AddChangedJobs(aShard, write);
-  AddForgottenJobs(aShard, aNow, write);
+  AddForgottenJobs(aShard, aNow.mAt, write);
+  AddSilence(aShard, aNow, write);
   if (!aShard.mDirty.empty()) {
     // Not all fit: what depends on the rest goes with the next write.
     return write;
@@ -106,6 +132,13 @@
       found->second.mRecordedEnds = std::max(found->second.mRecordedEnds, number);
     }
   }
+  for (const auto& id : write.mAudible) {
+    auto found = aShard.mExecutors.find(id);
+    if (found != aShard.mExecutors.end() && found->second.mUnanswered == 0) {
+      found->second.mIsSilent = false;
+      aShard.mNeedsPass = true;
+    }
+  }
   for (const auto& id : write.mFinished) {
     CloseJob(aShard, id, aNow.mAt);
   }
@@ -123,12 +156,12 @@
 {
   if (!aShard.mWrite) {
     auto hasWork =
-      !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() ||
+      !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() || !aShard.mSilenceToRecord.empty() ||
       (!aShard.mRetention.empty() && aNow.mAt - aShard.mRetention.front().mAt > kRetention);
     if (!hasWork) {
       return;
     }
-    aShard.mWrite = MakeWrite(aShard, aNow.mAt);
+    aShard.mWrite = MakeWrite(aShard, aNow);
     if (aShard.mWrite->mCall.mRecords.empty()) {
       // Ends of jobs that are closed already: there is nothing to store.
       --aShard.mSequence;
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -36,6 +36,9 @@
 void
 TakeProgress(StatusView& aView, const KeyedRecord& aRecord)
 {
+  if (IsSilenceKey(aRecord.mKey)) {
+    return;
+  }
   JobId id(aRecord.mKey);
   if (aRecord.mValue.empty()) {
     aView.mJobs.erase(id);
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -66,6 +66,11 @@
   3: optional list<Task> tasks,
 }
 
+// An executor that does not answer: until when a lease may hold what runs there.
+struct Silence {
+  1: required i64 lapsed_at_ms,
+}
+
 // One host's place in a maintenance wave.
 struct Upkeep {
   1: required i32 phase,
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -717,6 +717,9 @@
     }
     for (const auto& [id, offset] : partition.mNewest) {
       const auto& record = partition.mRecords[static_cast<std::size_t>(offset)];
+      if (schedule::IsSilenceKey(id)) {
+        continue;
+      }
       auto progress = schedule::DecodeProgress(record.mValue);
       if (progress.ok() && schedule::IsFinal(progress->mPhase)) {
         ended.insert(JobId(id));
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -21,15 +21,17 @@
   BOOST_TEST(aSimulation.Broken().size() == 0u);
 }
 
+// The host that owns the shard to which the jobs of these tests belong.
 int
 OwnerOf(const Simulation& aSimulation)
 {
+  auto partition = PartitionOf(ServiceName("previews"), aSimulation.mStore.mGroup.mPartitions);
   for (std::size_t i = 0; i < aSimulation.mHosts.size(); ++i) {
     const auto& host = aSimulation.mHosts[i];
-    for (const auto& [partition, shard] : host.mNode.mShards) {
-      if (host.mIsUp && shard.mPhase == ShardPhase::Active) {
-        return static_cast<int>(i);
-      }
+    auto shard = host.mNode.mShards.find(partition);
+    auto isOwner = shard != host.mNode.mShards.end() && shard->second.mPhase == ShardPhase::Active;
+    if (host.mIsUp && isOwner) {
+      return static_cast<int>(i);
     }
   }
   return -1;
@@ -161,6 +163,30 @@
   CheckPromises(simulation);
 }
 
+// Found on a day of rolling stops and a dark rack: each new owner waited for as long again.
+BOOST_AUTO_TEST_CASE(tasks_on_a_silent_executor_wait_no_longer_when_owners_change)
+{
+  Simulation simulation({});
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeLastingStep(1, 1, 0) }, "lasts");
+  simulation.RunFor(3s);
+  for (int i = 0; i < 4; ++i) {
+    if (!simulation.mExecutors[static_cast<std::size_t>(i)].mRuns.empty()) {
+      simulation.CutExecutor(i, true);
+    }
+  }
+  for (int round = 0; round < 4; ++round) {
+    simulation.RunFor(4s);
+    auto owner = OwnerOf(simulation);
+    if (owner >= 0) {
+      simulation.Kill(owner);
+      simulation.Revive(owner);
+    }
+  }
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  CheckPromises(simulation);
+}
+
 // Found on a day of rolling stops: the tasks of a finished job, still being stopped, took no room.
 BOOST_AUTO_TEST_CASE(a_new_owner_counts_the_room_of_tasks_that_it_does_not_know)
 {
