Let the largest hosts own the shards

Ruled out: the crash of the client alone (mended before; the owners were still small hosts). Change: a host asks who owns partitions and stays out of the group while a larger one does; with none left it joins.

--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -188,6 +188,23 @@
 struct LeaveCall
 {};
 
+// Asks who holds partitions of the group.
+struct OwnersCall
+{};
+
+struct GroupOwner
+{
+  std::string mHost;
+  int mCapacityMillicores = 0;
+};
+
+struct OwnersAnswer
+{
+  OwnersCall mCall;
+  CallResult mResult = CallResult::Unanswered;
+  std::vector<GroupOwner> mOwners;
+};
+
 // The addressee of a call to an executor. `mShard` and `mEpoch` say on whose behalf it is made.
 struct ExecutorAddress
 {
@@ -449,6 +466,7 @@
                             NewestCall,
                             JoinCall,
                             LeaveCall,
+                            OwnersCall,
                             HoldCall,
                             StartCall,
                             StopCall,
--- a/Libraries/LibSchedule/Group.cpp
+++ b/Libraries/LibSchedule/Group.cpp
@@ -1,5 +1,7 @@
 #include "LibSchedule/Group.h"
 
+#include <algorithm>
+
 namespace sesameseam::schedule {
 
 namespace {
@@ -7,6 +9,9 @@
 // A third of the time after which a silent member loses its partitions.
 constexpr Duration kJoinInterval = 450ms;
 constexpr Duration kRetryPause = 150ms;
+// A host out of the group has to notice within about a second that no larger one is left.
+constexpr Duration kOwnersInterval = 700ms;
+constexpr Duration kOwnersIntervalOfMember = 2s;
 
 }
 
@@ -14,7 +19,7 @@
 OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer)
 {
   aGroup.mInFlight = false;
-  if (aGroup.mLeft) {
+  if (aGroup.mLeft || aGroup.mIsOutranked) {
     return false;
   }
   if (aAnswer.mResult != CallResult::Done) {
@@ -30,10 +35,45 @@
   return true;
 }
 
+bool
+OnOwnersAnswer(Group& aGroup, const Now& aNow, const OwnersAnswer& aAnswer, Actions& aActions)
+{
+  aGroup.mOwnersPending = false;
+  if (aGroup.mLeft || aAnswer.mResult != CallResult::Done) {
+    aGroup.mNextOwnersAt = aNow.mAt + kRetryPause;
+    return false;
+  }
+  aGroup.mConfirmedAt = aNow.mAt;
+  auto isOutranked =
+    std::any_of(aAnswer.mOwners.begin(), aAnswer.mOwners.end(), [&](const GroupOwner& aOwner) {
+      return aOwner.mCapacityMillicores > aGroup.mCapacityMillicores;
+    });
+  auto interval = isOutranked ? kOwnersInterval : kOwnersIntervalOfMember;
+  aGroup.mNextOwnersAt = aNow.mAt + interval;
+  if (isOutranked == aGroup.mIsOutranked) {
+    return false;
+  }
+  aGroup.mIsOutranked = isOutranked;
+  if (!isOutranked) {
+    return false;
+  }
+  aGroup.mPartitions.clear();
+  aGroup.mGeneration = 0;
+  aActions.emplace_back(LeaveCall{});
+  return true;
+}
+
 void
 AdvanceGroup(Group& aGroup, const Now& aNow, Actions& aActions)
 {
-  if (aGroup.mInFlight || aGroup.mLeft || aNow.mAt < aGroup.mNextJoinAt) {
+  if (aGroup.mLeft) {
+    return;
+  }
+  if (!aGroup.mOwnersPending && aNow.mAt >= aGroup.mNextOwnersAt) {
+    aGroup.mOwnersPending = true;
+    aActions.emplace_back(OwnersCall{});
+  }
+  if (aGroup.mInFlight || aGroup.mIsOutranked || aNow.mAt < aGroup.mNextJoinAt) {
     return;
   }
   aGroup.mInFlight = true;
--- a/Libraries/LibSchedule/Group.h
+++ b/Libraries/LibSchedule/Group.h
@@ -8,15 +8,19 @@
 // Membership of the group of entry hosts, to which the log deals the partitions.
 namespace sesameseam::schedule {
 
+// Hosts differ in size, and the log deals partitions evenly. A host stays out of the group while a
+// larger one owns partitions, and comes in once none does.
 struct Group
 {
+  int mCapacityMillicores = 0;
+  bool mIsOutranked = false;
+  bool mOwnersPending = false;
+  Instant mNextOwnersAt;
   std::int64_t mGeneration = 0;
   std::set<int> mPartitions;
   bool mInFlight = false;
   bool mLeft = false;
   Instant mNextJoinAt;
-  // The generation that was known when partitions were given up last is sent at once, since only
-  // then do others get them.
   Instant mConfirmedAt;
 };
 
@@ -24,6 +28,10 @@
 bool
 OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer);
 
+// Returns whether the partitions have changed.
+bool
+OnOwnersAnswer(Group& aGroup, const Now& aNow, const OwnersAnswer& aAnswer, Actions& aActions);
+
 void
 AdvanceGroup(Group& aGroup, const Now& aNow, Actions& aActions);
 
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -409,6 +409,14 @@
   }
 }
 
+void
+On(Node& aNode, const Now& aNow, const OwnersAnswer& aAnswer, Actions& aActions)
+{
+  if (OnOwnersAnswer(aNode.mGroup, aNow, aAnswer, aActions)) {
+    MatchShards(aNode, aNow);
+  }
+}
+
 void
 On(Node& aNode, const Now& aNow, const HoldAnswer& aAnswer, Actions& aActions)
 {
@@ -504,6 +512,7 @@
 {
   Node node;
   node.mSettings = aSettings;
+  node.mGroup.mCapacityMillicores = aSettings.mCapacityMillicores;
   return node;
 }
 
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -18,6 +18,7 @@
 struct NodeSettings
 {
   std::string mName;
+  int mCapacityMillicores = 1000;
   // Partitions of each stream; the shard of a service is one of them.
   int mPartitions = 24;
   LeaseLimits mLease;
@@ -68,6 +69,7 @@
                            ReadAnswer,
                            NewestAnswer,
                            JoinAnswer,
+                           OwnersAnswer,
                            HoldAnswer,
                            StartAnswer,
                            StopAnswer,
--- a/Libraries/LibStandIn/FakeStore.cpp
+++ b/Libraries/LibStandIn/FakeStore.cpp
@@ -225,6 +225,13 @@
   return answer;
 }
 
+std::map<int, std::string>
+Owners(FakeStore& aStore, schedule::Instant aNow)
+{
+  RemoveExpired(aStore.mGroup, aNow);
+  return aStore.mGroup.mHeld;
+}
+
 void
 Leave(FakeStore& aStore, const std::string& aMember)
 {
--- a/Libraries/LibStandIn/FakeStore.h
+++ b/Libraries/LibStandIn/FakeStore.h
@@ -72,6 +72,9 @@
      const std::string& aMember,
      const schedule::JoinCall& aCall,
      schedule::Instant aNow);
+// Who holds each partition.
+std::map<int, std::string>
+Owners(FakeStore& aStore, schedule::Instant aNow);
 void
 Leave(FakeStore& aStore, const std::string& aMember);
 
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -169,6 +169,8 @@
   host.mIsUp = true;
   schedule::NodeSettings settings;
   settings.mName = host.mName;
+  settings.mCapacityMillicores = aHost < mSettings.mSmallHosts ? 100 : 1000;
+  mCapacities[host.mName] = settings.mCapacityMillicores;
   settings.mPartitions = mStore.mGroup.mPartitions;
   host.mNode = schedule::MakeNode(settings);
   Tick(aHost, host.mLife);
@@ -583,6 +585,15 @@
           answer.mSentAt = sentAt;
           return answer;
         });
+      } else if constexpr (std::is_same_v<T, schedule::OwnersCall>) {
+        CallStore(aHost, schedule::OwnersAnswer{}, [=, this]() -> Event {
+          schedule::OwnersAnswer answer;
+          answer.mResult = CallResult::Done;
+          for (const auto& [partition, name] : Owners(mStore, mNow)) {
+            answer.mOwners.push_back({ name, mCapacities[name] });
+          }
+          return answer;
+        });
       } else if constexpr (std::is_same_v<T, schedule::LeaveCall>) {
         Leave(mStore, mHosts[static_cast<std::size_t>(aHost)].mName);
       } else if constexpr (std::is_same_v<T, schedule::HoldCall>) {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -19,6 +19,8 @@
 struct SimulationSettings
 {
   int mHosts = 3;
+  // So many of them, the first, have a tenth of the others' processor time.
+  int mSmallHosts = 0;
   int mExecutors = 4;
   // Executors of a second pool, whose queue gets no jobs.
   int mOtherExecutors = 0;
@@ -167,6 +169,7 @@
   schedule::RequestTicket mNextRequest = 1;
   std::map<JobId, schedule::Reply> mReplies;
   std::map<JobId, int> mRuns;
+  std::map<std::string, int> mCapacities;
   std::map<schedule::MachineId, std::int64_t> mMachineFences;
   std::set<schedule::TaskName> mDone;
   std::vector<std::string> mBroken;
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -113,6 +113,27 @@
   CheckPromises(simulation);
 }
 
+// On hosts of a tenth of a core an owner falls behind in a burst.
+BOOST_AUTO_TEST_CASE(the_largest_hosts_own_shards_and_small_ones_only_without_them)
+{
+  Simulation simulation({ .mHosts = 4, .mSmallHosts = 3 });
+  simulation.RunFor(4s);
+  BOOST_TEST(OwnerOf(simulation) == 3);
+  simulation.Kill(3);
+  simulation.RunFor(5s);
+  auto small = OwnerOf(simulation);
+  BOOST_TEST(small >= 0);
+  BOOST_TEST(small < 3);
+  auto job = simulation.Submit(small, { MakeStep(3, 1) }, "1000");
+  simulation.RunFor(300ms);
+  simulation.Revive(3);
+  simulation.RunFor(8s);
+  BOOST_TEST(OwnerOf(simulation) == 3);
+  BOOST_TEST(simulation.CountRuns(job) == 3);
+  BOOST_TEST(simulation.AllEnded());
+  CheckPromises(simulation);
+}
+
 BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_no_task)
 {
   Simulation simulation({});
@@ -408,6 +429,7 @@
     settings.mRequestLoss = *rc::gen::element(0.0, 0.02, 0.1);
     settings.mAnswerLoss = *rc::gen::element(0.0, 0.02, 0.1);
     settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mSmallHosts = *rc::gen::element(0, 1, 2);
     settings.mOtherExecutors = *rc::gen::element(0, 2);
     Simulation simulation(settings);
     std::mt19937_64 random(settings.mSeed);
--- a/Tests/StandIns/job-platform.cpp
+++ b/Tests/StandIns/job-platform.cpp
@@ -378,6 +378,14 @@
     platform::ParseObject(aIncoming.mBody, document);
     Leave(mStore, platform::StringOr(document, "memberId", {}));
     reply = { kOk, kJson, "{}" };
+  } else if (path == platform::kOwnersPath) {
+    std::string rows;
+    for (const auto& [partition, member] : Owners(mStore, platform::CurrentTime().mAt)) {
+      rows += rows.empty() ? "" : ",";
+      rows += "[\"" + std::string(platform::kJobsTopic) + "\"," + std::to_string(partition) +
+              ",\"" + member + "\",0]";
+    }
+    reply = { kOk, kJson, "{\"parts\":[" + rows + "]}" };
   } else if (path == platform::kMachinesPath) {
     reply = AnswerMachines();
   } else if (path == "/summary") {
