Space the passes over a full pool

Ruled out: a longer interval at all times (a start in an idle pool would wait for the next tick). Change: 10 ms between passes as long as the last one left tasks waiting.

--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -103,6 +103,9 @@
   std::optional<PendingWrite> mWrite;
   bool mNeedsPass = false;
   Instant mNextPassAt;
+  // The last pass left tasks without a place.
+  bool mIsFull = false;
+  Instant mLastPassAt;
   ShardCounters mCounters;
 };
 
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -11,6 +11,9 @@
 
 // Tasks that wait for other reasons than room are looked at again after this time.
 constexpr Duration kPassInterval = 100ms;
+// In a full pool each pass looks at all that waits, for the room of a task or two: ends gather
+// meanwhile.
+constexpr Duration kPassIntervalWhenFull = 10ms;
 
 void
 Place(Shard& aShard,
@@ -104,11 +107,14 @@
 void
 PlaceTasks(Shard& aShard, const Now& aNow, Actions& /*aActions*/)
 {
-  auto isDue = aShard.mNeedsPass || aNow.mAt >= aShard.mNextPassAt;
+  auto isTooSoon = aShard.mIsFull && aNow.mAt - aShard.mLastPassAt < kPassIntervalWhenFull;
+  auto isDue = (aShard.mNeedsPass && !isTooSoon) || aNow.mAt >= aShard.mNextPassAt;
   if (!isDue || !MayStart(aShard, aNow.mAt)) {
     return;
   }
   aShard.mNeedsPass = false;
+  aShard.mLastPassAt = aNow.mAt;
+  aShard.mIsFull = false;
   aShard.mNextPassAt = aNow.mAt + kPassInterval;
   std::vector<ReadyStep> ready;
   for (auto& [id, job] : aShard.mJobs) {
@@ -128,6 +134,9 @@
     } else {
       PlaceEach(aShard, step, candidates, aNow.mAt);
     }
+    const auto& state = step.mJob->mOccurrences[static_cast<std::size_t>(step.mOccurrence)]
+                          .mSteps[static_cast<std::size_t>(step.mStep)];
+    aShard.mIsFull |= state.mWaiting > 0;
   }
 }
 
