--- a/Libraries/LibSchedule/Clock.h
+++ b/Libraries/LibSchedule/Clock.h
@@ -15,7 +15,6 @@
   using period = std::micro;
   using duration = std::chrono::duration<rep, period>;
   using time_point = std::chrono::time_point<BootClock, duration>;
-  static constexpr bool is_steady = true;
 };
 
 using Instant = BootClock::time_point;
--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -240,7 +240,7 @@
   call.mStream = Stream::Fleet;
   call.mFrom = aLog.mPosition;
   call.mWait = kLongPoll;
-  aActions.emplace_back(std::move(call));
+  aActions.emplace_back(call);
 }
 
 bool
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -111,7 +111,7 @@
   call.mStream = aStream.mStream;
   call.mFrom = aStream.mPosition;
   call.mWait = aStream.mStream == Stream::Operator ? kOperatorLongPoll : 0ms;
-  aActions.emplace_back(std::move(call));
+  aActions.emplace_back(call);
 }
 
 void
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -1,209 +1,16 @@
 #include "LibSchedule/Node.h"
 
-#include <algorithm>
-#include <cctype>
+#include "LibSchedule/Front.h"
+
 #include <set>
 
 namespace sesameseam::schedule {
 
 namespace {
 
-constexpr std::size_t kJobIdLength = 16;
-constexpr std::chrono::seconds kComeBackAfter = 1s;
-// A caller that names no time gets this much.
-constexpr std::chrono::milliseconds kDefaultTimeout = 3s;
-// The answer has to reach the caller within its time.
-constexpr std::chrono::milliseconds kAnswerMargin = 150ms;
 // A host that has not heard from the log for so long sends callers elsewhere.
 constexpr Duration kUnreadyAfter = 3s;
 
-void
-AddReply(Actions& aActions, RequestTicket aTicket, ReplyKind aKind, std::string aReason = {})
-{
-  Reply reply;
-  reply.mTicket = aTicket;
-  reply.mKind = aKind;
-  reply.mReason = std::move(aReason);
-  if (aKind == ReplyKind::Refused) {
-    reply.mRetryAfter = kComeBackAfter;
-  }
-  aActions.emplace_back(std::move(reply));
-}
-
-void
-LogRequest(Actions& aActions, std::string_view aEvent, const std::string& aJob, std::string aReason)
-{
-  LogEntry entry{ LogLevel::Info, aEvent, aJob };
-  entry.mReason = std::move(aReason);
-  aActions.emplace_back(std::move(entry));
-}
-
-bool
-IsJobId(std::string_view aText)
-{
-  return aText.size() == kJobIdLength &&
-         std::all_of(aText.begin(), aText.end(), [](unsigned char c) { return std::isxdigit(c); });
-}
-
-Instant
-DeadlineOf(const FrontRequest& aRequest, Instant aNow)
-{
-  auto timeout = aRequest.mTimeout.count() > 0 ? aRequest.mTimeout : kDefaultTimeout;
-  return aNow + std::max(timeout - kAnswerMargin, timeout / 2);
-}
-
-StatusView&
-ViewOf(Node& aNode, int aPartition)
-{
-  auto& view = aNode.mViews[aPartition];
-  view.mPartition = aPartition;
-  return view;
-}
-
-void
-Submit(Node& aNode,
-       const Now& aNow,
-       const FrontRequest& aRequest,
-       const Route& aRoute,
-       const JobId& aId,
-       Actions& aActions)
-{
-  if (!aRequest.mJob) {
-    ++aNode.mCounters.mBadRequests;
-    LogRequest(aActions, "request-bad", aId.mValue, aRequest.mProblem);
-    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, aRequest.mProblem);
-    return;
-  }
-  auto job = *aRequest.mJob;
-  auto problem = ProblemOf(job);
-  if (!problem.empty()) {
-    ++aNode.mCounters.mBadRequests;
-    LogRequest(aActions, "request-bad", aId.mValue, problem);
-    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, problem);
-    return;
-  }
-  job.mQueue = aRoute.mQueue;
-  job.mService = aRoute.mService;
-  job.mAcceptedAt = aNow.mWall;
-  job.mAttempts = aRoute.mAttempts;
-  job.mPriority = aRoute.mPriority;
-  job.mStretchPercent = aRoute.mStretchPercent;
-  job.mResponseGoal = aRoute.mResponseGoal;
-  WaitingCaller caller;
-  caller.mTicket = aRequest.mTicket;
-  caller.mJob = aId;
-  caller.mArrivedAt = aNow.mAt;
-  caller.mDeadline = DeadlineOf(aRequest, aNow.mAt);
-  Store(aNode.mIntake,
-        PartitionOf(aRoute.mService, aNode.mSettings.mPartitions),
-        { aId.mValue, EncodeJob(job) },
-        caller);
-}
-
-void
-AskView(Node& aNode,
-        const Now& aNow,
-        const FrontRequest& aRequest,
-        const Route& aRoute,
-        const JobId& aId)
-{
-  Question question;
-  question.mTicket = aRequest.mTicket;
-  question.mKind = aRequest.mKind;
-  question.mJob = aId;
-  question.mQueue = aRoute.mQueue;
-  question.mAsksCount = aId.IsEmpty();
-  question.mAskedAt = aNow.mAt;
-  question.mDeadline = DeadlineOf(aRequest, aNow.mAt);
-  Ask(ViewOf(aNode, PartitionOf(aRoute.mService, aNode.mSettings.mPartitions)), question);
-}
-
-void
-OnRequest(Node& aNode, const Now& aNow, const FrontRequest& aRequest, Actions& aActions)
-{
-  ++aNode.mCounters.mRequests;
-  const auto& manifest = aNode.mFollower.mManifest;
-  if (!manifest) {
-    AddReply(aActions, aRequest.mTicket, ReplyKind::Refused, "no manifest is known yet");
-    return;
-  }
-  const auto* route = FindRoute(*manifest, aRequest.mHost, aRequest.mPath);
-  if (route == nullptr) {
-    ++aNode.mCounters.mUnknownQueues;
-    AddReply(aActions, aRequest.mTicket, ReplyKind::NoQueue);
-    return;
-  }
-  auto name = aRequest.mPath.substr(route->mPrefix.size());
-  auto asksCount = name.empty() && aRequest.mKind == RequestKind::State;
-  if (!asksCount && !IsJobId(name)) {
-    ++aNode.mCounters.mBadRequests;
-    AddReply(aActions, aRequest.mTicket, ReplyKind::BadRequest, "the id is not 16 hex digits");
-    return;
-  }
-  JobId id(name);
-  if (aRequest.mKind == RequestKind::Submit) {
-    Submit(aNode, aNow, aRequest, *route, id, aActions);
-  } else {
-    AskView(aNode, aNow, aRequest, *route, id);
-  }
-}
-
-void
-CancelJob(Node& aNode, const Now& aNow, int aPartition, const Question& aQuestion)
-{
-  WaitingCaller caller;
-  caller.mTicket = aQuestion.mTicket;
-  caller.mOnStored = ReplyKind::Cancelled;
-  caller.mJob = aQuestion.mJob;
-  caller.mArrivedAt = aNow.mAt;
-  caller.mDeadline = aQuestion.mDeadline;
-  Store(aNode.mIntake,
-        aPartition,
-        { CancellationKey(aQuestion.mJob), EncodeCancellation(aNow.mWall) },
-        caller);
-}
-
-void
-AnswerQuestion(Node& aNode,
-               const Now& aNow,
-               int aPartition,
-               const ViewAnswer& aAnswer,
-               Actions& aActions)
-{
-  const auto& question = aAnswer.mQuestion;
-  if (aAnswer.mTimedOut) {
-    AddReply(aActions, question.mTicket, ReplyKind::Refused, "the log does not answer");
-    LogRequest(aActions, "state-unknown", question.mJob.mValue, "the log does not answer");
-    return;
-  }
-  if (question.mAsksCount) {
-    Reply reply;
-    reply.mTicket = question.mTicket;
-    reply.mKind = ReplyKind::Count;
-    reply.mCount = aAnswer.mCount;
-    aActions.emplace_back(std::move(reply));
-    return;
-  }
-  if (!aAnswer.mJob) {
-    AddReply(aActions, question.mTicket, ReplyKind::Gone);
-    LogRequest(aActions, "job-not-known", question.mJob.mValue, "neither stream has it");
-    return;
-  }
-  if (question.mKind == RequestKind::Cancel) {
-    if (IsFinal(aAnswer.mJob->mPhase)) {
-      AddReply(aActions, question.mTicket, ReplyKind::Cancelled);
-    } else {
-      CancelJob(aNode, aNow, aPartition, question);
-    }
-    return;
-  }
-  Reply reply;
-  reply.mTicket = question.mTicket;
-  reply.mKind = ReplyKind::State;
-  reply.mPhase = aAnswer.mJob->mPhase;
-  aActions.emplace_back(std::move(reply));
-}
-
 std::set<int>
 PartitionsInUse(const Node& aNode)
 {
@@ -334,7 +141,7 @@
 void
 On(Node& aNode, const Now& aNow, const FrontRequest& aRequest, Actions& aActions)
 {
-  OnRequest(aNode, aNow, aRequest, aActions);
+  OnFrontRequest(aNode, aNow, aRequest, aActions);
 }
 
 void
@@ -493,11 +300,7 @@
 {
   AdvanceGroup(aNode.mGroup, aNow, aActions);
   AdvanceFollower(aNode.mFollower, aNow, !aNode.mShards.empty(), aActions);
-  for (auto& [partition, view] : aNode.mViews) {
-    for (const auto& answer : AdvanceView(view, aNow, aActions)) {
-      AnswerQuestion(aNode, aNow, partition, answer, aActions);
-    }
-  }
+  AnswerQuestions(aNode, aNow, aActions);
   AdvanceIntake(aNode.mIntake, aNow, aActions);
   for (auto& [partition, shard] : aNode.mShards) {
     Advance(shard, aNow, aActions);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -1,5 +1,6 @@
 #include "LibSchedule/Pace.h"
 #include "LibSchedule/Shard.h"
+#include "LibSchedule/ShardEnds.h"
 #include "LibSchedule/Vacate.h"
 
 #include <algorithm>
@@ -42,158 +43,6 @@
   ++aExecutor.mUnanswered;
 }
 
-void
-LogRun(std::string_view aEvent,
-       const TaskRun& aRun,
-       const Executor& aExecutor,
-       std::string aReason,
-       Actions& aActions)
-{
-  LogEntry entry{ LogLevel::Info, aEvent, aRun.mTask.mJob.mValue, aExecutor.mEntry.mId.mValue };
-  entry.mOutcome = std::to_string(aRun.mTask.mOccurrence) + "." + std::to_string(aRun.mTask.mStep) +
-                   "." + std::to_string(aRun.mTask.mIndex) + " run " + std::to_string(aRun.mRun);
-  entry.mReason = std::move(aReason);
-  aActions.emplace_back(std::move(entry));
-}
-
-void
-RemoveAttempt(Task& aTask, const ExecutorId& aExecutor, int aRun)
-{
-  std::erase_if(aTask.mAttempts, [&](const Attempt& aAttempt) {
-    return aAttempt.mRun == aRun && aAttempt.mExecutor == aExecutor;
-  });
-}
-
-const Step&
-StepOf(const Job& aJob, const TaskName& aTask)
-{
-  return aJob.mDefinition.mSteps[static_cast<std::size_t>(aTask.mStep)];
-}
-
-StepState&
-StateOf(Job& aJob, const TaskName& aTask)
-{
-  return aJob.mOccurrences[static_cast<std::size_t>(aTask.mOccurrence)]
-    .mSteps[static_cast<std::size_t>(aTask.mStep)];
-}
-
-// A gang fails as a whole, once for each number of a run.
-std::size_t
-FailedRuns(Job& aJob, const TaskName& aTask)
-{
-  if (!StepOf(aJob, aTask).mGang) {
-    return FindTask(aJob, aTask)->mFailedRuns.size();
-  }
-  std::set<int> runs;
-  for (const auto& task : StateOf(aJob, aTask).mTasks) {
-    runs.insert(task.mFailedRuns.begin(), task.mFailedRuns.end());
-  }
-  return runs.size();
-}
-
-void
-StopAttempts(Shard& aShard, const TaskName& aName, const Task& aTask)
-{
-  for (const auto& attempt : aTask.mAttempts) {
-    auto found = aShard.mExecutors.find(attempt.mExecutor);
-    if (found != aShard.mExecutors.end()) {
-      detail::RequestStop(found->second, { aName, attempt.mRun });
-    }
-  }
-}
-
-void
-NoteDone(Shard& aShard, Job& aJob, const TaskName& aName, Actions& aActions)
-{
-  ++aShard.mCounters.mTasksDone;
-  auto& tasks = StateOf(aJob, aName).mTasks;
-  auto first = StepOf(aJob, aName).mGang ? 0 : aName.mIndex;
-  auto last = StepOf(aJob, aName).mGang ? static_cast<int>(tasks.size()) - 1 : aName.mIndex;
-  for (auto index = first; index <= last; ++index) {
-    auto name = aName;
-    name.mIndex = index;
-    SetTaskState(aJob, name, TaskState::Done);
-    StopAttempts(aShard, name, tasks[static_cast<std::size_t>(index)]);
-  }
-  if (AllDone(aJob)) {
-    detail::FinishJob(aShard, aJob, JobPhase::Completed, "all tasks are done", aActions);
-  }
-}
-
-void
-NoteFailed(Shard& aShard, Job& aJob, const TaskRun& aRun, const ExecutorId& aOn, Actions& aActions)
-{
-  ++aShard.mCounters.mTasksFailed;
-  auto* task = FindTask(aJob, aRun.mTask);
-  auto& failed = task->mFailedRuns;
-  if (std::find(failed.begin(), failed.end(), aRun.mRun) == failed.end()) {
-    failed.push_back(aRun.mRun);
-  }
-  task->mFailedOn.push_back(aOn);
-  if (StepOf(aJob, aRun.mTask).mLasting) {
-    failed.clear();
-    return;
-  }
-  if (FailedRuns(aJob, aRun.mTask) >= static_cast<std::size_t>(aJob.mDefinition.mAttempts)) {
-    auto reason = "a task failed " + std::to_string(aJob.mDefinition.mAttempts) + " times";
-    detail::FinishJob(aShard, aJob, JobPhase::Failed, reason, aActions);
-  }
-}
-
-// Returns whether the task that ended is one of ours that was not done yet.
-void
-TakeEnd(Shard& aShard, const Now& aNow, Executor& aExecutor, const TaskEnd& aEnd, Actions& aActions)
-{
-  aExecutor.mRuns.erase(aEnd.mRun);
-  aShard.mNeedsPass = true;
-  if (aEnd.mKind == EndKind::Done) {
-    NoteTaskDone(aExecutor);
-  } else if (aEnd.mKind == EndKind::Failed) {
-    NoteTaskFailed(aExecutor, aNow.mAt);
-  }
-  auto* job = detail::FindJob(aShard, aEnd.mRun.mTask.mJob);
-  auto* task = job == nullptr ? nullptr : FindTask(*job, aEnd.mRun.mTask);
-  if (task == nullptr || IsFinal(job->mPhase)) {
-    return;
-  }
-  RemoveAttempt(*task, aExecutor.mEntry.mId, aEnd.mRun.mRun);
-  detail::MarkDirty(aShard, *job);
-  if (task->mState == TaskState::Done) {
-    return;
-  }
-  if (!aEnd.mCheckpoint.empty()) {
-    task->mCheckpoint = aEnd.mCheckpoint;
-  }
-  if (aEnd.mKind == EndKind::Done && !StepOf(*job, aEnd.mRun.mTask).mLasting) {
-    NoteDone(aShard, *job, aEnd.mRun.mTask, aActions);
-    return;
-  }
-  if (aEnd.mKind == EndKind::Failed) {
-    LogRun("task-failed", aEnd.mRun, aExecutor, "reported by the executor", aActions);
-    NoteFailed(aShard, *job, aEnd.mRun, aExecutor.mEntry.mId, aActions);
-  }
-  if (task->mAttempts.empty()) {
-    SetTaskState(*job, aEnd.mRun.mTask, TaskState::Waiting);
-  }
-}
-
-void
-TakeEnds(Shard& aShard,
-         const Now& aNow,
-         Executor& aExecutor,
-         const HoldAnswer& aAnswer,
-         Actions& aActions)
-{
-  for (const auto& end : aAnswer.mEnds) {
-    if (end.mNumber <= aExecutor.mProcessedEnds) {
-      continue;
-    }
-    TakeEnd(aShard, aNow, aExecutor, end, aActions);
-    aExecutor.mProcessedEnds = end.mNumber;
-    aShard.mEndsToRecord[aExecutor.mEntry.mId] = end.mNumber;
-  }
-}
-
 void
 TakeRunning(Shard& aShard, const Now& aNow, Executor& aExecutor, const RunningTask& aRunning)
 {
@@ -220,7 +69,7 @@
     detail::RequestStop(aExecutor, aRunning.mRun);
     return;
   }
-  run.mTargetTail = StepOf(*job, aRunning.mRun.mTask).mTargetTail;
+  run.mTargetTail = detail::StepOf(*job, aRunning.mRun.mTask).mTargetTail;
   if (!aRunning.mCheckpoint.empty()) {
     task->mCheckpoint = aRunning.mCheckpoint;
   }
@@ -423,7 +272,7 @@
   executor->mAcknowledgedEnds = std::max(executor->mAcknowledgedEnds, aAnswer.mCall.mLastSeen);
   TakeIncarnation(aShard, *executor, aAnswer, aActions);
   NoteClock(*executor, aAnswer.mClock, aNow.mAt);
-  TakeEnds(aShard, aNow, *executor, aAnswer, aActions);
+  detail::TakeEnds(aShard, aNow, *executor, aAnswer, aActions);
   for (const auto& running : aAnswer.mRunning) {
     TakeRunning(aShard, aNow, *executor, running);
   }
@@ -457,15 +306,16 @@
     ++aShard.mCounters.mStartsUnanswered;
     run.mState = RunState::Uncertain;
     executor->mUnanswered = std::max(executor->mUnanswered, 1);
-    LogRun("start-unanswered", aAnswer.mCall.mRun, *executor, "no answer in time", aActions);
+    detail::LogRun(
+      "start-unanswered", aAnswer.mCall.mRun, *executor, "no answer in time", aActions);
     return;
   }
   ++aShard.mCounters.mStartsRefused;
-  LogRun("start-refused",
-         aAnswer.mCall.mRun,
-         *executor,
-         "refusal " + std::to_string(static_cast<int>(aAnswer.mRefusal)),
-         aActions);
+  detail::LogRun("start-refused",
+                 aAnswer.mCall.mRun,
+                 *executor,
+                 "refusal " + std::to_string(static_cast<int>(aAnswer.mRefusal)),
+                 aActions);
   if (aAnswer.mRefusal == StartRefusal::Fenced) {
     detail::Lose(aShard, "an executor knows a later owner", aActions);
     return;
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -88,7 +88,7 @@
     call.mPartition = aView.mPartition;
     call.mReader = Reader::View;
     call.mFrom = aStream.mPosition;
-    aActions.emplace_back(std::move(call));
+    aActions.emplace_back(call);
     return;
   }
   NewestCall call;
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -350,7 +350,7 @@
 }
 
 void
-Simulation::CallStore(int aHost, const Event& aWithoutAnswer, std::function<Event()> aWork)
+Simulation::CallStore(int aHost, const Event& aWithoutAnswer, const std::function<Event()>& aWork)
 {
   auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
   auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
@@ -386,7 +386,7 @@
                          const schedule::ExecutorAddress& aTo,
                          bool aIsOrder,
                          const Event& aWithoutAnswer,
-                         std::function<Event(FakeExecutor&)> aWork)
+                         const std::function<Event(FakeExecutor&)>& aWork)
 {
   auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
   auto isLate = aIsOrder && Chance(mSettings.mLateOrders);
@@ -532,138 +532,204 @@
 }
 
 void
-Simulation::Carry(int aHost, const schedule::Action& aAction)
+Simulation::Perform(int /*aHost*/, const schedule::LogEntry& /*aEntry*/)
+{
+}
+
+void
+Simulation::Perform(int /*aHost*/, const schedule::Reply& aCall)
+{
+  Note(aCall);
+}
+
+void
+Simulation::Perform(int aHost, const schedule::AppendCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::AppendAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Append(mStore, aCall);
+    answer.mSentAt = sentAt;
+    answer.mCall = aCall;
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::ReadCall& aCall)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  schedule::ReadAnswer lost;
+  lost.mCall = aCall;
+  auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
+                Chance(mSettings.mAnswerLoss);
+  if (isLost) {
+    After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
+  } else {
+    auto until = mNow + aCall.mWait;
+    After(kStoreTime, [=, this] { AnswerRead(aHost, life, aCall, until); });
+  }
+}
+
+void
+Simulation::Perform(int aHost, const schedule::NewestCall& aCall)
+{
+  schedule::NewestAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Newest(mStore, aCall);
+    answer.mCall = aCall;
+    FillForeign(aCall.mStream, 0, answer.mForeign);
+    if (aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors) {
+      const auto& source = aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+      answer.mEnd = static_cast<std::int64_t>(source.size());
+    } else {
+      answer.mForeign = {};
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::JoinCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::JoinAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Join(mStore, mHosts[static_cast<std::size_t>(aHost)].mName, aCall, mNow);
+    answer.mSentAt = sentAt;
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::OwnersCall& /*aCall*/)
+{
+  CallStore(aHost, schedule::OwnersAnswer{}, [=, this]() -> Event {
+    schedule::OwnersAnswer answer;
+    answer.mResult = CallResult::Done;
+    for (const auto& [partition, name] : Owners(mStore, mNow)) {
+      answer.mOwners.push_back({ name, mCapacities[name] });
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::LeaveCall& /*aCall*/)
+{
+  Leave(mStore, mHosts[static_cast<std::size_t>(aHost)].mName);
+}
+
+void
+Simulation::Perform(int aHost, const schedule::HoldCall& aCall)
 {
   auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
   auto sentAt = mNow;
-  std::visit(
-    [&](const auto& aCall) {
-      using T = std::decay_t<decltype(aCall)>;
-      if constexpr (std::is_same_v<T, schedule::Reply>) {
-        Note(aCall);
-      } else if constexpr (std::is_same_v<T, schedule::AppendCall>) {
-        schedule::AppendAnswer lost;
-        lost.mCall = aCall;
-        CallStore(aHost, lost, [=, this]() -> Event {
-          auto answer = Append(mStore, aCall);
-          answer.mSentAt = sentAt;
-          answer.mCall = aCall;
-          return answer;
-        });
-      } else if constexpr (std::is_same_v<T, schedule::ReadCall>) {
-        schedule::ReadAnswer lost;
-        lost.mCall = aCall;
-        auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
-                      Chance(mSettings.mAnswerLoss);
-        if (isLost) {
-          After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
-        } else {
-          auto until = mNow + aCall.mWait;
-          After(kStoreTime, [=, this] { AnswerRead(aHost, life, aCall, until); });
-        }
-      } else if constexpr (std::is_same_v<T, schedule::NewestCall>) {
-        schedule::NewestAnswer lost;
-        lost.mCall = aCall;
-        CallStore(aHost, lost, [=, this]() -> Event {
-          auto answer = Newest(mStore, aCall);
-          answer.mCall = aCall;
-          FillForeign(aCall.mStream, 0, answer.mForeign);
-          if (aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors) {
-            const auto& source =
-              aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
-            answer.mEnd = static_cast<std::int64_t>(source.size());
-          } else {
-            answer.mForeign = {};
-          }
-          return answer;
-        });
-      } else if constexpr (std::is_same_v<T, schedule::JoinCall>) {
-        schedule::JoinAnswer lost;
-        lost.mCall = aCall;
-        CallStore(aHost, lost, [=, this]() -> Event {
-          auto answer = Join(mStore, mHosts[static_cast<std::size_t>(aHost)].mName, aCall, mNow);
-          answer.mSentAt = sentAt;
-          return answer;
-        });
-      } else if constexpr (std::is_same_v<T, schedule::OwnersCall>) {
-        CallStore(aHost, schedule::OwnersAnswer{}, [=, this]() -> Event {
-          schedule::OwnersAnswer answer;
-          answer.mResult = CallResult::Done;
-          for (const auto& [partition, name] : Owners(mStore, mNow)) {
-            answer.mOwners.push_back({ name, mCapacities[name] });
-          }
-          return answer;
-        });
-      } else if constexpr (std::is_same_v<T, schedule::LeaveCall>) {
-        Leave(mStore, mHosts[static_cast<std::size_t>(aHost)].mName);
-      } else if constexpr (std::is_same_v<T, schedule::HoldCall>) {
-        schedule::HoldAnswer lost;
-        lost.mCall = aCall;
-        lost.mSentAt = sentAt;
-        if (FindExecutor(aCall.mTo) == nullptr || Chance(mSettings.mAnswerLoss)) {
-          After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
-          return;
-        }
-        After(kOneWay, [=, this] {
-          if (auto* executor = FindExecutor(aCall.mTo)) {
-            Advance(*executor, mNow);
-            if (aCall.mTo.mEpoch >= executor->mFence) {
-              NoteAcknowledged(*executor, aCall.mLastSeen);
-              // The lease is renewed and the fence raised when the call comes in.
-              Hold(*executor, aCall, mNow);
-            }
-          }
-          AnswerHold(aHost, life, aCall, sentAt + aCall.mWait);
-        });
-      } else if constexpr (std::is_same_v<T, schedule::StartCall>) {
-        schedule::StartAnswer lost;
-        lost.mCall = aCall;
-        CallExecutor(aHost, aCall.mTo, true, lost, [=, this](FakeExecutor& aExecutor) -> Event {
-          auto isNew = !aExecutor.mRuns.contains(aCall.mRun);
-          auto answer = Start(aExecutor, aCall, mNow);
-          answer.mSentAt = sentAt;
-          if (answer.mResult == CallResult::Done && isNew) {
-            CheckStart(aExecutor, aCall);
-          }
-          return answer;
-        });
-      } else if constexpr (std::is_same_v<T, schedule::StopCall>) {
-        CallExecutor(
-          aHost,
-          aCall.mTo,
-          true,
-          schedule::StopAnswer{ aCall },
-          [=, this](FakeExecutor& aExecutor) -> Event { return Stop(aExecutor, aCall, mNow); });
-      } else if constexpr (std::is_same_v<T, schedule::PaceCall>) {
-        CallExecutor(
-          aHost, aCall.mTo, true, schedule::PaceAnswer{ aCall }, [=](FakeExecutor&) -> Event {
-            return schedule::PaceAnswer{ aCall, CallResult::Done };
-          });
-      } else if constexpr (std::is_same_v<T, schedule::MachinesCall>) {
-        schedule::MachinesAnswer answer;
-        answer.mCall = aCall;
-        answer.mResult = CallResult::Done;
-        for (const auto& [id, machine] : mMachines) {
-          answer.mMachines.push_back(machine);
-        }
-        After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
-      } else if constexpr (std::is_same_v<T, schedule::UpkeepCall>) {
-        mUpkeeps.push_back(aCall);
-        TakeAway(aCall.mMachine, aCall.mFence, 2s, mMachines[aCall.mMachine].mPool);
-        schedule::UpkeepAnswer answer{ aCall, CallResult::Done };
-        After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
-      } else if constexpr (std::is_same_v<T, schedule::MoveCall>) {
-        auto isTaken = TakeAway(aCall.mMachine, aCall.mFence, 1500ms, aCall.mTo);
-        auto result = isTaken ? CallResult::Done : CallResult::Refused;
-        After(kOneWay, [=, this] { Deliver(aHost, life, schedule::MoveAnswer{ aCall, result }); });
-      } else if constexpr (std::is_same_v<T, schedule::WaveStatusCall>) {
-        mWaveReports.push_back(aCall);
-        After(kOneWay, [=, this] {
-          Deliver(aHost, life, schedule::WaveStatusAnswer{ aCall, CallResult::Done });
-        });
+  schedule::HoldAnswer lost;
+  lost.mCall = aCall;
+  lost.mSentAt = sentAt;
+  if (FindExecutor(aCall.mTo) == nullptr || Chance(mSettings.mAnswerLoss)) {
+    After(kCallTimeout, [=, this] { Deliver(aHost, life, lost); });
+    return;
+  }
+  After(kOneWay, [=, this] {
+    if (auto* executor = FindExecutor(aCall.mTo)) {
+      Advance(*executor, mNow);
+      if (aCall.mTo.mEpoch >= executor->mFence) {
+        NoteAcknowledged(*executor, aCall.mLastSeen);
+        // The lease is renewed and the fence raised when the call comes in.
+        Hold(*executor, aCall, mNow);
       }
-    },
-    aAction);
+    }
+    AnswerHold(aHost, life, aCall, sentAt + aCall.mWait);
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::StartCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::StartAnswer lost;
+  lost.mCall = aCall;
+  CallExecutor(aHost, aCall.mTo, true, lost, [=, this](FakeExecutor& aExecutor) -> Event {
+    auto isNew = !aExecutor.mRuns.contains(aCall.mRun);
+    auto answer = Start(aExecutor, aCall, mNow);
+    answer.mSentAt = sentAt;
+    if (answer.mResult == CallResult::Done && isNew) {
+      CheckStart(aExecutor, aCall);
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::StopCall& aCall)
+{
+  CallExecutor(
+    aHost,
+    aCall.mTo,
+    true,
+    schedule::StopAnswer{ aCall },
+    [=, this](FakeExecutor& aExecutor) -> Event { return Stop(aExecutor, aCall, mNow); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::PaceCall& aCall)
+{
+  CallExecutor(aHost, aCall.mTo, true, schedule::PaceAnswer{ aCall }, [=](FakeExecutor&) -> Event {
+    return schedule::PaceAnswer{ aCall, CallResult::Done };
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::MachinesCall& aCall)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  schedule::MachinesAnswer answer;
+  answer.mCall = aCall;
+  answer.mResult = CallResult::Done;
+  for (const auto& [id, machine] : mMachines) {
+    answer.mMachines.push_back(machine);
+  }
+  After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::UpkeepCall& aCall)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  mUpkeeps.push_back(aCall);
+  TakeAway(aCall.mMachine, aCall.mFence, 2s, mMachines[aCall.mMachine].mPool);
+  schedule::UpkeepAnswer answer{ aCall, CallResult::Done };
+  After(kOneWay, [=, this] { Deliver(aHost, life, answer); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::MoveCall& aCall)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  auto isTaken = TakeAway(aCall.mMachine, aCall.mFence, 1500ms, aCall.mTo);
+  auto result = isTaken ? CallResult::Done : CallResult::Refused;
+  After(kOneWay, [=, this] { Deliver(aHost, life, schedule::MoveAnswer{ aCall, result }); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::WaveStatusCall& aCall)
+{
+  auto life = mHosts[static_cast<std::size_t>(aHost)].mLife;
+  mWaveReports.push_back(aCall);
+  After(kOneWay, [=, this] {
+    Deliver(aHost, life, schedule::WaveStatusAnswer{ aCall, CallResult::Done });
+  });
+}
+
+void
+Simulation::Carry(int aHost, const schedule::Action& aAction)
+{
+  std::visit([&](const auto& aCall) { Perform(aHost, aCall); }, aAction);
 }
 
 bool
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -121,6 +121,23 @@
   void Feed(int aHost, const schedule::Event& aEvent);
   void Tick(int aHost, int aLife);
   void Carry(int aHost, const schedule::Action& aAction);
+  // Carries out one action of a host.
+  void Perform(int aHost, const schedule::Reply& aCall);
+  void Perform(int aHost, const schedule::AppendCall& aCall);
+  void Perform(int aHost, const schedule::ReadCall& aCall);
+  void Perform(int aHost, const schedule::NewestCall& aCall);
+  void Perform(int aHost, const schedule::JoinCall& aCall);
+  void Perform(int aHost, const schedule::OwnersCall& aCall);
+  void Perform(int aHost, const schedule::LeaveCall& aCall);
+  void Perform(int aHost, const schedule::HoldCall& aCall);
+  void Perform(int aHost, const schedule::StartCall& aCall);
+  void Perform(int aHost, const schedule::StopCall& aCall);
+  void Perform(int aHost, const schedule::PaceCall& aCall);
+  void Perform(int aHost, const schedule::MachinesCall& aCall);
+  void Perform(int aHost, const schedule::UpkeepCall& aCall);
+  void Perform(int aHost, const schedule::MoveCall& aCall);
+  void Perform(int aHost, const schedule::WaveStatusCall& aCall);
+  void Perform(int aHost, const schedule::LogEntry& aEntry);
   void Note(const schedule::Reply& aReply);
   void Send(int aHost,
             schedule::RequestKind aKind,
@@ -130,12 +147,12 @@
   // Makes a call to the store: the request, what it does there, and the answer.
   void CallStore(int aHost,
                  const schedule::Event& aWithoutAnswer,
-                 std::function<schedule::Event()> aWork);
+                 const std::function<schedule::Event()>& aWork);
   void CallExecutor(int aHost,
                     const schedule::ExecutorAddress& aTo,
                     bool aIsOrder,
                     const schedule::Event& aWithoutAnswer,
-                    std::function<schedule::Event(FakeExecutor&)> aWork);
+                    const std::function<schedule::Event(FakeExecutor&)>& aWork);
   FakeExecutor* FindExecutor(const schedule::ExecutorAddress& aTo);
   void AnswerRead(int aHost, int aLife, const schedule::ReadCall& aCall, schedule::Instant aUntil);
   void AnswerHold(int aHost, int aLife, const schedule::HoldCall& aCall, schedule::Instant aUntil);
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -22,181 +22,179 @@
     R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estimateMs":900,)"
     R"("affinity":"r1-3"},{"count":20,"cpu":2000,"memMb":1024,"estimateMs":7000,"after":[0],)"
     R"("checkpoint":true,"daemon":true,"optional":2}]})");
-    BOOST_REQUIRE(job.ok());
-    BOOST_REQUIRE(job->mSteps.size() == 2u);
-    BOOST_TEST(job->mSteps[0].mPreferredRack == "r1-3");
-    BOOST_TEST(job->mSteps[1].mNeeds.mCpuMillicores == 2000);
-    BOOST_TEST(job->mSteps[1].mLasting);
-    BOOST_TEST(job->mSteps[1].mMaxAway == 2);
-    BOOST_TEST((job->mSteps[1].mAfter == std::vector<int>{ 0 }));
+  BOOST_REQUIRE(job.ok());
+  BOOST_REQUIRE(job->mSteps.size() == 2u);
+  BOOST_TEST(job->mSteps[0].mPreferredRack == "r1-3");
+  BOOST_TEST(job->mSteps[1].mNeeds.mCpuMillicores == 2000);
+  BOOST_TEST(job->mSteps[1].mLasting);
+  BOOST_TEST(job->mSteps[1].mMaxAway == 2);
+  BOOST_TEST((job->mSteps[1].mAfter == std::vector<int>{ 0 }));
 }
 
 BOOST_AUTO_TEST_CASE(what_is_no_job_is_refused_with_a_reason)
 {
-    for (const auto* body : { "",
-                              "[]",
-                              "{",
-                              R"({"spec":1,"steps":[]})",
-                              R"({"spec":"x"})",
-                              R"({"spec":"x","steps":[1]})",
-                              R"({"spec":"x","steps":[{"count":-1}]})",
-                              R"({"spec":"x","steps":[{"count":1,"cpu":99999999999}]})",
-                              R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})" }) {
-      auto job = DecodeSubmission(body);
-      BOOST_TEST(!job.ok());
-      BOOST_TEST((KindOf(job.status()) == ErrorKind::BadField));
-    }
+  for (const auto* body : { "",
+                            "[]",
+                            "{",
+                            R"({"spec":1,"steps":[]})",
+                            R"({"spec":"x"})",
+                            R"({"spec":"x","steps":[1]})",
+                            R"({"spec":"x","steps":[{"count":-1}]})",
+                            R"({"spec":"x","steps":[{"count":1,"cpu":99999999999}]})",
+                            R"({"spec":"x","steps":[{"count":1,"after":["a"]}]})" }) {
+    auto job = DecodeSubmission(body);
+    BOOST_TEST(!job.ok());
+    BOOST_TEST((KindOf(job.status()) == ErrorKind::BadField));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(names_of_tasks_are_read_as_they_are_written)
 {
-    TaskName name{ JobId("5c0e7a21d94b36f8"), 0, 1, 17 };
-    BOOST_TEST(EncodeTaskName(name) == "5c0e7a21d94b36f8.0.1.17");
-    auto again = DecodeTaskName(EncodeTaskName(name));
-    BOOST_REQUIRE(again.ok());
-    BOOST_TEST((*again == name));
-    BOOST_TEST(!DecodeTaskName("5c0e.0.1").ok());
-    BOOST_TEST(!DecodeTaskName("5c0e.0.x.1").ok());
+  TaskName name{ JobId("5c0e7a21d94b36f8"), 0, 1, 17 };
+  BOOST_TEST(EncodeTaskName(name) == "5c0e7a21d94b36f8.0.1.17");
+  auto again = DecodeTaskName(EncodeTaskName(name));
+  BOOST_REQUIRE(again.ok());
+  BOOST_TEST((*again == name));
+  BOOST_TEST(!DecodeTaskName("5c0e.0.1").ok());
+  BOOST_TEST(!DecodeTaskName("5c0e.0.x.1").ok());
 }
 
 BOOST_AUTO_TEST_CASE(records_are_read_as_they_are_written)
 {
-    std::vector<LogRecord> records{ { "a", "one" },
-                                    { "bc", std::string("\0\xff", 2) },
-                                    { "d", "" } };
-    ReadAnswer answer;
-    answer.mCall.mStream = Stream::Jobs;
-    answer.mCall.mFrom = 40;
-    std::string body = std::string("\0\0\0\0\0\0\0\x2b", 8) + std::string("\0\0\0\0\0\0\0\x28", 8);
-    DecodeRead(200, body + EncodeRecords(records), answer);
-    BOOST_TEST((answer.mResult == CallResult::Done));
-    BOOST_TEST(answer.mEnd == 43);
-    BOOST_REQUIRE(answer.mRecords.size() == 3u);
-    BOOST_TEST(answer.mRecords[1].mKey == "bc");
-    BOOST_TEST(answer.mRecords[1].mValue == records[1].mValue);
-    BOOST_TEST(answer.mRecords[2].mOffset == 42);
-    BOOST_TEST(answer.mRecords[2].mValue.empty());
+  std::vector<LogRecord> records{ { "a", "one" }, { "bc", std::string("\0\xff", 2) }, { "d", "" } };
+  ReadAnswer answer;
+  answer.mCall.mStream = Stream::Jobs;
+  answer.mCall.mFrom = 40;
+  std::string body = std::string("\0\0\0\0\0\0\0\x2b", 8) + std::string("\0\0\0\0\0\0\0\x28", 8);
+  DecodeRead(200, body + EncodeRecords(records), answer);
+  BOOST_TEST((answer.mResult == CallResult::Done));
+  BOOST_TEST(answer.mEnd == 43);
+  BOOST_REQUIRE(answer.mRecords.size() == 3u);
+  BOOST_TEST(answer.mRecords[1].mKey == "bc");
+  BOOST_TEST(answer.mRecords[1].mValue == records[1].mValue);
+  BOOST_TEST(answer.mRecords[2].mOffset == 42);
+  BOOST_TEST(answer.mRecords[2].mValue.empty());
 }
 
 BOOST_AUTO_TEST_CASE(answers_to_appends_say_what_happened)
 {
-    AppendAnswer answer;
-    DecodeAppend(200, R"({"offset":840,"end":842})", answer);
-    BOOST_TEST((answer.mResult == CallResult::Done));
-    BOOST_TEST(answer.mOffset == 840);
-    DecodeAppend(409, R"({"reason":"fenced"})", answer);
-    BOOST_TEST((answer.mRefusal == AppendRefusal::Fenced));
-    DecodeAppend(409, R"({"reason":"seq","seq":7})", answer);
-    BOOST_TEST((answer.mRefusal == AppendRefusal::Sequence));
-    BOOST_TEST(answer.mExpectedSequence == 7);
-    DecodeAppend(412, R"({"end":9})", answer);
-    BOOST_TEST((answer.mRefusal == AppendRefusal::Moved));
-    BOOST_TEST(answer.mEnd == 9);
-    DecodeAppend(503, "", answer);
-    BOOST_TEST((answer.mResult == CallResult::Refused));
-    // An answer that makes no sense says nothing of what was done.
-    DecodeAppend(500, "", answer);
-    BOOST_TEST((answer.mResult == CallResult::Unanswered));
-    DecodeAppend(200, "{", answer);
-    BOOST_TEST((answer.mResult == CallResult::Unanswered));
+  AppendAnswer answer;
+  DecodeAppend(200, R"({"offset":840,"end":842})", answer);
+  BOOST_TEST((answer.mResult == CallResult::Done));
+  BOOST_TEST(answer.mOffset == 840);
+  DecodeAppend(409, R"({"reason":"fenced"})", answer);
+  BOOST_TEST((answer.mRefusal == AppendRefusal::Fenced));
+  DecodeAppend(409, R"({"reason":"seq","seq":7})", answer);
+  BOOST_TEST((answer.mRefusal == AppendRefusal::Sequence));
+  BOOST_TEST(answer.mExpectedSequence == 7);
+  DecodeAppend(412, R"({"end":9})", answer);
+  BOOST_TEST((answer.mRefusal == AppendRefusal::Moved));
+  BOOST_TEST(answer.mEnd == 9);
+  DecodeAppend(503, "", answer);
+  BOOST_TEST((answer.mResult == CallResult::Refused));
+  // An answer that makes no sense says nothing of what was done.
+  DecodeAppend(500, "", answer);
+  BOOST_TEST((answer.mResult == CallResult::Unanswered));
+  DecodeAppend(200, "{", answer);
+  BOOST_TEST((answer.mResult == CallResult::Unanswered));
 }
 
 BOOST_AUTO_TEST_CASE(lists_of_an_executor)
 {
-    HoldAnswer answer;
-    DecodeHold(200,
-               R"({"clockMs":482113,"born":1700000000000,)"
-               R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,80]],)"
-               R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x",1,"done",""]]})",
-               answer);
-    BOOST_TEST((answer.mResult == CallResult::Done));
-    BOOST_TEST(answer.mIncarnation == 1700000000000);
-    BOOST_REQUIRE(answer.mRunning.size() == 1u);
-    BOOST_TEST(answer.mRunning[0].mPercent == 41);
-    BOOST_TEST(answer.mRunning[0].mLoad == 80);
-    BOOST_REQUIRE(answer.mEnds.size() == 1u);
-    BOOST_TEST((answer.mEnds[0].mKind == EndKind::Done));
-    HoldAnswer fenced;
-    DecodeHold(409, R"({"clockMs":1,"reason":"fence"})", fenced);
-    BOOST_TEST(fenced.mFenced);
+  HoldAnswer answer;
+  DecodeHold(200,
+             R"({"clockMs":482113,"born":1700000000000,)"
+             R"("running":[["5c0e7a21d94b36f8.0.1.17",2,"00000bb87a21d94b",41,80]],)"
+             R"("finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],[59,"x",1,"done",""]]})",
+             answer);
+  BOOST_TEST((answer.mResult == CallResult::Done));
+  BOOST_TEST(answer.mIncarnation == 1700000000000);
+  BOOST_REQUIRE(answer.mRunning.size() == 1u);
+  BOOST_TEST(answer.mRunning[0].mPercent == 41);
+  BOOST_TEST(answer.mRunning[0].mLoad == 80);
+  BOOST_REQUIRE(answer.mEnds.size() == 1u);
+  BOOST_TEST((answer.mEnds[0].mKind == EndKind::Done));
+  HoldAnswer fenced;
+  DecodeHold(409, R"({"clockMs":1,"reason":"fence"})", fenced);
+  BOOST_TEST(fenced.mFenced);
 }
 
 BOOST_AUTO_TEST_CASE(refusals_of_a_start)
 {
-    const std::pair<const char*, StartRefusal> reasons[] = { { "fence", StartRefusal::Fenced },
-                                                             { "old", StartRefusal::OldRun },
-                                                             { "late", StartRefusal::LeaseOver },
-                                                             { "room", StartRefusal::NoRoom } };
-    for (const auto& [reason, refusal] : reasons) {
-      StartAnswer answer;
-      DecodeStart(409, std::string(R"({"clockMs":5,"reason":")") + reason + "\"}", answer);
-      BOOST_TEST((answer.mRefusal == refusal));
-      BOOST_TEST((answer.mResult == CallResult::Refused));
-    }
-    StartAnswer broken;
-    DecodeStart(500, "", broken);
-    BOOST_TEST((broken.mResult == CallResult::Unanswered));
+  const std::pair<const char*, StartRefusal> reasons[] = { { "fence", StartRefusal::Fenced },
+                                                           { "old", StartRefusal::OldRun },
+                                                           { "late", StartRefusal::LeaseOver },
+                                                           { "room", StartRefusal::NoRoom } };
+  for (const auto& [reason, refusal] : reasons) {
+    StartAnswer answer;
+    DecodeStart(409, std::string(R"({"clockMs":5,"reason":")") + reason + "\"}", answer);
+    BOOST_TEST((answer.mRefusal == refusal));
+    BOOST_TEST((answer.mResult == CallResult::Refused));
+  }
+  StartAnswer broken;
+  DecodeStart(500, "", broken);
+  BOOST_TEST((broken.mResult == CallResult::Unanswered));
 }
 
 BOOST_AUTO_TEST_CASE(entries_that_can_not_be_read_are_left_out_and_the_others_hold)
 {
-    NewestAnswer answer;
-    answer.mCall.mStream = Stream::Executors;
-    DecodeNewest(
-      200,
-      R"({"items":[{"key":"i-1","value":"bm90IGpzb24=","offset":1},{"key":"i-2","value":)"
-      R"("eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInN0YXRlIjoicmVhZHkiLCJyb29tIjp7ImNwdSI6MTYwMDAsIm1lbU1iIjozMjc2OCwiZ3B1IjowfSwibGFiZWxzIjpbImEiLCJyMS0yIl19",)"
-      R"("offset":2}],"hasMore":false,"end":6})",
-      answer);
-    BOOST_REQUIRE(answer.mForeign.mExecutors.size() == 1u);
-    BOOST_TEST(answer.mForeign.mExecutors[0].mId.mValue == "i-2");
-    BOOST_TEST(answer.mForeign.mExecutors[0].mRoom.mCpuMillicores == 16000);
-    BOOST_TEST(answer.mForeign.mUnreadable.size() == 1u);
+  NewestAnswer answer;
+  answer.mCall.mStream = Stream::Executors;
+  DecodeNewest(
+    200,
+    R"({"items":[{"key":"i-1","value":"bm90IGpzb24=","offset":1},{"key":"i-2","value":)"
+    R"("eyJzZXJ2aWNlIjoicyIsImFkZHJlc3MiOiIxMC4wLjAuMTo4MCIsInN0YXRlIjoicmVhZHkiLCJyb29tIjp7ImNwdSI6MTYwMDAsIm1lbU1iIjozMjc2OCwiZ3B1IjowfSwibGFiZWxzIjpbImEiLCJyMS0yIl19",)"
+    R"("offset":2}],"hasMore":false,"end":6})",
+    answer);
+  BOOST_REQUIRE(answer.mForeign.mExecutors.size() == 1u);
+  BOOST_TEST(answer.mForeign.mExecutors[0].mId.mValue == "i-2");
+  BOOST_TEST(answer.mForeign.mExecutors[0].mRoom.mCpuMillicores == 16000);
+  BOOST_TEST(answer.mForeign.mUnreadable.size() == 1u);
 }
 
 BOOST_AUTO_TEST_CASE(any_bytes_are_survived)
 {
-    rc::check([] {
-      auto bytes = *rc::gen::string<std::string>();
-      auto status = *rc::gen::element(200, 409, 410, 412, 500);
-      HoldAnswer hold;
-      DecodeHold(status, bytes, hold);
-      StartAnswer start;
-      DecodeStart(status, bytes, start);
-      AppendAnswer append;
-      DecodeAppend(status, bytes, append);
-      ReadAnswer read;
-      DecodeRead(status, bytes, read);
-      NewestAnswer newest;
-      DecodeNewest(status, bytes, newest);
-      JoinAnswer join;
-      DecodeJoin(status, bytes, join);
-      MachinesAnswer machines;
-      DecodeMachines(status, bytes, machines);
-      DecodeSubmission(bytes).IgnoreError();
-    });
+  rc::check([] {
+    auto bytes = *rc::gen::string<std::string>();
+    auto status = *rc::gen::element(200, 409, 410, 412, 500);
+    HoldAnswer hold;
+    DecodeHold(status, bytes, hold);
+    StartAnswer start;
+    DecodeStart(status, bytes, start);
+    AppendAnswer append;
+    DecodeAppend(status, bytes, append);
+    ReadAnswer read;
+    DecodeRead(status, bytes, read);
+    NewestAnswer newest;
+    DecodeNewest(status, bytes, newest);
+    JoinAnswer join;
+    DecodeJoin(status, bytes, join);
+    MachinesAnswer machines;
+    DecodeMachines(status, bytes, machines);
+    DecodeSubmission(bytes).IgnoreError();
+  });
 }
 
 BOOST_AUTO_TEST_CASE(a_line_of_the_log_is_one_json_object)
 {
-    LogEntry entry{ LogLevel::Info, "job-refused", "5c0e7a21d94b36f8" };
-    entry.mReason = "the log \"does not\" answer\n";
-    entry.mVersion = 7;
-    auto text = LogText(TimePoint(1s), "e1", entry);
-    BOOST_TEST(text ==
-               R"({"time_ms":1000,"level":"info","host":"e1","event":"job-refused",)"
-               R"("job":"5c0e7a21d94b36f8","reason":"the log \"does not\" answer\n","version":7})");
+  LogEntry entry{ LogLevel::Info, "job-refused", "5c0e7a21d94b36f8" };
+  entry.mReason = "the log \"does not\" answer\n";
+  entry.mVersion = 7;
+  auto text = LogText(TimePoint(1s), "e1", entry);
+  BOOST_TEST(text ==
+             R"({"time_ms":1000,"level":"info","host":"e1","event":"job-refused",)"
+             R"("job":"5c0e7a21d94b36f8","reason":"the log \"does not\" answer\n","version":7})");
 }
 
 BOOST_AUTO_TEST_CASE(settings_are_checked_and_every_mistake_is_named)
 {
-    Settings settings;
-    auto status = CheckSettings(settings);
-    BOOST_TEST(!status.ok());
-    for (const auto* name : { "name", "front", "ready", "store", "machines" }) {
-      BOOST_TEST(status.message().find(name) != std::string::npos);
-    }
-    BOOST_TEST(!LoadSettings("/nonexistent/settings.json").ok());
+  Settings settings;
+  auto status = CheckSettings(settings);
+  BOOST_TEST(!status.ok());
+  for (const auto* name : { "name", "front", "ready", "store", "machines" }) {
+    BOOST_TEST(status.message().find(name) != std::string::npos);
+  }
+  BOOST_TEST(!LoadSettings("/nonexistent/settings.json").ok());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
