Start the job with least time left first, and wait for former stops

Change: steps go by their latest start; an owner stops lasting tasks only once stops of the former one are over. Both tests fail on the former code by construction (order by work; no wait).

--- a/Libraries/LibSchedule/QueueOrder.h
+++ b/Libraries/LibSchedule/QueueOrder.h
@@ -24,7 +24,8 @@
 CollectReadySteps(Job& aJob, TimePoint aWall, std::vector<ReadyStep>& aSteps);
 
 // Work that can still be in time goes before work that can't; urgent queues before others; lasting
-// tasks, which callers miss at once, before jobs; then the job that is done with least work.
+// tasks, which callers miss at once, before jobs; then the job that has to start soonest, so that
+// large jobs have their turn in a burst of small ones.
 void
 SortReadySteps(std::vector<ReadyStep>& aSteps);
 
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -438,7 +438,7 @@
         aShard.mSilenceToRecord.insert(id);
       }
     }
-    EmptyLeavingExecutor(aShard, executor);
+    EmptyLeavingExecutor(aShard, executor, aNow.mAt);
     if (NeedsHold(executor, aNow.mAt)) {
       SendHold(aShard, executor, aNow.mAt, aActions);
     }
--- a/Libraries/LibSchedule/Vacate.cpp
+++ b/Libraries/LibSchedule/Vacate.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr int kAtWork = 100;
+// For the answer of an executor to the last stop of a former owner.
+constexpr Duration kStopMargin = 500ms;
 
 bool
 IsAtWork(const Shard& aShard, const Attempt& aAttempt, const TaskName& aTask)
@@ -44,12 +46,14 @@
 }
 
 void
-EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor)
+EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor, Instant aNow)
 {
   auto drains = aExecutor.mEntry.mState == ExecutorState::Draining;
   if (!drains && aExecutor.mVacating == Vacating::No) {
     return;
   }
+  // A task that a former owner has told to stop is listed as at work until it is gone.
+  auto knowsStops = aNow - aShard.mTakenOverAt > aShard.mSettings.mStopTime + kStopMargin;
   for (auto& [name, run] : aExecutor.mRuns) {
     if (!run.mLasts || run.mState != RunState::Running || run.mStopWanted) {
       continue;
@@ -59,7 +63,7 @@
       continue;
     }
     const auto& step = job->mDefinition.mSteps[static_cast<std::size_t>(name.mTask.mStep)];
-    if (drains || TasksAway(aShard, *job, name.mTask) < step.mMaxAway) {
+    if (drains || (knowsStops && TasksAway(aShard, *job, name.mTask) < step.mMaxAway)) {
       run.mStopWanted = true;
     }
   }
--- a/Libraries/LibSchedule/Vacate.h
+++ b/Libraries/LibSchedule/Vacate.h
@@ -11,6 +11,6 @@
 
 // Stops the lasting tasks of an executor that drains or is to be taken down.
 void
-EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor);
+EmptyLeavingExecutor(Shard& aShard, Executor& aExecutor, Instant aNow);
 
 }
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -1,4 +1,5 @@
 #include "LibSchedule/Rebalance.h"
+#include "LibSchedule/Vacate.h"
 #include "Steps.h"
 
 #include <boost/test/unit_test.hpp>
@@ -169,6 +170,36 @@
   BOOST_TEST(CountAppended(actions, "upkeep/") == 1);
 }
 
+// Found on citra-sesame scale-1: a task that the former owner had told to stop was still listed as
+// at work, and the new owner stopped another one of its step.
+BOOST_AUTO_TEST_CASE(a_new_owner_waits_for_the_stops_of_the_former_one)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  JobDefinition definition;
+  definition.mService = pool;
+  definition.mSteps = { MakeLastingStep(2, 1, 1) };
+  auto& shard = owner.mShards.begin()->second;
+  auto& job =
+    shard.mJobs.emplace(JobId("j"), MakeJob(JobId("j"), definition, nullptr)).first->second;
+  for (int index = 0; index < 2; ++index) {
+    TaskName name{ job.mId, 0, 0, index };
+    auto& executor = owner.AddHost("m" + std::to_string(index), pool);
+    auto run = detail::MakeRun(definition.mSteps[0], RunState::Running, kNow.mAt);
+    run.mPercent = 100;
+    executor.mRuns[{ name, 1 }] = run;
+    FindTask(job, name)->mAttempts.push_back({ executor.mEntry.mId, 1 });
+    SetTaskState(job, name, TaskState::Placed);
+  }
+  auto& leaving = shard.mExecutors.at(ExecutorId("x-m0"));
+  leaving.mVacating = Vacating::ForUpkeep;
+  shard.mTakenOverAt = kNow.mAt - 500ms;
+  detail::EmptyLeavingExecutor(shard, leaving, kNow.mAt);
+  BOOST_TEST(!leaving.mRuns.begin()->second.mStopWanted);
+  detail::EmptyLeavingExecutor(shard, leaving, kNow.mAt + 2s);
+  BOOST_TEST(leaving.mRuns.begin()->second.mStopWanted);
+}
+
 BOOST_AUTO_TEST_CASE(a_host_that_is_down_does_not_move)
 {
   Owner owner;
--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -129,4 +129,31 @@
   BOOST_TEST(fleet.Choose(MakeStep(1, 1), task) == "x");
 }
 
+// A burst of small jobs beside large ones in one pool: least work first left the large ones for
+// last until they were late.
+BOOST_AUTO_TEST_CASE(in_a_burst_the_job_with_least_time_left_goes_first)
+{
+  auto make = [](const char* aName, int aTasks, Duration aAge) {
+    JobDefinition definition;
+    definition.mSteps = { MakeStep(aTasks, 2, 1000ms) };
+    definition.mAcceptedAt = TimePoint(100s) - aAge;
+    definition.mStretchPercent = 160;
+    definition.mResponseGoal = 600ms;
+    return MakeJob(JobId(aName), definition, nullptr);
+  };
+  auto large = make("large", 24, 800ms);
+  auto small = make("small", 2, 100ms);
+  auto late = make("late", 1, 5s);
+  std::vector<ReadyStep> steps;
+  for (auto* job : { &late, &small, &large }) {
+    CollectReadySteps(*job, TimePoint(100s), steps);
+  }
+  SortReadySteps(steps);
+  BOOST_REQUIRE(steps.size() == 3u);
+  BOOST_TEST(steps[0].mJob->mId.mValue == "large");
+  BOOST_TEST(steps[1].mJob->mId.mValue == "small");
+  // What can't be in time any more goes last.
+  BOOST_TEST(steps[2].mJob->mId.mValue == "late");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
