Look at fewer executors and tasks an event

Cause: the owner of a large shard was busy with looking, not with calls. Every event went through all executors and their runs, all hosts of an open wave, and in a full pool through all candidates for each waiting step.

Ruled out: system calls.

--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -64,9 +64,7 @@
 {
   Room sum;
   for (const auto& [name, run] : aExecutor.mRuns) {
-    sum.mCpuMillicores += run.mReserved.mCpuMillicores;
-    sum.mMemoryMb += run.mReserved.mMemoryMb;
-    sum.mGpus += run.mReserved.mGpus;
+    sum = sum + run.mReserved;
   }
   return sum;
 }
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -87,6 +87,8 @@
   Vacating mVacating = Vacating::No;
   int mFailuresInARow = 0;
   Instant mAvoidUntil;
+  // It is among those that the shard looks at before the next sweep.
+  bool mIsTouched = false;
 };
 
 struct LeaseLimits
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -26,6 +26,30 @@
   bool operator==(const Room&) const = default;
 };
 
+// Whether aRoom is at least aNeeds in every kind.
+inline bool
+Covers(const Room& aRoom, const Room& aNeeds)
+{
+  return aRoom.mCpuMillicores >= aNeeds.mCpuMillicores && aRoom.mMemoryMb >= aNeeds.mMemoryMb &&
+         aRoom.mGpus >= aNeeds.mGpus;
+}
+
+inline Room
+operator+(const Room& aLeft, const Room& aRight)
+{
+  return { aLeft.mCpuMillicores + aRight.mCpuMillicores,
+           aLeft.mMemoryMb + aRight.mMemoryMb,
+           aLeft.mGpus + aRight.mGpus };
+}
+
+inline Room
+operator-(const Room& aLeft, const Room& aRight)
+{
+  return { aLeft.mCpuMillicores - aRight.mCpuMillicores,
+           aLeft.mMemoryMb - aRight.mMemoryMb,
+           aLeft.mGpus - aRight.mGpus };
+}
+
 // Some tasks of a job that are alike.
 struct Step
 {
@@ -55,6 +79,17 @@
   std::chrono::milliseconds mTargetTail{ 0 };
 };
 
+// What a task of the step takes of an executor's room.
+inline Room
+NeedsOf(const Step& aStep)
+{
+  auto needs = aStep.mNeeds;
+  if (aStep.mFills) {
+    needs.mCpuMillicores = 0;
+  }
+  return needs;
+}
+
 // What a caller handed in, with what its queue promised at that time.
 struct JobDefinition
 {
--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -13,20 +13,6 @@
 constexpr std::int64_t kOtherRack = 100'000'000;
 constexpr std::int64_t kDisturbs = 10'000'000;
 
-std::int64_t
-CpuOf(const Step& aStep)
-{
-  return aStep.mFills ? 0 : aStep.mNeeds.mCpuMillicores;
-}
-
-bool
-Fits(const Candidate& aCandidate, const Step& aStep)
-{
-  return aCandidate.mFree.mCpuMillicores >= CpuOf(aStep) &&
-         aCandidate.mFree.mMemoryMb >= aStep.mNeeds.mMemoryMb &&
-         aCandidate.mFree.mGpus >= aStep.mNeeds.mGpus;
-}
-
 bool
 HasLabel(const Executor& aExecutor, const std::string& aLabel)
 {
@@ -76,7 +62,7 @@
   const auto& step = *aRequest.mStep;
   const auto& failedOn = aRequest.mTask->mFailedOn;
   const auto& id = aCandidate.mExecutor->mEntry.mId;
-  std::int64_t cost = aCandidate.mFree.mCpuMillicores - CpuOf(step);
+  std::int64_t cost = aCandidate.mFree.mCpuMillicores - NeedsOf(step).mCpuMillicores;
   if (std::find(failedOn.begin(), failedOn.end(), id) != failedOn.end()) {
     cost += kFailedThere;
   }
@@ -102,13 +88,9 @@
     if (!IsUsable(executor, aNow)) {
       continue;
     }
-    auto reserved = ReservedRoom(executor);
-    const auto& room = executor.mEntry.mRoom;
     Candidate candidate;
     candidate.mExecutor = &executor;
-    candidate.mFree = { room.mCpuMillicores - reserved.mCpuMillicores,
-                        room.mMemoryMb - reserved.mMemoryMb,
-                        room.mGpus - reserved.mGpus };
+    candidate.mFree = executor.mEntry.mRoom - ReservedRoom(executor);
     candidate.mRack = RackOf(executor.mEntry);
     for (const auto& [name, run] : executor.mRuns) {
       candidate.mServing += run.mServes ? 1 : 0;
@@ -124,10 +106,11 @@
                 const ServiceName& aService,
                 const PlacementRequest& aRequest)
 {
+  auto needs = NeedsOf(*aRequest.mStep);
   Candidate* best = nullptr;
   std::int64_t bestCost = 0;
   for (auto& candidate : aCandidates) {
-    if (!Fits(candidate, *aRequest.mStep) || !IsAllowed(candidate, aService, aRequest)) {
+    if (!Covers(candidate.mFree, needs) || !IsAllowed(candidate, aService, aRequest)) {
       continue;
     }
     auto cost = CostOf(candidate, aRequest);
@@ -142,9 +125,7 @@
 void
 Reserve(Candidate& aCandidate, const Step& aStep)
 {
-  aCandidate.mFree.mCpuMillicores -= CpuOf(aStep);
-  aCandidate.mFree.mMemoryMb -= aStep.mNeeds.mMemoryMb;
-  aCandidate.mFree.mGpus -= aStep.mNeeds.mGpus;
+  aCandidate.mFree = aCandidate.mFree - NeedsOf(aStep);
   aCandidate.mServing += aStep.mTargetTail.count() != 0 ? 1 : 0;
   aCandidate.mFilling += aStep.mFills ? 1 : 0;
 }
@@ -152,9 +133,7 @@
 void
 Release(Candidate& aCandidate, const Step& aStep)
 {
-  aCandidate.mFree.mCpuMillicores += CpuOf(aStep);
-  aCandidate.mFree.mMemoryMb += aStep.mNeeds.mMemoryMb;
-  aCandidate.mFree.mGpus += aStep.mNeeds.mGpus;
+  aCandidate.mFree = aCandidate.mFree + NeedsOf(aStep);
   aCandidate.mServing -= aStep.mTargetTail.count() != 0 ? 1 : 0;
   aCandidate.mFilling -= aStep.mFills ? 1 : 0;
 }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -89,6 +89,9 @@
   std::string mPageKey;
 
   std::map<ExecutorId, Executor> mExecutors;
+  // Executors that may need a call at once; all others wait for the next sweep.
+  std::vector<Executor*> mTouched;
+  Instant mNextSweepAt;
   // Runs whose placement is to be written, in the order of their choice.
   std::vector<TaskRun> mToRecord;
   std::set<JobId> mDirty;
@@ -175,6 +178,9 @@
 DropRun(Shard& aShard, Executor& aExecutor, const TaskRun& aRun);
 void
 RequestStop(Executor& aExecutor, const TaskRun& aRun);
+// Lets the shard look at the executor after this event.
+void
+Touch(Shard& aShard, Executor& aExecutor);
 
 // The same, but a run that was not sent yet is forgotten at once.
 void
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -13,7 +13,25 @@
 constexpr Duration kPassInterval = 100ms;
 // In a full pool each pass looks at all that waits, for the room of a task or two: ends gather
 // meanwhile.
-constexpr Duration kPassIntervalWhenFull = 10ms;
+constexpr Duration kPassIntervalWhenFull = 20ms;
+
+// For each service, the needs of a step that found no room in this pass. Room only shrinks while
+// tasks are being placed, so that whatever needs as much finds none either.
+using NeedsWithoutRoom = std::map<ServiceName, Room>;
+
+bool
+FitsNowhere(const NeedsWithoutRoom& aWithoutRoom, const ServiceName& aService, const Room& aNeeds)
+{
+  auto found = aWithoutRoom.find(aService);
+  return found != aWithoutRoom.end() && Covers(aNeeds, found->second);
+}
+
+// Nothing but room decides where a task of the step may go.
+bool
+DependsOnRoomOnly(const Step& aStep)
+{
+  return aStep.mRequiredLabel.empty() && aStep.mMaxPerExecutor == 0;
+}
 
 void
 Place(Shard& aShard,
@@ -47,10 +65,17 @@
 }
 
 void
-PlaceEach(Shard& aShard, const ReadyStep& aReady, std::vector<Candidate>& aCandidates, Instant aNow)
+PlaceEach(Shard& aShard,
+          const ReadyStep& aReady,
+          std::vector<Candidate>& aCandidates,
+          NeedsWithoutRoom& aWithoutRoom,
+          Instant aNow)
 {
   auto& job = *aReady.mJob;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
+  if (FitsNowhere(aWithoutRoom, job.mDefinition.mService, NeedsOf(step))) {
+    return;
+  }
   for (int index = 0; index < step.mCount; ++index) {
     auto name = NameOf(aReady, index);
     auto* task = FindTask(job, name);
@@ -59,6 +84,9 @@
     }
     auto* candidate = ChooseCandidate(aCandidates, job.mDefinition.mService, { &step, task, name });
     if (candidate == nullptr) {
+      if (DependsOnRoomOnly(step)) {
+        aWithoutRoom[job.mDefinition.mService] = NeedsOf(step);
+      }
       return;
     }
     Place(aShard, aReady, name, task->mHighestRun + 1, *candidate, aNow);
@@ -127,12 +155,13 @@
   }
   SortReadySteps(ready);
   auto candidates = MakeCandidates(aShard.mExecutors, aNow.mAt);
+  NeedsWithoutRoom withoutRoom;
   for (const auto& step : ready) {
     const auto& definition = step.mJob->mDefinition.mSteps[static_cast<std::size_t>(step.mStep)];
     if (definition.mGang) {
       PlaceGang(aShard, step, candidates, aNow.mAt);
     } else {
-      PlaceEach(aShard, step, candidates, aNow.mAt);
+      PlaceEach(aShard, step, candidates, withoutRoom, aNow.mAt);
     }
     const auto& state = step.mJob->mOccurrences[static_cast<std::size_t>(step.mOccurrence)]
                           .mSteps[static_cast<std::size_t>(step.mStep)];
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -21,6 +21,8 @@
 constexpr Duration kFirstRetryPause = 100ms;
 constexpr int kMaxRetryDoublings = 3;
 constexpr Duration kStopRetryPause = 400ms;
+// What becomes due by time alone is seen this late at most.
+constexpr Duration kSweepInterval = 20ms;
 constexpr int kAtWork = 100;
 // The longest list of ends that one answer holds.
 constexpr std::size_t kMaxListedEnds = 500;
@@ -233,6 +235,23 @@
   }
 }
 
+void
+AdvanceExecutor(Shard& aShard, Executor& aExecutor, const Now& aNow, Actions& aActions)
+{
+  auto isUnreachable = aExecutor.mUnanswered > 0 || aExecutor.mEntry.mState == ExecutorState::Gone;
+  if (isUnreachable && aExecutor.mLapsedAt < aNow.mAt && !aExecutor.mRuns.empty()) {
+    DropAll(aShard, aExecutor);
+    if (aExecutor.mIsSilent) {
+      aShard.mSilenceToRecord.insert(aExecutor.mEntry.mId);
+    }
+  }
+  detail::EmptyLeavingExecutor(aShard, aExecutor, aNow.mAt);
+  if (NeedsHold(aExecutor, aNow.mAt)) {
+    SendHold(aShard, aExecutor, aNow.mAt, aActions);
+  }
+  SendStops(aShard, aExecutor, aNow.mAt, aActions);
+}
+
 }
 
 void
@@ -243,6 +262,7 @@
     return;
   }
   executor->mHoldPending = false;
+  detail::Touch(aShard, *executor);
   if (aAnswer.mFenced) {
     detail::Lose(aShard, "an executor knows a later owner", aActions);
     return;
@@ -426,29 +446,35 @@
   found->second.mState = RunState::Starting;
   found->second.mEpoch = aShard.mEpoch;
   found->second.mSince = aNow.mAt;
+  Touch(aShard, executor);
   ++aShard.mCounters.mStarts;
   aActions.emplace_back(std::move(call));
 }
 
+void
+Touch(Shard& aShard, Executor& aExecutor)
+{
+  if (!aExecutor.mIsTouched) {
+    aExecutor.mIsTouched = true;
+    aShard.mTouched.push_back(&aExecutor);
+  }
+}
+
 void
 AdvanceExecutors(Shard& aShard, const Now& aNow, Actions& aActions)
 {
   if (!MayRenew(aShard, aNow.mAt)) {
     return;
   }
-  for (auto& [id, executor] : aShard.mExecutors) {
-    if (executor.mLapsedAt < aNow.mAt && !executor.mRuns.empty() &&
-        (executor.mUnanswered > 0 || executor.mEntry.mState == ExecutorState::Gone)) {
-      DropAll(aShard, executor);
-      if (executor.mIsSilent) {
-        aShard.mSilenceToRecord.insert(id);
-      }
-    }
-    EmptyLeavingExecutor(aShard, executor, aNow.mAt);
-    if (NeedsHold(executor, aNow.mAt)) {
-      SendHold(aShard, executor, aNow.mAt, aActions);
+  if (aNow.mAt >= aShard.mNextSweepAt) {
+    aShard.mNextSweepAt = aNow.mAt + kSweepInterval;
+    for (auto& [id, executor] : aShard.mExecutors) {
+      AdvanceExecutor(aShard, executor, aNow, aActions);
     }
-    SendStops(aShard, executor, aNow.mAt, aActions);
+  }
+  for (auto* executor : std::exchange(aShard.mTouched, {})) {
+    executor->mIsTouched = false;
+    AdvanceExecutor(aShard, *executor, aNow, aActions);
   }
 }
 
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -131,6 +131,7 @@
     auto found = aShard.mExecutors.find(id);
     if (found != aShard.mExecutors.end()) {
       found->second.mRecordedEnds = std::max(found->second.mRecordedEnds, number);
+      detail::Touch(aShard, found->second);
     }
   }
   for (const auto& id : write.mAudible) {
