--- a/Libraries/LibSchedule/Demand.cpp
+++ b/Libraries/LibSchedule/Demand.cpp
@@ -7,19 +7,34 @@
 
 namespace {
 
-// Waiting work is to be done within this time, which is what callers can wait beyond its run time.
-constexpr double kCatchUpSeconds = 1.2;
 // Tasks of different sizes don't fill a host to the last core.
 constexpr double kUsableShare = 0.85;
+// While tasks that wait can still be in time, about this share of those that run goes on running.
+constexpr double kStaysRunning = 0.25;
+// Late work is done within this time, by hosts that nobody misses.
+constexpr double kLateWorkSeconds = 3.0;
+// Jobs that arrived within this time tell how much work keeps coming, and together with those that
+// arrived within the same time before, how it grows.
+constexpr Duration kArrivalWindow = 500ms;
+// What is moved now takes work after this time.
+constexpr Duration kLeadTime = 2s;
+// A few arrivals by chance look like growth; it is believed up to this factor.
+constexpr double kMaxGrowth = 2.5;
 constexpr double kMilliseconds = 1000.0;
 constexpr double kMillicores = 1000.0;
 
 struct WorkSums
 {
-  // Cores that running and placed tasks take.
-  double mRunningCores = 0;
-  // Processor time of tasks that wait or come later, in cores times seconds.
+  // Cores that running and placed tasks take, and tasks that last once they are placed.
+  double mRunning = 0;
+  // Cores that tasks take which wait and can still be in time.
   double mWaiting = 0;
+  // Processor time of waiting tasks of late jobs, in cores times seconds.
+  double mLate = 0;
+  // Processor time of the jobs that arrived in the last window and in the one before, in cores
+  // times seconds.
+  double mArrived = 0;
+  double mArrivedBefore = 0;
   // Hosts that a step needs because few of its tasks may share one.
   int mHosts = 0;
 };
@@ -27,35 +42,78 @@
 double
 CoresOf(const Step& aStep)
 {
-  return aStep.mFills ? 0 : static_cast<double>(aStep.mNeeds.mCpuMillicores) / kMillicores;
+  return static_cast<double>(NeedsOf(aStep).mCpuMillicores) / kMillicores;
+}
+
+double
+SecondsOf(const Step& aStep)
+{
+  return static_cast<double>(aStep.mEstimate.count()) / kMilliseconds;
+}
+
+void
+AddStep(const Job& aJob, int aOccurrence, int aStep, const Now& aNow, WorkSums& aSums)
+{
+  const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(aStep)];
+  const auto& state = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)]
+                        .mSteps[static_cast<std::size_t>(aStep)];
+  auto open = static_cast<int>(state.mTasks.size()) - state.mDone;
+  aSums.mRunning += (open - state.mWaiting) * CoresOf(step);
+  if (step.mMaxPerExecutor > 0) {
+    aSums.mHosts = std::max(aSums.mHosts, (open + step.mMaxPerExecutor - 1) / step.mMaxPerExecutor);
+  }
+  if (state.mWaiting == 0 || !IsReady(aJob, aOccurrence, aStep, aNow.mWall)) {
+    return;
+  }
+  auto cores = state.mWaiting * CoresOf(step);
+  if (step.mLasting) {
+    aSums.mRunning += cores;
+  } else if (LatestStart(aJob, aOccurrence, aStep) < aNow.mWall) {
+    aSums.mLate += cores * SecondsOf(step);
+  } else {
+    aSums.mWaiting += cores;
+  }
 }
 
 void
 AddJob(const Job& aJob, const Now& aNow, WorkSums& aSums)
 {
   for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    const auto& occurrence = aJob.mOccurrences[k];
-    if (aNow.mWall < occurrence.mDueAt) {
+    if (aNow.mWall < aJob.mOccurrences[k].mDueAt) {
       continue;
     }
-    for (std::size_t s = 0; s < occurrence.mSteps.size(); ++s) {
-      const auto& step = aJob.mDefinition.mSteps[s];
-      const auto& state = occurrence.mSteps[s];
-      auto placed = static_cast<int>(state.mTasks.size()) - state.mDone - state.mWaiting;
-      auto seconds = static_cast<double>(step.mEstimate.count()) / kMilliseconds;
-      aSums.mRunningCores += placed * CoresOf(step);
-      if (step.mMaxPerExecutor > 0) {
-        auto open = static_cast<int>(state.mTasks.size()) - state.mDone;
-        auto hosts = (open + step.mMaxPerExecutor - 1) / step.mMaxPerExecutor;
-        aSums.mHosts = std::max(aSums.mHosts, hosts);
-      }
-      if (step.mLasting) {
-        aSums.mRunningCores += state.mWaiting * CoresOf(step);
-      } else {
-        aSums.mWaiting += state.mWaiting * CoresOf(step) * seconds;
-      }
+    for (std::size_t s = 0; s < aJob.mDefinition.mSteps.size(); ++s) {
+      AddStep(aJob, static_cast<int>(k), static_cast<int>(s), aNow, aSums);
     }
   }
+  auto age = aNow.mAt - aJob.mArrivedAt;
+  if (age >= 2 * kArrivalWindow || aJob.mDefinition.mRunCount > 0) {
+    return;
+  }
+  auto& arrived = age < kArrivalWindow ? aSums.mArrived : aSums.mArrivedBefore;
+  for (const auto& step : aJob.mDefinition.mSteps) {
+    arrived += step.mLasting ? 0 : step.mCount * CoresOf(step) * SecondsOf(step);
+  }
+}
+
+// Cores that the work takes which will arrive by the time at which a moved host is there.
+double
+CoresForArrivals(const WorkSums& aSums)
+{
+  auto window = std::chrono::duration<double>(kArrivalWindow).count();
+  auto lead = std::chrono::duration<double>(kLeadTime).count();
+  auto rate = aSums.mArrived / window;
+  auto growth = std::max(0.0, aSums.mArrived - aSums.mArrivedBefore) / window / window;
+  return std::min(rate + growth * lead, rate * kMaxGrowth);
+}
+
+// As many cores as keep up with what arrives, and let what waits start in time.
+double
+CoresNeeded(const WorkSums& aSums)
+{
+  auto inTime = std::max(
+    { aSums.mRunning, CoresForArrivals(aSums), aSums.mWaiting + kStaysRunning * aSums.mRunning });
+  return inTime + aSums.mLate / kLateWorkSeconds;
 }
 
 }
@@ -80,11 +138,11 @@
       AddJob(job, aNow, sums);
     }
   }
+  auto needed = CoresNeeded(sums);
   if (demand.mPresent == 0 || cores <= 0) {
-    demand.mWanted = sums.mRunningCores + sums.mWaiting > 0 ? 1 : 0;
+    demand.mWanted = needed > 0 ? 1 : 0;
     return demand;
   }
-  auto needed = sums.mRunningCores + sums.mWaiting / kCatchUpSeconds;
   auto perHost = cores / demand.mPresent * kUsableShare;
   demand.mWanted = std::max({ 1, sums.mHosts, static_cast<int>(std::ceil(needed / perHost)) });
   return demand;
--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -4,6 +4,7 @@
 #include "LibSchedule/RecordCodec.h"
 
 #include <charconv>
+#include <utility>
 
 namespace sesameseam::schedule {
 
@@ -63,7 +64,9 @@
   auto record = TRY(detail::Decode<record::PoolDemand>(aValue));
   aLog.mDemands[ServiceName(std::string(aName))] = { record.wanted,
                                                      record.present,
-                                                     FromUnixMilliseconds(record.at_ms) };
+                                                     FromUnixMilliseconds(record.at_ms),
+                                                     record.idle,
+                                                     FromUnixMilliseconds(record.lacked_at_ms) };
   return absl::OkStatus();
 }
 
@@ -94,18 +97,60 @@
 }
 
 void
-LoadAnew(FleetLog& aLog)
+LoadAnew(FleetTail& aTail)
 {
-  aLog.mLoaded = false;
-  aLog.mPageKey.clear();
-  aLog.mPagedEnd = -1;
+  aTail.mLoaded = false;
+  aTail.mPageKey.clear();
+  aTail.mPagedEnd = -1;
+}
+
+FleetTail&
+TailOf(FleetLog& aLog, int aPartition)
+{
+  return aPartition == aLog.mHosts.mPartition ? aLog.mHosts : aLog.mTold;
+}
+
+void
+SendRead(FleetTail& aTail, const Now& aNow, Actions& aActions)
+{
+  if (aTail.mReadPending || aNow.mAt < aTail.mNextReadAt) {
+    return;
+  }
+  aTail.mReadPending = true;
+  if (!aTail.mLoaded) {
+    NewestCall call;
+    call.mStream = Stream::Fleet;
+    call.mPartition = aTail.mPartition;
+    call.mAfterKey = aTail.mPageKey;
+    aActions.emplace_back(std::move(call));
+    return;
+  }
+  ReadCall call;
+  call.mStream = Stream::Fleet;
+  call.mPartition = aTail.mPartition;
+  call.mFrom = aTail.mPosition;
+  call.mWait = kLongPoll;
+  aActions.emplace_back(call);
+}
+
+LogRecord
+DemandRecord(const ServiceName& aPool, const PoolDemand& aDemand)
+{
+  record::PoolDemand out;
+  out.wanted = aDemand.mWanted;
+  out.present = aDemand.mPresent;
+  out.at_ms = UnixMilliseconds(aDemand.mAt);
+  out.__set_idle(aDemand.mIdle);
+  out.__set_lacked_at_ms(UnixMilliseconds(aDemand.mLackedAt));
+  return { std::string(kDemandPrefix) + aPool.mValue, detail::Encode(out) };
 }
 
 AppendCall
-FleetAppend(std::vector<LogRecord> aRecords)
+FleetAppend(const FleetTail& aTail, std::vector<LogRecord> aRecords)
 {
   AppendCall call;
   call.mStream = Stream::Fleet;
+  call.mPartition = aTail.mPartition;
   call.mRecords = std::move(aRecords);
   return call;
 }
@@ -122,16 +167,6 @@
   return { std::move(key), detail::Encode(out) };
 }
 
-LogRecord
-ToRecord(const ServiceName& aPool, const PoolDemand& aDemand)
-{
-  record::PoolDemand out;
-  out.wanted = aDemand.mWanted;
-  out.present = aDemand.mPresent;
-  out.at_ms = UnixMilliseconds(aDemand.mAt);
-  return { std::string(kDemandPrefix) + aPool.mValue, detail::Encode(out) };
-}
-
 LogRecord
 ToRecord(const MachineId& aMachine, const HostMove& aMove)
 {
@@ -165,19 +200,20 @@
 void
 OnFleetRead(FleetLog& aLog, const Now& aNow, const ReadAnswer& aAnswer, Actions& aActions)
 {
-  aLog.mReadPending = false;
+  auto& tail = TailOf(aLog, aAnswer.mCall.mPartition);
+  tail.mReadPending = false;
   if (aAnswer.mTrimmed) {
-    LoadAnew(aLog);
+    LoadAnew(tail);
     return;
   }
   if (aAnswer.mResult != CallResult::Done) {
-    aLog.mNextReadAt = aNow.mAt + kRetryPause;
+    tail.mNextReadAt = aNow.mAt + kRetryPause;
     return;
   }
   for (const auto& record : aAnswer.mRecords) {
-    if (record.mOffset >= aLog.mPosition) {
+    if (record.mOffset >= tail.mPosition) {
       TakeRecord(aLog, record, aActions);
-      aLog.mPosition = record.mOffset + 1;
+      tail.mPosition = record.mOffset + 1;
     }
   }
 }
@@ -185,23 +221,24 @@
 void
 OnFleetNewest(FleetLog& aLog, const Now& aNow, const NewestAnswer& aAnswer, Actions& aActions)
 {
-  aLog.mReadPending = false;
+  auto& tail = TailOf(aLog, aAnswer.mCall.mPartition);
+  tail.mReadPending = false;
   if (aAnswer.mResult != CallResult::Done) {
-    aLog.mNextReadAt = aNow.mAt + kRetryPause;
+    tail.mNextReadAt = aNow.mAt + kRetryPause;
     return;
   }
-  if (aLog.mPagedEnd < 0) {
-    aLog.mPagedEnd = aAnswer.mEnd;
+  if (tail.mPagedEnd < 0) {
+    tail.mPagedEnd = aAnswer.mEnd;
   }
   for (const auto& record : aAnswer.mRecords) {
     TakeRecord(aLog, record, aActions);
   }
   if (aAnswer.mHasMore && !aAnswer.mRecords.empty()) {
-    aLog.mPageKey = aAnswer.mRecords.back().mKey;
+    tail.mPageKey = aAnswer.mRecords.back().mKey;
     return;
   }
-  aLog.mLoaded = true;
-  aLog.mPosition = aLog.mPagedEnd;
+  tail.mLoaded = true;
+  tail.mPosition = tail.mPagedEnd;
 }
 
 bool
@@ -211,13 +248,17 @@
     return false;
   }
   aLog.mAppendPending = false;
-  if (aAnswer.mResult != CallResult::Done || aAnswer.mOffset != aLog.mPosition) {
+  if (aAnswer.mResult != CallResult::Done) {
     // What others have appended, or whether these records are there, shows the next read.
     return false;
   }
+  if (aAnswer.mOffset != aLog.mHosts.mPosition) {
+    // A read was faster and has shown these records already.
+    return true;
+  }
   for (const auto& record : aAnswer.mCall.mRecords) {
-    TakeRecord(aLog, { record.mKey, record.mValue, aLog.mPosition }, aActions);
-    ++aLog.mPosition;
+    TakeRecord(aLog, { record.mKey, record.mValue, aLog.mHosts.mPosition }, aActions);
+    ++aLog.mHosts.mPosition;
   }
   return true;
 }
@@ -225,43 +266,49 @@
 void
 AdvanceFleetLog(FleetLog& aLog, const Now& aNow, Actions& aActions)
 {
-  if (aLog.mReadPending || aNow.mAt < aLog.mNextReadAt) {
-    return;
-  }
-  aLog.mReadPending = true;
-  if (!aLog.mLoaded) {
-    NewestCall call;
-    call.mStream = Stream::Fleet;
-    call.mAfterKey = aLog.mPageKey;
-    aActions.emplace_back(std::move(call));
-    return;
-  }
-  ReadCall call;
-  call.mStream = Stream::Fleet;
-  call.mFrom = aLog.mPosition;
-  call.mWait = kLongPoll;
-  aActions.emplace_back(call);
+  SendRead(aLog.mHosts, aNow, aActions);
+  SendRead(aLog.mTold, aNow, aActions);
 }
 
 bool
 MayAppend(const FleetLog& aLog)
 {
-  return aLog.mLoaded && !aLog.mAppendPending;
+  return aLog.mHosts.mLoaded && !aLog.mAppendPending;
+}
+
+bool
+MayAppend(const FleetLog& aLog, const MachineId& aHost)
+{
+  return MayAppend(aLog) && !aLog.mGatheredHosts.contains(aHost);
 }
 
 void
-AppendIfUnchanged(FleetLog& aLog, std::vector<LogRecord> aRecords, Actions& aActions)
+Gather(FleetLog& aLog, const MachineId& aHost, LogRecord aRecord)
 {
-  auto call = FleetAppend(std::move(aRecords));
-  call.mExpectedEnd = aLog.mPosition;
+  aLog.mGathered.push_back(std::move(aRecord));
+  aLog.mGatheredHosts.insert(aHost);
+}
+
+void
+AppendGathered(FleetLog& aLog, Actions& aActions)
+{
+  if (aLog.mGathered.empty()) {
+    return;
+  }
+  auto call = FleetAppend(aLog.mHosts, std::exchange(aLog.mGathered, {}));
+  aLog.mGatheredHosts.clear();
+  call.mExpectedEnd = aLog.mHosts.mPosition;
   aLog.mAppendPending = true;
   aActions.emplace_back(std::move(call));
 }
 
 void
-AppendAnyway(std::vector<LogRecord> aRecords, Actions& aActions)
+TellDemand(const FleetLog& aLog,
+           const ServiceName& aPool,
+           const PoolDemand& aDemand,
+           Actions& aActions)
 {
-  aActions.emplace_back(FleetAppend(std::move(aRecords)));
+  aActions.emplace_back(FleetAppend(aLog.mTold, { DemandRecord(aPool, aDemand) }));
 }
 
 }
--- a/Libraries/LibSchedule/FleetLog.h
+++ b/Libraries/LibSchedule/FleetLog.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -40,6 +41,10 @@
   int mWanted = 0;
   int mPresent = 0;
   TimePoint mAt;
+  // Hosts that could leave at once.
+  int mIdle = 0;
+  // When the pool lacked hosts last; the epoch if it never did.
+  TimePoint mLackedAt;
 };
 
 struct HostMove
@@ -48,26 +53,37 @@
   TimePoint mAt;
 };
 
-struct FleetLog
+// How far one partition of the log has been read.
+struct FleetTail
 {
-  std::map<UpkeepKey, UpkeepRecord> mUpkeeps;
-  std::map<ServiceName, PoolDemand> mDemands;
-  std::map<MachineId, HostMove> mMoves;
-
+  int mPartition = 0;
   std::int64_t mPosition = 0;
   bool mLoaded = false;
   bool mReadPending = false;
   Instant mNextReadAt;
   std::string mPageKey;
   std::int64_t mPagedEnd = -1;
+};
+
+struct FleetLog
+{
+  std::map<UpkeepKey, UpkeepRecord> mUpkeeps;
+  std::map<ServiceName, PoolDemand> mDemands;
+  std::map<MachineId, HostMove> mMoves;
+
+  // Upkeep and moves, in the order in which they were agreed.
+  FleetTail mHosts{ 0 };
+  // Demands are told often, and must not get in the way of what has to be agreed.
+  FleetTail mTold{ 1 };
   bool mAppendPending = false;
+  // Records for the next conditional append, and the hosts that they are about.
+  std::vector<LogRecord> mGathered;
+  std::set<MachineId> mGatheredHosts;
 };
 
 LogRecord
 ToRecord(const UpkeepKey& aKey, const UpkeepRecord& aRecord);
 LogRecord
-ToRecord(const ServiceName& aPool, const PoolDemand& aDemand);
-LogRecord
 ToRecord(const MachineId& aMachine, const HostMove& aMove);
 // The move is over or was given up.
 LogRecord
@@ -81,20 +97,28 @@
 OnFleetRead(FleetLog& aLog, const Now& aNow, const ReadAnswer& aAnswer, Actions& aActions);
 void
 OnFleetNewest(FleetLog& aLog, const Now& aNow, const NewestAnswer& aAnswer, Actions& aActions);
-// Returns whether the records of a conditional append were stored.
+// Returns whether the answer is to a conditional append whose records were stored.
 bool
 OnFleetAppend(FleetLog& aLog, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions);
 
 void
 AdvanceFleetLog(FleetLog& aLog, const Now& aNow, Actions& aActions);
 
-// Whether a conditional append may be sent now. One is under way at a time.
+// Whether records may be gathered for a conditional append: one is under way at a time, and holds
+// one record a host.
 bool
 MayAppend(const FleetLog& aLog);
+bool
+MayAppend(const FleetLog& aLog, const MachineId& aHost);
+void
+Gather(FleetLog& aLog, const MachineId& aHost, LogRecord aRecord);
+// Appends what was gathered, unless anything else was appended meanwhile.
 void
-AppendIfUnchanged(FleetLog& aLog, std::vector<LogRecord> aRecords, Actions& aActions);
-// For what nobody's limits depend on.
+AppendGathered(FleetLog& aLog, Actions& aActions);
 void
-AppendAnyway(std::vector<LogRecord> aRecords, Actions& aActions);
+TellDemand(const FleetLog& aLog,
+           const ServiceName& aPool,
+           const PoolDemand& aDemand,
+           Actions& aActions);
 
 }
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1763,6 +1763,16 @@
 void PoolDemand::__set_at_ms(const int64_t val) {
   this->at_ms = val;
 }
+
+void PoolDemand::__set_idle(const int32_t val) {
+  this->idle = val;
+__isset.idle = true;
+}
+
+void PoolDemand::__set_lacked_at_ms(const int64_t val) {
+  this->lacked_at_ms = val;
+__isset.lacked_at_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const PoolDemand& obj)
 {
   obj.printTo(out);
@@ -1818,6 +1828,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->idle);
+          this->__isset.idle = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->lacked_at_ms);
+          this->__isset.lacked_at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1853,6 +1879,16 @@
   xfer += oprot->writeI64(this->at_ms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.idle) {
+    xfer += oprot->writeFieldBegin("idle", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->idle);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.lacked_at_ms) {
+    xfer += oprot->writeFieldBegin("lacked_at_ms", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->lacked_at_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1863,17 +1899,26 @@
   swap(a.wanted, b.wanted);
   swap(a.present, b.present);
   swap(a.at_ms, b.at_ms);
+  swap(a.idle, b.idle);
+  swap(a.lacked_at_ms, b.lacked_at_ms);
+  swap(a.__isset, b.__isset);
 }
 
 PoolDemand::PoolDemand(const PoolDemand& other52) noexcept {
   wanted = other52.wanted;
   present = other52.present;
   at_ms = other52.at_ms;
+  idle = other52.idle;
+  lacked_at_ms = other52.lacked_at_ms;
+  __isset = other52.__isset;
 }
 PoolDemand& PoolDemand::operator=(const PoolDemand& other53) noexcept {
   wanted = other53.wanted;
   present = other53.present;
   at_ms = other53.at_ms;
+  idle = other53.idle;
+  lacked_at_ms = other53.lacked_at_ms;
+  __isset = other53.__isset;
   return *this;
 }
 void PoolDemand::printTo(std::ostream& out) const {
@@ -1882,6 +1927,8 @@
   out << "wanted=" << to_string(wanted);
   out << ", " << "present=" << to_string(present);
   out << ", " << "at_ms=" << to_string(at_ms);
+  out << ", " << "idle="; (__isset.idle ? (out << to_string(idle)) : (out << "<null>"));
+  out << ", " << "lacked_at_ms="; (__isset.lacked_at_ms ? (out << to_string(lacked_at_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -678,6 +678,11 @@
 
 std::ostream& operator<<(std::ostream& out, const Upkeep& obj);
 
+typedef struct _PoolDemand__isset {
+  _PoolDemand__isset() : idle(false), lacked_at_ms(false) {}
+  bool idle :1;
+  bool lacked_at_ms :1;
+} _PoolDemand__isset;
 
 class PoolDemand : public virtual ::apache::thrift::TBase {
  public:
@@ -687,13 +692,19 @@
   PoolDemand() noexcept
              : wanted(0),
                present(0),
-               at_ms(0) {
+               at_ms(0),
+               idle(0),
+               lacked_at_ms(0) {
   }
 
   virtual ~PoolDemand() noexcept;
   int32_t wanted;
   int32_t present;
   int64_t at_ms;
+  int32_t idle;
+  int64_t lacked_at_ms;
+
+  _PoolDemand__isset __isset;
 
   void __set_wanted(const int32_t val);
 
@@ -701,6 +712,10 @@
 
   void __set_at_ms(const int64_t val);
 
+  void __set_idle(const int32_t val);
+
+  void __set_lacked_at_ms(const int64_t val);
+
   bool operator == (const PoolDemand & rhs) const
   {
     if (!(wanted == rhs.wanted))
@@ -709,6 +724,14 @@
       return false;
     if (!(at_ms == rhs.at_ms))
       return false;
+    if (__isset.idle != rhs.__isset.idle)
+      return false;
+    else if (__isset.idle && !(idle == rhs.idle))
+      return false;
+    if (__isset.lacked_at_ms != rhs.__isset.lacked_at_ms)
+      return false;
+    else if (__isset.lacked_at_ms && !(lacked_at_ms == rhs.lacked_at_ms))
+      return false;
     return true;
   }
   bool operator != (const PoolDemand &rhs) const {
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -195,6 +195,12 @@
          aJob.mDefinition.mResponseGoal;
 }
 
+TimePoint
+LatestStart(const Job& aJob, int aOccurrence, int aStep)
+{
+  return ObjectiveOf(aJob, aOccurrence) - aJob.mChains[static_cast<std::size_t>(aStep)];
+}
+
 std::int64_t
 WorkOf(const JobDefinition& aDefinition)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -56,6 +56,8 @@
   // For each step, the longest chain of estimates from its start to the job's end.
   std::vector<std::chrono::milliseconds> mChains;
   JobPhase mPhase = JobPhase::Pending;
+  // When the owner of the shard saw it come; not set where it was there before the owner.
+  Instant mArrivedAt;
   // Something changed that the log doesn't have yet.
   bool mDirty = false;
 };
@@ -78,6 +80,10 @@
 TimePoint
 ObjectiveOf(const Job& aJob, int aOccurrence);
 
+// When a step has to start, by the estimates, so that its job ends in time.
+TimePoint
+LatestStart(const Job& aJob, int aOccurrence, int aStep);
+
 // Processor time of all tasks of one occurrence, in thousandths of a core times seconds.
 std::int64_t
 WorkOf(const JobDefinition& aDefinition);
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -10,6 +10,8 @@
 
 // A host that has not heard from the log for so long sends callers elsewhere.
 constexpr Duration kUnreadyAfter = 3s;
+// Decisions on hosts look at every host of a wave, so that they don't follow each event.
+constexpr Duration kFleetLookInterval = 40ms;
 
 std::set<int>
 PartitionsInUse(const Node& aNode)
@@ -288,10 +290,15 @@
   }
   AdvanceFleetLog(aNode.mFleetLog, aNow, aActions);
   AdvanceMachineList(aNode.mMachines, aNow, aActions);
+  if (aNow.mAt < aNode.mNextFleetLookAt) {
+    return;
+  }
+  aNode.mNextFleetLookAt = aNow.mAt + kFleetLookInterval;
   auto context = MakeFleetContext(aNode);
   AdvanceUpkeep(aNode.mUpkeep, aNow, context, aActions);
   const auto& services = aNode.mFollower.mManifest->mServices;
   AdvanceRebalance(aNode.mRebalance, aNode.mSettings.mRebalance, aNow, context, services, aActions);
+  AppendGathered(aNode.mFleetLog, aActions);
 }
 
 void
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -45,6 +45,7 @@
   MachineList mMachines;
   Upkeep mUpkeep;
   Rebalance mRebalance;
+  Instant mNextFleetLookAt;
   std::map<int, Shard> mShards;
   std::map<int, StatusView> mViews;
   NodeCounters mCounters;
--- a/Libraries/LibSchedule/QueueOrder.cpp
+++ b/Libraries/LibSchedule/QueueOrder.cpp
@@ -20,7 +20,7 @@
       ready.mJob = &aJob;
       ready.mOccurrence = occurrence;
       ready.mStep = step;
-      ready.mLatestStart = ObjectiveOf(aJob, occurrence) - aJob.mChains[s];
+      ready.mLatestStart = LatestStart(aJob, occurrence, step);
       ready.mIsLate = !aJob.mDefinition.mSteps[s].mLasting && ready.mLatestStart < aWall;
       ready.mWork = WorkOf(aJob.mDefinition);
       aSteps.push_back(ready);
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -1,6 +1,7 @@
 #include "LibSchedule/Rebalance.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 namespace sesameseam::schedule {
 
@@ -10,10 +11,14 @@
 // A lack that lasts is told again after this time, so that a new reader trusts it.
 constexpr Duration kRepublishInterval = 500ms;
 constexpr Duration kDemandLifetime = 1500ms;
+// Changes of this many hosts are told even where no host lacks.
+constexpr int kNotableChange = 3;
 // A moved host shows in its new pool's demand this long after its arrival.
 constexpr Duration kListDelay = 700ms;
 constexpr Duration kRetryPause = 200ms;
 constexpr Duration kGiveUpAfter = 3s;
+// Whoever should give first had its time by then.
+constexpr Duration kTurnToGive = 600ms;
 
 int
 LackOf(const PoolDemand& aDemand)
@@ -35,10 +40,19 @@
     }));
 }
 
+bool
+DiffersNotably(const PoolDemand& aLeft, const PoolDemand& aRight)
+{
+  return std::abs(aLeft.mWanted - aRight.mWanted) >= kNotableChange ||
+         std::abs(aLeft.mPresent - aRight.mPresent) >= kNotableChange ||
+         std::abs(aLeft.mIdle - aRight.mIdle) >= kNotableChange;
+}
+
 void
 Publish(Rebalance& aRebalance,
+        const FleetLog& aLog,
         const ServiceName& aPool,
-        const PoolDemand& aDemand,
+        PoolDemand aDemand,
         const Now& aNow,
         Actions& aActions)
 {
@@ -47,10 +61,13 @@
   auto lacked = LackOf(last.mDemand) > 0;
   auto grew = aDemand.mWanted > last.mDemand.mWanted;
   auto isOld = aNow.mAt - last.mAt > kRepublishInterval;
-  if ((lacks && (grew || isOld)) || (!lacks && lacked)) {
-    last = { aDemand, aNow.mAt };
-    AppendAnyway({ ToRecord(aPool, aDemand) }, aActions);
+  auto isNews = isOld && DiffersNotably(aDemand, last.mDemand);
+  if (!(lacks && (grew || isOld)) && lacks == lacked && !isNews) {
+    return;
   }
+  aDemand.mLackedAt = lacks ? aNow.mWall : last.mDemand.mLackedAt;
+  last = { aDemand, aNow.mAt };
+  TellDemand(aLog, aPool, aDemand, aActions);
 }
 
 struct Lack
@@ -84,6 +101,13 @@
          found->second.mRuns.empty();
 }
 
+bool
+IsEmpty(const Shard& aShard, const Machine& aMachine)
+{
+  auto found = aShard.mExecutors.find(aMachine.mExecutor);
+  return found == aShard.mExecutors.end() || found->second.mRuns.empty();
+}
+
 // A wave has taken the host down, or is about to.
 bool
 IsDown(const FleetLog& aLog, const MachineId& aMachine)
@@ -93,30 +117,74 @@
   });
 }
 
-// Hosts of the pool that may go now, no more than it can spare.
+// Whether the host may leave its pool, once it is empty.
+bool
+MayLeave(const FleetContext& aContext,
+         const Rebalance& aRebalance,
+         const Shard& aShard,
+         const Machine& aMachine,
+         Instant aNow)
+{
+  return aMachine.mState == MachineState::Up && !aRebalance.mTasks.contains(aMachine.mId) &&
+         !IsDown(*aContext.mLog, aMachine.mId) && MayAppend(*aContext.mLog, aMachine.mId) &&
+         MayOrder(aContext, aShard, aMachine.mId, aNow);
+}
+
+// Hosts of the pool that may go now.
 std::vector<MachineId>
-SpareHosts(const FleetContext& aContext,
-           const Rebalance& aRebalance,
-           const Shard& aShard,
-           const Service& aPool,
-           int aSpare,
-           Instant aNow)
+IdleHosts(const FleetContext& aContext,
+          const Rebalance& aRebalance,
+          const Shard& aShard,
+          const Service& aPool,
+          Instant aNow)
 {
   std::vector<MachineId> hosts;
   for (const auto& [id, machine] : aContext.mMachines->mMachines) {
-    if (static_cast<int>(hosts.size()) >= aSpare) {
-      break;
-    }
-    auto isHere = machine.mPool == aPool.mName && machine.mState == MachineState::Up;
-    auto isFree = aPool.mStandby || IsIdle(aShard, machine, aNow);
-    if (isHere && isFree && !aRebalance.mTasks.contains(id) && !IsDown(*aContext.mLog, id) &&
-        MayOrder(aContext, aShard, id, aNow)) {
+    auto isFree =
+      machine.mPool == aPool.mName &&
+      (aPool.mStandby || aRebalance.mEmptying.contains(id) ? IsEmpty(aShard, machine)
+                                                           : IsIdle(aShard, machine, aNow));
+    if (isFree && MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
       hosts.push_back(id);
     }
   }
   return hosts;
 }
 
+struct BusyHost
+{
+  MachineId mId;
+  std::int64_t mUsedCpu = 0;
+};
+
+// Hosts of the pool whose work ends by itself, those with least of it first.
+std::vector<BusyHost>
+HostsToEmpty(const FleetContext& aContext,
+             const Rebalance& aRebalance,
+             const Shard& aShard,
+             const ServiceName& aPool,
+             Instant aNow)
+{
+  std::vector<BusyHost> hosts;
+  for (const auto& [id, machine] : aContext.mMachines->mMachines) {
+    auto found = aShard.mExecutors.find(machine.mExecutor);
+    if (machine.mPool != aPool || found == aShard.mExecutors.end() ||
+        !IsUsable(found->second, aNow) || !MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
+      continue;
+    }
+    const auto& runs = found->second.mRuns;
+    auto lasts =
+      std::any_of(runs.begin(), runs.end(), [](const auto& aRun) { return aRun.second.mLasts; });
+    if (!lasts) {
+      hosts.push_back({ id, ReservedRoom(found->second).mCpuMillicores });
+    }
+  }
+  std::sort(hosts.begin(), hosts.end(), [](const BusyHost& aLeft, const BusyHost& aRight) {
+    return aLeft.mUsedCpu < aRight.mUsedCpu;
+  });
+  return hosts;
+}
+
 int
 CountSpare(const FleetContext& aContext, const Shard& aShard, const Service& aPool, const Now& aNow)
 {
@@ -141,6 +209,134 @@
   }
 }
 
+// Those that should give before the pool: the reserve, and pools that lacked hosts later.
+bool
+GivesBefore(const PoolDemand& aOther, const Service& aPool, const PoolDemand& aDemand)
+{
+  if (aPool.mStandby) {
+    return false;
+  }
+  return aOther.mLackedAt > aDemand.mLackedAt;
+}
+
+// What the pool has to give of a lack, after those that give first.
+int
+ShareOfLack(const Rebalance& aRebalance,
+            const FleetLog& aLog,
+            const std::vector<Service>& aServices,
+            const Service& aPool,
+            const Lack& aLack,
+            Instant aNow)
+{
+  auto since = aRebalance.mLackSince.find(aLack.mPool);
+  if (since == aRebalance.mLackSince.end() || aNow - since->second > kTurnToGive) {
+    return aLack.mHosts;
+  }
+  auto own = aLog.mDemands.find(aPool.mName);
+  auto demand = own == aLog.mDemands.end() ? PoolDemand() : own->second;
+  auto share = aLack.mHosts;
+  for (const auto& other : aServices) {
+    auto found = aLog.mDemands.find(other.mName);
+    if (other.mName == aPool.mName || other.mName == aLack.mPool || found == aLog.mDemands.end()) {
+      continue;
+    }
+    auto isFirst = !aPool.mStandby && (other.mStandby || GivesBefore(found->second, aPool, demand));
+    share -= isFirst ? found->second.mIdle : 0;
+  }
+  return std::max(share, 0);
+}
+
+void
+GiveIdleHosts(Rebalance& aRebalance,
+              const Now& aNow,
+              const FleetContext& aContext,
+              const Shard& aShard,
+              const Lack& aLack,
+              const std::vector<MachineId>& aHosts)
+{
+  for (const auto& id : aHosts) {
+    Gather(*aContext.mLog, id, ToRecord(id, HostMove{ aLack.mPool, aNow.mWall }));
+    // Nothing is placed there from now on; if the append fails, that is taken back.
+    SetVacating(aContext, id, Vacating::ForMove);
+    aRebalance.mEmptying.erase(id);
+    aRebalance.mTasks[id] = { aLack.mPool, aShard.mEpoch };
+  }
+}
+
+int
+CountEmptying(const Rebalance& aRebalance, const ServiceName& aFrom)
+{
+  return static_cast<int>(std::count_if(
+    aRebalance.mEmptying.begin(), aRebalance.mEmptying.end(), [&](const auto& aEntry) {
+      return aEntry.second.mFrom == aFrom;
+    }));
+}
+
+// Hosts that are to be empty for a pool that lacks none any more take work again.
+void
+ReleaseEmptying(Rebalance& aRebalance, const FleetContext& aContext, const Lack& aLack)
+{
+  std::erase_if(aRebalance.mEmptying, [&](const auto& aEntry) {
+    if (aLack.mHosts > 0 && aEntry.second.mTo == aLack.mPool) {
+      return false;
+    }
+    SetVacating(aContext, aEntry.first, Vacating::No);
+    return true;
+  });
+}
+
+void
+EmptyHosts(Rebalance& aRebalance,
+           const Now& aNow,
+           const FleetContext& aContext,
+           const Shard& aShard,
+           const ServiceName& aFrom,
+           const ServiceName& aTo,
+           int aCount)
+{
+  auto hosts = HostsToEmpty(aContext, aRebalance, aShard, aFrom, aNow.mAt);
+  hosts.resize(std::min(hosts.size(), static_cast<std::size_t>(aCount)));
+  for (const auto& host : hosts) {
+    SetVacating(aContext, host.mId, Vacating::ForMove);
+    aRebalance.mEmptying[host.mId] = { aFrom, aTo };
+  }
+}
+
+// Gives a part of the lack from one pool: idle hosts at once, others once they are empty. Returns
+// how many are on their way.
+int
+GiveFrom(Rebalance& aRebalance,
+         const Now& aNow,
+         const FleetContext& aContext,
+         const Service& aPool,
+         const Shard& aShard,
+         const Lack& aLack,
+         int aShare,
+         Actions& aActions)
+{
+  auto emptying = CountEmptying(aRebalance, aPool.mName);
+  // Hosts that are being emptied don't count as present.
+  auto spare = CountSpare(aContext, aShard, aPool, aNow) + emptying;
+  auto wanted = std::max(0, std::min(aShare, spare));
+  auto idle = IdleHosts(aContext, aRebalance, aShard, aPool, aNow.mAt);
+  idle.resize(std::min(idle.size(), static_cast<std::size_t>(wanted)));
+  GiveIdleHosts(aRebalance, aNow, aContext, aShard, aLack, idle);
+  auto given = static_cast<int>(idle.size());
+  auto toEmpty = std::max(0, wanted - given - emptying);
+  if (!aPool.mStandby) {
+    EmptyHosts(aRebalance, aNow, aContext, aShard, aPool.mName, aLack.mPool, toEmpty);
+  }
+  if (given > 0 || toEmpty > 0) {
+    LogEntry entry{ LogLevel::Info, "hosts-given", {}, aPool.mName.mValue };
+    entry.mOutcome = std::to_string(given) + " go now, " + std::to_string(toEmpty) +
+                     " once they are empty, to pool " + aLack.mPool.mValue;
+    entry.mReason = "the share of the lack is " + std::to_string(aShare) + ", " +
+                    std::to_string(spare) + " can be spared";
+    aActions.emplace_back(std::move(entry));
+  }
+  return given;
+}
+
 void
 GiveHosts(Rebalance& aRebalance,
           const RebalanceSettings& aSettings,
@@ -150,26 +346,20 @@
           Actions& aActions)
 {
   auto lack = GreatestLack(*aContext.mLog, aSettings, aNow.mWall);
+  ReleaseEmptying(aRebalance, aContext, lack);
+  std::erase_if(aRebalance.mLackSince,
+                [&](const auto& aEntry) { return lack.mHosts <= 0 || aEntry.first != lack.mPool; });
   if (lack.mHosts <= 0 || !MayAppend(*aContext.mLog)) {
     return;
   }
-  std::vector<LogRecord> records;
+  aRebalance.mLackSince.try_emplace(lack.mPool, aNow.mAt);
   for (const auto& pool : aServices) {
-    auto* shard = FindShard(aContext, pool.mName);
+    const auto* shard = FindShard(aContext, pool.mName);
     if (pool.mName == lack.mPool || shard == nullptr) {
       continue;
     }
-    auto room = lack.mHosts - static_cast<int>(records.size());
-    auto spare = std::min(room, CountSpare(aContext, *shard, pool, aNow));
-    for (const auto& id : SpareHosts(aContext, aRebalance, *shard, pool, spare, aNow.mAt)) {
-      records.push_back(ToRecord(id, HostMove{ lack.mPool, aNow.mWall }));
-      // Nothing is placed there from now on; if the append fails, that is taken back.
-      SetVacating(aContext, id, Vacating::ForMove);
-      aRebalance.mTasks[id] = { lack.mPool, shard->mEpoch };
-    }
-  }
-  if (!records.empty()) {
-    AppendIfUnchanged(*aContext.mLog, std::move(records), aActions);
+    auto share = ShareOfLack(aRebalance, *aContext.mLog, aServices, pool, lack, aNow.mAt);
+    lack.mHosts -= GiveFrom(aRebalance, aNow, aContext, pool, *shard, lack, share, aActions);
   }
 }
 
@@ -255,7 +445,7 @@
                  const std::vector<Service>& aServices,
                  Actions& aActions)
 {
-  auto isKnown = aContext.mLog->mLoaded && aContext.mMachines->mIsKnown;
+  auto isKnown = aContext.mLog->mHosts.mLoaded && aContext.mMachines->mIsKnown;
   if (!isKnown || aNow.mAt < aRebalance.mNextCheckAt) {
     return;
   }
@@ -272,9 +462,17 @@
   }
   for (const auto& pool : aServices) {
     const auto* shard = FindShard(aContext, pool.mName);
-    if (shard != nullptr && !pool.mStandby) {
-      Publish(aRebalance, pool.mName, DemandOf(*shard, pool.mName, aNow), aNow, aActions);
+    if (shard == nullptr) {
+      continue;
+    }
+    auto demand = pool.mStandby ? PoolDemand() : DemandOf(*shard, pool.mName, aNow);
+    demand.mAt = aNow.mWall;
+    auto idle = IdleHosts(aContext, aRebalance, *shard, pool, aNow.mAt);
+    demand.mIdle = static_cast<int>(idle.size());
+    if (!pool.mStandby) {
+      demand.mIdle = std::clamp(demand.mPresent - demand.mWanted, 0, demand.mIdle);
     }
+    Publish(aRebalance, *aContext.mLog, pool.mName, demand, aNow, aActions);
   }
   GiveHosts(aRebalance, aSettings, aNow, aContext, aServices, aActions);
   OrderMoves(aRebalance, aNow, aContext, aActions);
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -5,9 +5,10 @@
 
 #include <map>
 
-// Moves idle hosts to pools that lack them. The owner of a pool with a lack says so in the fleet
-// log; owners of pools with idle hosts give them, each in a conditional append, so that together
-// they give no more than is wanted.
+// Moves hosts to pools that lack them. Owners tell the demands of their pools in the fleet log;
+// owners of pools that can spare hosts give them, each in a conditional append, so that together
+// they give no more than is wanted. The reserve gives first, then the pool that lacked hosts last:
+// where load moves from pool to pool, its next peak is the furthest away.
 namespace sesameseam::schedule {
 
 struct MoveTask
@@ -22,6 +23,13 @@
   Instant mGiveUpAt;
 };
 
+// A host that gets no new work, so that it can go to another pool once it is empty.
+struct EmptyingHost
+{
+  ServiceName mFrom;
+  ServiceName mTo;
+};
+
 struct PublishedDemand
 {
   PoolDemand mDemand;
@@ -31,6 +39,9 @@
 struct Rebalance
 {
   std::map<ServiceName, PublishedDemand> mPublished;
+  // Since when a pool is known to lack hosts.
+  std::map<ServiceName, Instant> mLackSince;
+  std::map<MachineId, EmptyingHost> mEmptying;
   std::map<MachineId, MoveTask> mTasks;
   Instant mNextCheckAt;
   std::int64_t mMoves = 0;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -67,6 +67,7 @@
     executor.mRetryAt = aNow.mAt;
   }
   executor.mEntry = aEntry;
+  detail::Touch(aShard, executor);
   aShard.mNeedsPass |= becameReady;
 }
 
@@ -131,10 +132,7 @@
 MakeRun(const Step& aStep, RunState aState, Instant aNow)
 {
   PlacedRun run;
-  run.mReserved = aStep.mNeeds;
-  if (aStep.mFills) {
-    run.mReserved.mCpuMillicores = 0;
-  }
+  run.mReserved = NeedsOf(aStep);
   run.mState = aState;
   run.mLasts = aStep.mLasting;
   run.mServes = aStep.mTargetTail.count() != 0;
@@ -193,6 +191,9 @@
     return;
   }
   auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
+  if (aShard.mPhase == ShardPhase::Active) {
+    job.mArrivedAt = aNow.mAt;
+  }
   if (progress != nullptr) {
     AdoptAttempts(aShard, job, *progress, aNow);
   }
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -87,7 +87,8 @@
          (found->second.mVacating == Vacating::ForUpkeep && found->second.mRuns.empty());
 }
 
-// Follows one host through its upkeep: emptied, recorded, ordered, back.
+// Follows one host through its upkeep: emptied, recorded, ordered, back. aDown counts the hosts
+// that are down for the wave, with those that are about to be recorded.
 void
 AdvanceMachine(Upkeep& aUpkeep,
                const Now& aNow,
@@ -95,6 +96,7 @@
                const Wave& aWave,
                const Machine& aMachine,
                const Shard& aShard,
+               int& aDown,
                Actions& aActions)
 {
   UpkeepKey key{ aWave.mNumber, aMachine.mId };
@@ -109,24 +111,24 @@
   if (task.mFence != 0) {
     if (!IsBack(aContext, aMachine, task)) {
       OrderUpkeep(task, aNow, key, aShard, aActions);
-    } else if (MayAppend(*aContext.mLog)) {
+    } else if (MayAppend(*aContext.mLog, aMachine.mId)) {
       auto record = ToRecord(key, { UpkeepPhase::Over, aMachine.mExecutor });
-      AppendIfUnchanged(*aContext.mLog, { record }, aActions);
+      Gather(*aContext.mLog, aMachine.mId, std::move(record));
     }
     return;
   }
-  if (!MayAppend(*aContext.mLog)) {
+  if (!MayAppend(*aContext.mLog, aMachine.mId)) {
     return;
   }
   // A host that a former owner has recorded has its place in the wave, but may be at work again.
   auto isRecorded = FindRecord(*aContext.mLog, key) != nullptr;
-  auto hasPlace = isRecorded || CountDown(aContext, aWave.mNumber) < aWave.mMaxAtOnce;
+  auto hasPlace = isRecorded || aDown < aWave.mMaxAtOnce;
   auto isIdle =
     IsEmpty(aShard, aMachine.mExecutor) && !IsMoving(*aContext.mLog, aMachine.mId, aNow.mWall);
   auto isDown = isRecorded && aMachine.mState == MachineState::Upkeep;
   if (isDown || (aMachine.mState == MachineState::Up && isIdle && hasPlace)) {
-    auto record = ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor });
-    AppendIfUnchanged(*aContext.mLog, { record }, aActions);
+    aDown += isRecorded ? 0 : 1;
+    Gather(*aContext.mLog, aMachine.mId, ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor }));
   }
 }
 
@@ -325,7 +327,7 @@
 void
 AdvanceUpkeep(Upkeep& aUpkeep, const Now& aNow, const FleetContext& aContext, Actions& aActions)
 {
-  if (!aContext.mLog->mLoaded || !aContext.mMachines->mIsKnown) {
+  if (!aContext.mLog->mHosts.mLoaded || !aContext.mMachines->mIsKnown) {
     return;
   }
   for (const auto& [number, wave] : *aContext.mWaves) {
@@ -334,11 +336,12 @@
         ChooseVacating(aUpkeep, aContext, wave, shard);
       }
     }
+    auto down = CountDown(aContext, number);
     for (const auto& id : wave.mMachines) {
       const auto* machine = FindMachine(*aContext.mMachines, id);
       const auto* shard = machine == nullptr ? nullptr : FindShard(aContext, machine->mPool);
       if (shard != nullptr) {
-        AdvanceMachine(aUpkeep, aNow, aContext, wave, *machine, *shard, aActions);
+        AdvanceMachine(aUpkeep, aNow, aContext, wave, *machine, *shard, down, aActions);
       }
     }
     if (aContext.mShards->contains(aContext.mReportingShard)) {
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -82,6 +82,10 @@
   1: required i32 wanted,
   2: required i32 present,
   3: required i64 at_ms,
+  // Hosts that could leave at once.
+  4: optional i32 idle,
+  // When the pool lacked hosts last.
+  5: optional i64 lacked_at_ms,
 }
 
 // A host on its way from one pool to another.
--- /dev/null
+++ b/Tests/LibSchedule/TestDemand.cpp
@@ -0,0 +1,100 @@
+#include "LibSchedule/Demand.h"
+#include "Steps.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sesameseam;
+using namespace sesameseam::schedule;
+
+namespace {
+
+constexpr Now kNow{ Instant(100s), TimePoint(1000s) };
+
+// A pool of ten hosts with 10 cores each.
+struct Pool
+{
+  ServiceName mName{ "previews" };
+  Shard mShard = MakeShard(0, {}, Instant(0s));
+  int mJobs = 0;
+
+  Pool()
+  {
+    for (int i = 0; i < 10; ++i) {
+      ExecutorId id("x" + std::to_string(i));
+      auto& executor = mShard.mExecutors[id];
+      executor.mEntry.mId = id;
+      executor.mEntry.mService = mName;
+      executor.mEntry.mRoom = { 10'000, 64'000, 0 };
+    }
+  }
+
+  // A job of one task that takes ten cores for a second.
+  Job& AddJob(Duration aAge)
+  {
+    JobDefinition definition;
+    definition.mService = mName;
+    definition.mSteps = { MakeStep(1, 10, 1000ms) };
+    definition.mAcceptedAt = kNow.mWall - aAge;
+    definition.mStretchPercent = 160;
+    definition.mResponseGoal = 600ms;
+    JobId id("j" + std::to_string(mJobs++));
+    auto& job = mShard.mJobs.emplace(id, MakeJob(id, definition, nullptr)).first->second;
+    job.mArrivedAt = kNow.mAt - aAge;
+    return job;
+  }
+
+  int Wanted() { return DemandOf(mShard, mName, kNow).mWanted; }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TheDemand)
+
+BOOST_AUTO_TEST_CASE(a_pool_without_work_wants_one_host)
+{
+  BOOST_TEST(Pool().Wanted() == 1);
+}
+
+// The start of a peak: arrivals grow while the pool still has room, and moved hosts take seconds.
+BOOST_AUTO_TEST_CASE(growing_arrivals_count_before_anything_waits)
+{
+  Pool steady;
+  Pool growing;
+  for (int i = 0; i < 4; ++i) {
+    steady.AddJob(i < 2 ? 200ms : 700ms);
+    growing.AddJob(i < 3 ? 200ms : 700ms);
+  }
+  for (auto* pool : { &steady, &growing }) {
+    for (auto& [id, job] : pool->mShard.mJobs) {
+      SetTaskState(job, { id, 0, 0, 0 }, TaskState::Placed);
+    }
+  }
+  // Four jobs of ten cores and a second arrive each second, in half of it two.
+  BOOST_TEST(steady.Wanted() == 5);
+  BOOST_TEST(growing.Wanted() > 2 * steady.Wanted());
+}
+
+// The end of a peak: what is late already must not hold hosts that the next pool needs.
+BOOST_AUTO_TEST_CASE(late_work_wants_fewer_hosts_than_work_that_can_be_in_time)
+{
+  Pool late;
+  Pool inTime;
+  for (int i = 0; i < 6; ++i) {
+    late.AddJob(5s);
+    inTime.AddJob(1100ms);
+  }
+  BOOST_TEST(inTime.Wanted() == 8);
+  BOOST_TEST(late.Wanted() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(steps_that_cannot_start_yet_want_no_hosts)
+{
+  Pool pool;
+  auto& job = pool.AddJob(1100ms);
+  auto definition = job.mDefinition;
+  definition.mSteps.push_back(After(MakeStep(8, 10, 1000ms), { 0 }));
+  job = MakeJob(job.mId, definition, nullptr);
+  BOOST_TEST(pool.Wanted() == 2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -25,7 +25,7 @@
 
   Owner()
   {
-    mLog.mLoaded = true;
+    mLog.mHosts.mLoaded = true;
     mMachines.mIsKnown = true;
   }
 
@@ -68,6 +68,7 @@
   {
     Actions actions;
     AdvanceUpkeep(mUpkeep, kNow, Context(), actions);
+    AppendGathered(mLog, actions);
     return actions;
   }
 
@@ -75,6 +76,7 @@
   {
     Actions actions;
     AdvanceRebalance(mRebalance, {}, kNow, Context(), mServices, actions);
+    AppendGathered(mLog, actions);
     return actions;
   }
 };
@@ -309,4 +311,131 @@
   BOOST_TEST((executor.mVacating == Vacating::No));
 }
 
+// Hosts of a wave were recorded one an append, which left no turn for moves.
+BOOST_AUTO_TEST_CASE(idle_hosts_of_a_wave_are_recorded_together_within_its_limit)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  for (const auto* name : { "m1", "m2", "m3" }) {
+    owner.AddHost(name, pool).mVacating = Vacating::ForUpkeep;
+  }
+  owner.mWaves[1] = WaveOf({ MachineId("m1"), MachineId("m2"), MachineId("m3") }, 2);
+  auto actions = owner.AdvanceWaves();
+  BOOST_TEST(CountAppended(actions, "upkeep/") == 2);
+  BOOST_TEST(owner.mLog.mAppendPending);
+}
+
+// The store answers a waiting read as fast as the append: the hosts were left where they were, and
+// counted as coming.
+BOOST_AUTO_TEST_CASE(an_append_that_a_read_has_shown_first_is_stored)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  owner.AddHost("m1", pool);
+  owner.AddHost("m2", pool);
+  owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
+  auto actions = owner.AdvanceMoves();
+  AppendAnswer stored;
+  stored.mCall = std::get<AppendCall>(actions.back());
+  BOOST_REQUIRE(stored.mCall.mExpectedEnd);
+  stored.mResult = CallResult::Done;
+  ReadAnswer read;
+  read.mCall.mStream = Stream::Fleet;
+  read.mCall.mPartition = stored.mCall.mPartition;
+  read.mResult = CallResult::Done;
+  const auto& record = stored.mCall.mRecords.front();
+  read.mRecords = { { record.mKey, record.mValue, 0 } };
+  OnFleetRead(owner.mLog, kNow, read, actions);
+  BOOST_TEST(OnFleetAppend(owner.mLog, kNow, stored, actions));
+  BOOST_TEST(owner.mLog.mHosts.mPosition == 1);
+}
+
+// Demands change many times a second in a peak, and each one made the moves of that moment fail.
+BOOST_AUTO_TEST_CASE(demands_are_told_beside_what_is_agreed)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  auto& executor = owner.AddHost("m1", pool);
+  auto& shard = owner.mShards.begin()->second;
+  JobDefinition definition;
+  definition.mService = pool;
+  definition.mSteps = { MakeStep(40, 1, 1000ms) };
+  definition.mAcceptedAt = kNow.mWall;
+  definition.mStretchPercent = 160;
+  shard.mJobs.emplace(JobId("j"), MakeJob(JobId("j"), definition, nullptr));
+  executor.mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  auto actions = owner.AdvanceMoves();
+  BOOST_REQUIRE(CountAppended(actions, "demand/") == 1);
+  for (const auto& action : actions) {
+    if (const auto* append = std::get_if<AppendCall>(&action)) {
+      BOOST_TEST(append->mPartition != owner.mLog.mHosts.mPartition);
+      BOOST_TEST(!append->mExpectedEnd);
+    }
+  }
+}
+
+// After its peak a pool has a task or two on each of its hosts, and none is idle.
+BOOST_AUTO_TEST_CASE(a_pool_with_a_surplus_empties_hosts_for_one_that_lacks_them)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  std::vector<Executor*> executors;
+  for (const auto* name : { "m1", "m2", "m3" }) {
+    executors.push_back(&owner.AddHost(name, pool));
+    PlacedRun run;
+    run.mReserved = { static_cast<std::int64_t>(executors.size()) * 1000, 0, 0 };
+    executors.back()->mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = run;
+  }
+  executors[0]->mRuns.begin()->second.mLasts = true;
+  owner.mLog.mDemands[ServiceName("previews")] = { 3, 2, kNow.mWall };
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+  // The host with least to do, but none on which a task lasts.
+  BOOST_TEST((executors[0]->mVacating == Vacating::No));
+  BOOST_TEST((executors[1]->mVacating == Vacating::ForMove));
+  BOOST_TEST((executors[2]->mVacating == Vacating::No));
+  executors[1]->mRuns.clear();
+  owner.mRebalance.mNextCheckAt = {};
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/m2") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_that_was_to_be_emptied_works_again_once_nobody_lacks_it)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  owner.AddHost("m1", pool);
+  auto& executor = owner.AddHost("m2", pool);
+  for (auto& [id, each] : owner.mShards.begin()->second.mExecutors) {
+    each.mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  }
+  owner.mLog.mDemands[ServiceName("previews")] = { 3, 2, kNow.mWall };
+  owner.AdvanceMoves();
+  BOOST_TEST(owner.mRebalance.mEmptying.size() == 1u);
+  owner.mLog.mDemands.clear();
+  owner.mRebalance.mNextCheckAt = {};
+  owner.AdvanceMoves();
+  BOOST_TEST(owner.mRebalance.mEmptying.empty());
+  BOOST_TEST((executor.mVacating == Vacating::No));
+}
+
+// Load that goes from pool to pool: the pool whose peak is just over gives before the one whose
+// peak is still to come.
+BOOST_AUTO_TEST_CASE(the_pool_that_lacked_hosts_last_gives_first)
+{
+  Owner owner;
+  auto before = owner.AddPool("before");
+  for (const auto* name : { "m1", "m2", "m3" }) {
+    owner.AddHost(name, before);
+  }
+  // Another host owns the pool "after", and has told that two of its hosts are idle.
+  owner.mServices.push_back({ ServiceName("after"), false });
+  owner.mLog.mDemands[ServiceName("after")] = { 1, 3, kNow.mWall, 2, kNow.mWall - 3s };
+  owner.mLog.mDemands[ServiceName("now")] = { 4, 2, kNow.mWall };
+  owner.mServices.push_back({ ServiceName("now"), false });
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+  // It did not give in time.
+  owner.mRebalance.mLackSince[ServiceName("now")] = kNow.mAt - 2s;
+  owner.mRebalance.mNextCheckAt = {};
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
