Let a starting host ask for owners before it joins the group

Each host joined at its start, and left once it knew of larger ones; with each of them the log dealt all partitions anew. Owners that are younger than 3.3 s order no host, so that no host moved or was maintained for 25 s.

Ruled out: the slow store from 9.5 to 15.4 (shards went on moving long after).

Change: no join before the first list of owners; no leave without membership.

The test failed without the change.

--- a/Libraries/LibSchedule/Group.cpp
+++ b/Libraries/LibSchedule/Group.cpp
@@ -43,6 +43,7 @@
     aGroup.mNextOwnersAt = aNow.mAt + kRetryPause;
     return false;
   }
+  aGroup.mKnowsOwners = true;
   aGroup.mConfirmedAt = aNow.mAt;
   auto isOutranked =
     std::any_of(aAnswer.mOwners.begin(), aAnswer.mOwners.end(), [&](const GroupOwner& aOwner) {
@@ -57,10 +58,13 @@
   if (!isOutranked) {
     return false;
   }
+  auto wasMember = aGroup.mGeneration != 0 || aGroup.mInFlight;
   aGroup.mPartitions.clear();
   aGroup.mGeneration = 0;
-  aActions.emplace_back(LeaveCall{});
-  return true;
+  if (wasMember) {
+    aActions.emplace_back(LeaveCall{});
+  }
+  return wasMember;
 }
 
 void
@@ -73,7 +77,8 @@
     aGroup.mOwnersPending = true;
     aActions.emplace_back(OwnersCall{});
   }
-  if (aGroup.mInFlight || aGroup.mIsOutranked || aNow.mAt < aGroup.mNextJoinAt) {
+  auto belongsIn = aGroup.mKnowsOwners && !aGroup.mIsOutranked;
+  if (aGroup.mInFlight || !belongsIn || aNow.mAt < aGroup.mNextJoinAt) {
     return;
   }
   aGroup.mInFlight = true;
--- /dev/null
+++ b/Tests/LibSchedule/TestGroup.cpp
@@ -0,0 +1,93 @@
+#include "LibSchedule/Group.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sesameseam;
+using namespace sesameseam::schedule;
+
+namespace {
+
+constexpr Now kNow{ Instant(100s), TimePoint(1000s) };
+
+template<typename Call>
+bool
+Contains(const Actions& aActions)
+{
+  for (const auto& action : aActions) {
+    if (std::holds_alternative<Call>(action)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+OwnersAnswer
+OwnersOf(std::vector<int> aCapacities)
+{
+  OwnersAnswer answer;
+  answer.mResult = CallResult::Done;
+  for (auto capacity : aCapacities) {
+    answer.mOwners.push_back({ "e" + std::to_string(capacity), capacity });
+  }
+  return answer;
+}
+
+struct Member
+{
+  Group mGroup;
+  Actions mActions;
+
+  explicit Member(int aCapacity) { mGroup.mCapacityMillicores = aCapacity; }
+
+  // What the host does once it knows the owners.
+  void Learn(const OwnersAnswer& aAnswer)
+  {
+    mActions.clear();
+    OnOwnersAnswer(mGroup, kNow, aAnswer, mActions);
+    AdvanceGroup(mGroup, kNow, mActions);
+  }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(TheGroup)
+
+// A rolling restart of small hosts: each joined at its start and left once it knew of larger ones,
+// and with each of them the log dealt all shards anew.
+BOOST_AUTO_TEST_CASE(a_small_host_that_starts_does_not_join_beside_larger_ones)
+{
+  Member member(100);
+  AdvanceGroup(member.mGroup, kNow, member.mActions);
+  BOOST_TEST(Contains<OwnersCall>(member.mActions));
+  BOOST_TEST(!Contains<JoinCall>(member.mActions));
+  member.Learn(OwnersOf({ 500, 500 }));
+  BOOST_TEST(!Contains<JoinCall>(member.mActions));
+  // The log would deal anew for whoever leaves, too.
+  BOOST_TEST(!Contains<LeaveCall>(member.mActions));
+}
+
+BOOST_AUTO_TEST_CASE(a_host_joins_where_nobody_is_larger)
+{
+  Member alone(100);
+  alone.Learn(OwnersOf({}));
+  BOOST_TEST(Contains<JoinCall>(alone.mActions));
+  Member equal(500);
+  equal.Learn(OwnersOf({ 500, 100 }));
+  BOOST_TEST(Contains<JoinCall>(equal.mActions));
+}
+
+BOOST_AUTO_TEST_CASE(a_member_leaves_for_a_larger_host)
+{
+  Member member(100);
+  member.Learn(OwnersOf({}));
+  JoinAnswer joined;
+  joined.mResult = CallResult::Done;
+  joined.mGeneration = 1;
+  joined.mPartitions = { 1, 2 };
+  OnJoinAnswer(member.mGroup, kNow, joined);
+  member.Learn(OwnersOf({ 100, 500 }));
+  BOOST_TEST(Contains<LeaveCall>(member.mActions));
+  BOOST_TEST(member.mGroup.mPartitions.empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
