Empty busy hosts of a wave side by side as its time gets short

By the log half of a wave's hosts were done within 8 s, and the rest went at 2 to 4 a 2 s: a shard emptied one busy host at a time, and hosts that were lent to other pools were in none of them long enough.

Change: as many busy hosts are emptied at once as the time left demands; hosts that are due no longer move after three tenths of the wave's time.

Both tests failed with the former code.

--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -69,7 +69,10 @@
     TakeManifest(aFollower, aNow, manifest, aChanges, aActions);
   }
   for (const auto& wave : aRecords.mWaves) {
-    aFollower.mWaves[wave.mNumber] = wave;
+    auto [known, isNew] = aFollower.mWaves.try_emplace(wave.mNumber, wave);
+    auto seenAt = isNew ? aNow.mAt : known->second.mSeenAt;
+    known->second = wave;
+    known->second.mSeenAt = seenAt;
   }
   for (const auto& entry : aRecords.mExecutors) {
     TakeExecutor(aFollower, entry, aChanges);
--- a/Libraries/LibSchedule/Group.h
+++ b/Libraries/LibSchedule/Group.h
@@ -9,8 +9,8 @@
 namespace sesameseam::schedule {
 
 // Hosts differ in size, and the log deals partitions evenly. A host stays out of the group while a
-// larger one owns partitions, and comes in once none does. Each member that comes or leaves lets the
-// log deal anew, so that a host joins only once it knows that it is to stay.
+// larger one owns partitions, and comes in once none does. Each member that comes or leaves lets
+// the log deal anew, so that a host joins only once it knows that it is to stay.
 struct Group
 {
   int mCapacityMillicores = 0;
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Id.h"
 #include "LibBase/Time.h"
+#include "LibSchedule/Clock.h"
 
 #include <compare>
 #include <cstdint>
@@ -178,6 +179,8 @@
   std::vector<MachineId> mMachines;
   std::chrono::seconds mTimeLimit{ 0 };
   int mMaxAtOnce = 1;
+  // When this host learned of it.
+  Instant mSeenAt;
 };
 
 enum class MachineState
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -127,7 +127,8 @@
 {
   return aMachine.mState == MachineState::Up && !aRebalance.mTasks.contains(aMachine.mId) &&
          !IsDown(*aContext.mLog, aMachine.mId) && MayAppend(*aContext.mLog, aMachine.mId) &&
-         MayOrder(aContext, aShard, aMachine.mId, aNow);
+         MayOrder(aContext, aShard, aMachine.mId, aNow) &&
+         !StaysForUpkeep(aContext, aMachine.mId, aNow);
 }
 
 // Hosts of the pool that may go now.
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -12,6 +12,12 @@
 constexpr Duration kHolderMargin = 300ms;
 // An order to move a host is not repeated for longer.
 constexpr Duration kMoveOrderLifetime = 6s;
+// What a busy host needs to become empty, and to be down.
+constexpr Duration kTimeForOneHost = 4s;
+// A wave is to be over after this share of its time, since some hosts take longer.
+constexpr double kPlannedShare = 0.6;
+// After this share of the time hosts that are due stay in their pools.
+constexpr double kShareForMoves = 0.3;
 
 const UpkeepRecord*
 FindRecord(const FleetLog& aLog, const UpkeepKey& aKey)
@@ -139,13 +145,34 @@
   return ReservedRoom(aExecutor).mCpuMillicores;
 }
 
+struct NextHost
+{
+  Executor* mExecutor = nullptr;
+  std::int64_t mUsedCpu = 0;
+};
+
 struct VacatingHosts
 {
   // Hosts that get no new work, and those that could be next.
   int mChosen = 0;
-  std::vector<Executor*> mNext;
+  std::vector<NextHost> mNext;
 };
 
+Duration
+ShareOf(std::chrono::seconds aTime, double aShare)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aTime) * aShare);
+}
+
+// How many busy hosts have to be emptied side by side, so that all that are left are done in time.
+int
+HostsToEmptyAtOnce(const Wave& aWave, int aLeft, Instant aNow)
+{
+  auto until = aWave.mSeenAt + ShareOf(aWave.mTimeLimit, kPlannedShare);
+  auto rounds = std::max<std::int64_t>((until - aNow) / kTimeForOneHost, 1);
+  return static_cast<int>((aLeft + rounds - 1) / rounds);
+}
+
 bool
 HasOrder(const Upkeep& aUpkeep, const UpkeepKey& aKey, const Shard& aShard)
 {
@@ -187,31 +214,35 @@
     if (found->second.mVacating == Vacating::ForUpkeep) {
       ++vacating.mChosen;
     } else if (found->second.mVacating == Vacating::No && machine->mState == MachineState::Up) {
-      vacating.mNext.push_back(&found->second);
+      vacating.mNext.push_back({ &found->second, UsedCpu(found->second) });
     }
   }
   return vacating;
 }
 
 // Chooses the hosts of a shard that get no new work, so that the wave goes on as soon as its limit
-// allows.
+// allows: idle ones one after the other, and as many busy ones as the time demands.
 void
 ChooseVacating(const Upkeep& aUpkeep,
+               const Now& aNow,
                const FleetContext& aContext,
                const Wave& aWave,
                Shard& aShard)
 {
   auto vacating = FindVacating(aUpkeep, aContext, aWave, aShard);
-  if (vacating.mChosen >= aWave.mMaxAtOnce || vacating.mNext.empty()) {
-    return;
-  }
-  auto* least = *std::min_element(vacating.mNext.begin(),
-                                  vacating.mNext.end(),
-                                  [](const Executor* aLeft, const Executor* aRight) {
-                                    return UsedCpu(*aLeft) < UsedCpu(*aRight);
-                                  });
-  if (vacating.mChosen == 0 || least->mRuns.empty()) {
-    least->mVacating = Vacating::ForUpkeep;
+  auto left = vacating.mChosen + static_cast<int>(vacating.mNext.size());
+  auto busyAtOnce = HostsToEmptyAtOnce(aWave, left, aNow.mAt);
+  std::sort(
+    vacating.mNext.begin(),
+    vacating.mNext.end(),
+    [](const NextHost& aLeft, const NextHost& aRight) { return aLeft.mUsedCpu < aRight.mUsedCpu; });
+  for (auto& [executor, usedCpu] : vacating.mNext) {
+    auto isIdle = executor->mRuns.empty();
+    if (vacating.mChosen >= (isIdle ? aWave.mMaxAtOnce : std::min(aWave.mMaxAtOnce, busyAtOnce))) {
+      return;
+    }
+    executor->mVacating = Vacating::ForUpkeep;
+    ++vacating.mChosen;
   }
 }
 
@@ -261,6 +292,18 @@
          aNow - since->second > wait && detail::MayStart(aShard, aNow);
 }
 
+bool
+StaysForUpkeep(const FleetContext& aContext, const MachineId& aMachine, Instant aNow)
+{
+  return std::any_of(aContext.mWaves->begin(), aContext.mWaves->end(), [&](const auto& aEntry) {
+    const auto& [number, wave] = aEntry;
+    auto isDue =
+      std::find(wave.mMachines.begin(), wave.mMachines.end(), aMachine) != wave.mMachines.end();
+    return isDue && !IsOver(*aContext.mLog, { number, aMachine }) &&
+           aNow - wave.mSeenAt > ShareOf(wave.mTimeLimit, kShareForMoves);
+  });
+}
+
 bool
 HasOpenWave(const Upkeep& aUpkeep, const std::map<std::int64_t, Wave>& aWaves)
 {
@@ -333,7 +376,7 @@
   for (const auto& [number, wave] : *aContext.mWaves) {
     for (auto& [partition, shard] : *aContext.mShards) {
       if (shard.mPhase == ShardPhase::Active) {
-        ChooseVacating(aUpkeep, aContext, wave, shard);
+        ChooseVacating(aUpkeep, aNow, aContext, wave, shard);
       }
     }
     auto down = CountDown(aContext, number);
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -68,6 +68,11 @@
 bool
 HasOpenWave(const Upkeep& aUpkeep, const std::map<std::int64_t, Wave>& aWaves);
 
+// Whether the host is due for its upkeep, and the time for that is no longer ample: it stays in its
+// pool until then.
+bool
+StaysForUpkeep(const FleetContext& aContext, const MachineId& aMachine, Instant aNow);
+
 // Notes the fencing token of the records that were stored.
 void
 OnUpkeepRecorded(Upkeep& aUpkeep, const AppendAnswer& aAnswer, Actions& aActions);
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -438,4 +438,45 @@
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 2);
 }
 
+// A wave through a peak: hosts with work were emptied one at a time, and the last of them were
+// left when its time was over.
+BOOST_AUTO_TEST_CASE(with_little_time_left_busy_hosts_are_emptied_side_by_side)
+{
+  for (auto elapsed : { 1s, 11s }) {
+    Owner owner;
+    auto pool = owner.AddPool("previews");
+    std::vector<MachineId> machines;
+    for (int i = 0; i < 6; ++i) {
+      auto name = "m" + std::to_string(i);
+      owner.AddHost(name, pool).mRuns[{ { JobId("j"), 0, 0, i }, 1 }] = {};
+      machines.emplace_back(name);
+    }
+    owner.mWaves[1] = WaveOf(machines, 5);
+    owner.mWaves[1].mSeenAt = kNow.mAt - elapsed;
+    owner.AdvanceWaves();
+    int vacating = 0;
+    for (const auto& [id, executor] : owner.mShards.begin()->second.mExecutors) {
+      vacating += executor.mVacating == Vacating::ForUpkeep ? 1 : 0;
+    }
+    // Twelve of the twenty seconds are planned for, four for each host.
+    BOOST_TEST(vacating == (elapsed == 1s ? 3 : 5));
+  }
+}
+
+// Hosts that were lent from pool to pool were never in one for long enough to be maintained.
+BOOST_AUTO_TEST_CASE(a_host_that_is_due_stays_in_its_pool_once_time_gets_short)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  owner.AddHost("m1", pool);
+  owner.AddHost("m2", pool).mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  owner.mLog.mDemands[ServiceName("previews")] = { 3, 2, kNow.mWall };
+  owner.mWaves[1].mSeenAt = kNow.mAt - 10s;
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+  owner.mWaves[1].mSeenAt = kNow.mAt - 2s;
+  owner.mRebalance.mNextCheckAt = {};
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/m1") == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
