Let former owners come first, and order hosts at once that nobody ordered lately

Change: where nobody owns partitions, a host asks the log who owned them last; others wait 0.7 s. A host without a record of a move or an upkeep in the last 11 s has no order that could collide, since each order is recorded before it is given; a move that is not ordered within 3 s is given up.

A test is replaced: a_host_that_another_owner_may_have_ordered_is_left_alone held for any host that is new to an owner. It now demands the same where a recent or open record is there.

--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -54,7 +54,9 @@
   auto key = TRY(ParseUpkeepKey(aName));
   auto record = TRY(detail::Decode<record::Upkeep>(aValue));
   auto phase = record.phase == 0 ? UpkeepPhase::Begun : UpkeepPhase::Over;
-  aLog.mUpkeeps[key] = { phase, ExecutorId(std::move(record.former_executor)) };
+  aLog.mUpkeeps[key] = { phase,
+                         ExecutorId(std::move(record.former_executor)),
+                         FromUnixMilliseconds(record.at_ms) };
   return absl::OkStatus();
 }
 
@@ -163,6 +165,7 @@
   record::Upkeep out;
   out.phase = static_cast<std::int32_t>(aRecord.mPhase);
   out.former_executor = aRecord.mFormerExecutor.mValue;
+  out.__set_at_ms(UnixMilliseconds(aRecord.mAt));
   auto key = std::string(kUpkeepPrefix) + std::to_string(aKey.mWave) + "/" + aKey.mMachine.mValue;
   return { std::move(key), detail::Encode(out) };
 }
--- a/Libraries/LibSchedule/FleetLog.h
+++ b/Libraries/LibSchedule/FleetLog.h
@@ -34,6 +34,8 @@
 {
   UpkeepPhase mPhase = UpkeepPhase::Begun;
   ExecutorId mFormerExecutor;
+  // When it was recorded.
+  TimePoint mAt;
 };
 
 struct PoolDemand
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1644,6 +1644,11 @@
 void Upkeep::__set_former_executor(const std::string& val) {
   this->former_executor = val;
 }
+
+void Upkeep::__set_at_ms(const int64_t val) {
+  this->at_ms = val;
+__isset.at_ms = true;
+}
 std::ostream& operator<<(std::ostream& out, const Upkeep& obj)
 {
   obj.printTo(out);
@@ -1690,6 +1695,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->at_ms);
+          this->__isset.at_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1719,6 +1732,11 @@
   xfer += oprot->writeString(this->former_executor);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.at_ms) {
+    xfer += oprot->writeFieldBegin("at_ms", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->at_ms);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1728,15 +1746,21 @@
   using ::std::swap;
   swap(a.phase, b.phase);
   swap(a.former_executor, b.former_executor);
+  swap(a.at_ms, b.at_ms);
+  swap(a.__isset, b.__isset);
 }
 
 Upkeep::Upkeep(const Upkeep& other50) {
   phase = other50.phase;
   former_executor = other50.former_executor;
+  at_ms = other50.at_ms;
+  __isset = other50.__isset;
 }
 Upkeep& Upkeep::operator=(const Upkeep& other51) {
   phase = other51.phase;
   former_executor = other51.former_executor;
+  at_ms = other51.at_ms;
+  __isset = other51.__isset;
   return *this;
 }
 void Upkeep::printTo(std::ostream& out) const {
@@ -1744,6 +1768,7 @@
   out << "Upkeep(";
   out << "phase=" << to_string(phase);
   out << ", " << "former_executor=" << to_string(former_executor);
+  out << ", " << "at_ms="; (__isset.at_ms ? (out << to_string(at_ms)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -635,6 +635,10 @@
 
 std::ostream& operator<<(std::ostream& out, const Silence& obj);
 
+typedef struct _Upkeep__isset {
+  _Upkeep__isset() : at_ms(false) {}
+  bool at_ms :1;
+} _Upkeep__isset;
 
 class Upkeep : public virtual ::apache::thrift::TBase {
  public:
@@ -643,23 +647,33 @@
   Upkeep& operator=(const Upkeep&);
   Upkeep() noexcept
          : phase(0),
-           former_executor() {
+           former_executor(),
+           at_ms(0) {
   }
 
   virtual ~Upkeep() noexcept;
   int32_t phase;
   std::string former_executor;
+  int64_t at_ms;
+
+  _Upkeep__isset __isset;
 
   void __set_phase(const int32_t val);
 
   void __set_former_executor(const std::string& val);
 
+  void __set_at_ms(const int64_t val);
+
   bool operator == (const Upkeep & rhs) const
   {
     if (!(phase == rhs.phase))
       return false;
     if (!(former_executor == rhs.former_executor))
       return false;
+    if (__isset.at_ms != rhs.__isset.at_ms)
+      return false;
+    else if (__isset.at_ms && !(at_ms == rhs.at_ms))
+      return false;
     return true;
   }
   bool operator != (const Upkeep &rhs) const {
--- a/Libraries/LibSchedule/Group.cpp
+++ b/Libraries/LibSchedule/Group.cpp
@@ -12,6 +12,21 @@
 // A host out of the group has to notice within about a second that no larger one is left.
 constexpr Duration kOwnersInterval = 700ms;
 constexpr Duration kOwnersIntervalOfMember = 2s;
+// After the loss of all hosts, the former owners have this much time to come back.
+constexpr Duration kFormerOwnersFirst = 700ms;
+
+// The newest record of each partition names the host that owned it last.
+void
+AskForFormerOwners(Group& aGroup, Actions& aActions)
+{
+  if (aGroup.mFormerOwnersPending) {
+    return;
+  }
+  aGroup.mFormerOwnersPending = true;
+  NewestCall call;
+  call.mStream = Stream::Owners;
+  aActions.emplace_back(std::move(call));
+}
 
 }
 
@@ -43,8 +58,13 @@
     aGroup.mNextOwnersAt = aNow.mAt + kRetryPause;
     return false;
   }
-  aGroup.mKnowsOwners = true;
   aGroup.mConfirmedAt = aNow.mAt;
+  if (aAnswer.mOwners.empty() && !aGroup.mKnowsFormerOwners) {
+    AskForFormerOwners(aGroup, aActions);
+    aGroup.mNextOwnersAt = aNow.mAt + kRetryPause;
+    return false;
+  }
+  aGroup.mKnowsOwners = true;
   auto isOutranked =
     std::any_of(aAnswer.mOwners.begin(), aAnswer.mOwners.end(), [&](const GroupOwner& aOwner) {
       return aOwner.mCapacityMillicores > aGroup.mCapacityMillicores;
@@ -67,6 +87,20 @@
   return wasMember;
 }
 
+void
+OnFormerOwners(Group& aGroup, const Now& aNow, const NewestAnswer& aAnswer)
+{
+  aGroup.mFormerOwnersPending = false;
+  if (aAnswer.mResult != CallResult::Done) {
+    return;
+  }
+  aGroup.mKnowsFormerOwners = true;
+  auto isOwn = [&](const KeyedRecord& aRecord) { return aRecord.mValue == aGroup.mHost; };
+  auto wasOwner = aAnswer.mRecords.empty() ||
+                  std::any_of(aAnswer.mRecords.begin(), aAnswer.mRecords.end(), isOwn);
+  aGroup.mNextOwnersAt = wasOwner ? aNow.mAt : aNow.mAt + kFormerOwnersFirst;
+}
+
 void
 AdvanceGroup(Group& aGroup, const Now& aNow, Actions& aActions)
 {
--- a/Libraries/LibSchedule/Group.h
+++ b/Libraries/LibSchedule/Group.h
@@ -13,9 +13,13 @@
 // the log deal anew, so that a host joins only once it knows that it is to stay.
 struct Group
 {
+  std::string mHost;
   int mCapacityMillicores = 0;
   bool mKnowsOwners = false;
   bool mIsOutranked = false;
+  // Where nobody owns partitions, the hosts that owned them last come first.
+  bool mKnowsFormerOwners = false;
+  bool mFormerOwnersPending = false;
   bool mOwnersPending = false;
   Instant mNextOwnersAt;
   std::int64_t mGeneration = 0;
@@ -34,6 +38,9 @@
 bool
 OnOwnersAnswer(Group& aGroup, const Now& aNow, const OwnersAnswer& aAnswer, Actions& aActions);
 
+void
+OnFormerOwners(Group& aGroup, const Now& aNow, const NewestAnswer& aAnswer);
+
 void
 AdvanceGroup(Group& aGroup, const Now& aNow, Actions& aActions);
 
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -194,6 +194,8 @@
   const auto& call = aAnswer.mCall;
   if (call.mStream == Stream::Fleet) {
     OnFleetNewest(aNode.mFleetLog, aNow, aAnswer, aActions);
+  } else if (call.mStream == Stream::Owners) {
+    OnFormerOwners(aNode.mGroup, aNow, aAnswer);
   } else if (call.mReader == Reader::Follower) {
     ApplyChanges(aNode, aNow, OnFollowerNewest(aNode.mFollower, aNow, aAnswer, aActions));
   } else if (call.mReader == Reader::View) {
@@ -321,6 +323,7 @@
 {
   Node node;
   node.mSettings = aSettings;
+  node.mGroup.mHost = aSettings.mName;
   node.mGroup.mCapacityMillicores = aSettings.mCapacityMillicores;
   return node;
 }
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -123,12 +123,12 @@
          const Rebalance& aRebalance,
          const Shard& aShard,
          const Machine& aMachine,
-         Instant aNow)
+         const Now& aNow)
 {
   return aMachine.mState == MachineState::Up && !aRebalance.mTasks.contains(aMachine.mId) &&
          !IsDown(*aContext.mLog, aMachine.mId) && MayAppend(*aContext.mLog, aMachine.mId) &&
          MayOrder(aContext, aShard, aMachine.mId, aNow) &&
-         !StaysForUpkeep(aContext, aMachine.mId, aNow);
+         !StaysForUpkeep(aContext, aMachine.mId, aNow.mAt);
 }
 
 // Hosts of the pool that may go now.
@@ -137,14 +137,14 @@
           const Rebalance& aRebalance,
           const Shard& aShard,
           const Service& aPool,
-          Instant aNow)
+          const Now& aNow)
 {
   std::vector<MachineId> hosts;
   for (const auto& [id, machine] : aContext.mMachines->mMachines) {
     auto isFree =
       machine.mPool == aPool.mName &&
       (aPool.mStandby || aRebalance.mEmptying.contains(id) ? IsEmpty(aShard, machine)
-                                                           : IsIdle(aShard, machine, aNow));
+                                                           : IsIdle(aShard, machine, aNow.mAt));
     if (isFree && MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
       hosts.push_back(id);
     }
@@ -164,13 +164,14 @@
              const Rebalance& aRebalance,
              const Shard& aShard,
              const ServiceName& aPool,
-             Instant aNow)
+             const Now& aNow)
 {
   std::vector<BusyHost> hosts;
   for (const auto& [id, machine] : aContext.mMachines->mMachines) {
     auto found = aShard.mExecutors.find(machine.mExecutor);
     if (machine.mPool != aPool || found == aShard.mExecutors.end() ||
-        !IsUsable(found->second, aNow) || !MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
+        !IsUsable(found->second, aNow.mAt) ||
+        !MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
       continue;
     }
     const auto& runs = found->second.mRuns;
@@ -295,7 +296,7 @@
            const ServiceName& aTo,
            int aCount)
 {
-  auto hosts = HostsToEmpty(aContext, aRebalance, aShard, aFrom, aNow.mAt);
+  auto hosts = HostsToEmpty(aContext, aRebalance, aShard, aFrom, aNow);
   hosts.resize(std::min(hosts.size(), static_cast<std::size_t>(aCount)));
   for (const auto& host : hosts) {
     SetVacating(aContext, host.mId, Vacating::ForMove);
@@ -319,7 +320,7 @@
   // Hosts that are being emptied don't count as present.
   auto spare = CountSpare(aContext, aShard, aPool, aNow) + emptying;
   auto wanted = std::max(0, std::min(aShare, spare));
-  auto idle = IdleHosts(aContext, aRebalance, aShard, aPool, aNow.mAt);
+  auto idle = IdleHosts(aContext, aRebalance, aShard, aPool, aNow);
   idle.resize(std::min(idle.size(), static_cast<std::size_t>(wanted)));
   GiveIdleHosts(aRebalance, aNow, aContext, aShard, aLack, idle);
   auto given = static_cast<int>(idle.size());
@@ -373,7 +374,14 @@
     auto isElsewhere = machine == nullptr || machine->mPool == task.mTo;
     const auto* shard = isElsewhere ? nullptr : FindShard(aContext, machine->mPool);
     auto isOwned = shard != nullptr && shard->mEpoch == task.mEpoch;
-    return !isOwned || (task.mOrdered && aNow.mAt > task.mGiveUpAt);
+    if (isOwned && (task.mFence == 0 || task.mCallPending || aNow.mAt <= task.mGiveUpAt)) {
+      return false;
+    }
+    if (isOwned && !task.mOrdered) {
+      // Later than this nobody expects the order any more: this host may have been frozen.
+      SetVacating(aContext, id, Vacating::No);
+    }
+    return true;
   });
   for (auto& [id, task] : aRebalance.mTasks) {
     auto isDue = task.mFence != 0 && !task.mOrdered && !task.mCallPending;
@@ -468,7 +476,7 @@
     }
     auto demand = pool.mStandby ? PoolDemand() : DemandOf(*shard, pool.mName, aNow);
     demand.mAt = aNow.mWall;
-    auto idle = IdleHosts(aContext, aRebalance, *shard, pool, aNow.mAt);
+    auto idle = IdleHosts(aContext, aRebalance, *shard, pool, aNow);
     demand.mIdle = static_cast<int>(idle.size());
     if (!pool.mStandby) {
       demand.mIdle = std::clamp(demand.mPresent - demand.mWanted, 0, demand.mIdle);
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -12,6 +12,9 @@
 constexpr Duration kHolderMargin = 300ms;
 // An order to move a host is not repeated for longer.
 constexpr Duration kMoveOrderLifetime = 6s;
+// No order is given later than this after its record: a move is given up after 3 s, a call takes 2
+// s, two holders leave 3 s between their orders, and the clocks of two hosts differ by up to 3 s.
+constexpr Duration kOrderMemory = 11s;
 // What a busy host needs to become empty, and to be down.
 constexpr Duration kTimeForOneHost = 4s;
 // A wave is to be over after this share of its time, since some hosts take longer.
@@ -63,6 +66,21 @@
   return found != aLog.mMoves.end() && aNow - found->second.mAt < kMoveOrderLifetime;
 }
 
+// Every order is recorded before it is given, so that a host without a recent record has none.
+bool
+HasRecentOrder(const FleetLog& aLog, const MachineId& aMachine, TimePoint aNow)
+{
+  auto move = aLog.mMoves.find(aMachine);
+  if (move != aLog.mMoves.end() && aNow - move->second.mAt < kOrderMemory) {
+    return true;
+  }
+  return std::any_of(aLog.mUpkeeps.begin(), aLog.mUpkeeps.end(), [&](const auto& aEntry) {
+    const auto& [key, record] = aEntry;
+    auto mayBeOrdered = record.mPhase == UpkeepPhase::Begun || aNow - record.mAt < kOrderMemory;
+    return key.mMachine == aMachine && mayBeOrdered;
+  });
+}
+
 // A list that was asked for after the order was carried out shows the host up.
 bool
 IsBack(const FleetContext& aContext, const Machine& aMachine, const UpkeepTask& aTask)
@@ -106,7 +124,7 @@
                Actions& aActions)
 {
   UpkeepKey key{ aWave.mNumber, aMachine.mId };
-  if (IsOver(*aContext.mLog, key) || !MayOrder(aContext, aShard, aMachine.mId, aNow.mAt)) {
+  if (IsOver(*aContext.mLog, key) || !MayOrder(aContext, aShard, aMachine.mId, aNow)) {
     return;
   }
   auto& task = aUpkeep.mTasks[key];
@@ -118,7 +136,7 @@
     if (!IsBack(aContext, aMachine, task)) {
       OrderUpkeep(task, aNow, key, aShard, aActions);
     } else if (MayAppend(*aContext.mLog, aMachine.mId)) {
-      auto record = ToRecord(key, { UpkeepPhase::Over, aMachine.mExecutor });
+      auto record = ToRecord(key, { UpkeepPhase::Over, aMachine.mExecutor, aNow.mWall });
       Gather(*aContext.mLog, aMachine.mId, std::move(record));
     }
     return;
@@ -134,7 +152,9 @@
   auto isDown = isRecorded && aMachine.mState == MachineState::Upkeep;
   if (isDown || (aMachine.mState == MachineState::Up && isIdle && hasPlace)) {
     aDown += isRecorded ? 0 : 1;
-    Gather(*aContext.mLog, aMachine.mId, ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor }));
+    Gather(*aContext.mLog,
+           aMachine.mId,
+           ToRecord(key, { UpkeepPhase::Begun, aMachine.mExecutor, aNow.mWall }));
   }
 }
 
@@ -284,12 +304,19 @@
 }
 
 bool
-MayOrder(const FleetContext& aContext, const Shard& aShard, const MachineId& aMachine, Instant aNow)
+MayOrder(const FleetContext& aContext,
+         const Shard& aShard,
+         const MachineId& aMachine,
+         const Now& aNow)
 {
+  if (!detail::MayStart(aShard, aNow.mAt)) {
+    return false;
+  }
   auto wait = aContext.mHolderLease + kHolderMargin;
   auto since = aContext.mMachines->mInPoolSince.find(aMachine);
-  return aNow - aShard.mTakenOverAt > wait && since != aContext.mMachines->mInPoolSince.end() &&
-         aNow - since->second > wait && detail::MayStart(aShard, aNow);
+  auto isOld = aNow.mAt - aShard.mTakenOverAt > wait &&
+               since != aContext.mMachines->mInPoolSince.end() && aNow.mAt - since->second > wait;
+  return isOld || !HasRecentOrder(*aContext.mLog, aMachine, aNow.mWall);
 }
 
 bool
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -58,7 +58,7 @@
 MayOrder(const FleetContext& aContext,
          const Shard& aShard,
          const MachineId& aMachine,
-         Instant aNow);
+         const Now& aNow);
 
 // The partition that holds the jobs of a service.
 int
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -75,6 +75,7 @@
 struct Upkeep {
   1: required i32 phase,
   2: required string former_executor,
+  3: optional i64 at_ms,
 }
 
 // How many hosts a pool wants, and how many it has.
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -287,8 +287,46 @@
   owner.AddHost("m2", pool);
   owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 1s;
   owner.mMachines.mInPoolSince[MachineId("m2")] = kNow.mAt - 1s;
+  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 8s };
+  UpkeepRecord upkeep{ UpkeepPhase::Over, ExecutorId(), kNow.mWall - 8s };
+  owner.mLog.mUpkeeps[{ 1, MachineId("m2") }] = upkeep;
   owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+  upkeep.mPhase = UpkeepPhase::Begun;
+  upkeep.mAt = kNow.mWall - 60s;
+  owner.mLog.mUpkeeps[{ 1, MachineId("m2") }] = upkeep;
+  owner.mRebalance.mNextCheckAt = {};
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+}
+
+// After a restart of all hosts in a peak, pools got no host for the time that two holders leave.
+BOOST_AUTO_TEST_CASE(a_new_owner_orders_hosts_at_once_that_nobody_ordered_lately)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  owner.AddHost("m1", pool);
+  owner.AddHost("m2", pool);
+  owner.mShards.begin()->second.mTakenOverAt = kNow.mAt - 100ms;
+  owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 100ms;
+  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 20s };
+  owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 1);
+}
+
+// A host that was frozen after its record would have ordered seconds later.
+BOOST_AUTO_TEST_CASE(a_move_that_was_not_ordered_in_time_is_given_up)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  auto& executor = owner.AddHost("m1", pool);
+  executor.mVacating = Vacating::ForMove;
+  MoveTask task{ ServiceName("previews"), 0, 5 };
+  task.mGiveUpAt = kNow.mAt - 1s;
+  owner.mRebalance.mTasks[MachineId("m1")] = task;
+  for (const auto& action : owner.AdvanceMoves()) {
+    BOOST_TEST(!std::holds_alternative<MoveCall>(action));
+  }
+  BOOST_TEST((executor.mVacating == Vacating::No));
 }
 
 BOOST_AUTO_TEST_CASE(what_an_append_did_not_store_is_taken_back)
--- a/Tests/LibSchedule/TestGroup.cpp
+++ b/Tests/LibSchedule/TestGroup.cpp
@@ -32,6 +32,18 @@
   return answer;
 }
 
+NewestAnswer
+FormerOwners(const std::vector<std::string>& aHosts)
+{
+  NewestAnswer answer;
+  answer.mCall.mStream = Stream::Owners;
+  answer.mResult = CallResult::Done;
+  for (const auto& host : aHosts) {
+    answer.mRecords.push_back({ "7", host, 0 });
+  }
+  return answer;
+}
+
 struct Member
 {
   Group mGroup;
@@ -66,9 +78,37 @@
   BOOST_TEST(!Contains<LeaveCall>(member.mActions));
 }
 
+// After a loss of all hosts, small ones took shards over, and gave them to the large ones of before
+// as soon as those were there.
+BOOST_AUTO_TEST_CASE(where_nobody_owns_partitions_the_former_owners_come_first)
+{
+  Member former(100);
+  former.mGroup.mHost = "e0";
+  Member other(100);
+  other.mGroup.mHost = "e1";
+  for (auto* member : { &former, &other }) {
+    member->Learn(OwnersOf({}));
+    BOOST_TEST(Contains<NewestCall>(member->mActions));
+    BOOST_TEST(!Contains<JoinCall>(member->mActions));
+    OnFormerOwners(member->mGroup, kNow, FormerOwners({ "e0" }));
+    member->mActions.clear();
+    AdvanceGroup(member->mGroup, kNow, member->mActions);
+  }
+  BOOST_TEST(Contains<OwnersCall>(former.mActions));
+  BOOST_TEST(!Contains<OwnersCall>(other.mActions));
+  former.Learn(OwnersOf({}));
+  BOOST_TEST(Contains<JoinCall>(former.mActions));
+  // They do not come back.
+  AdvanceGroup(other.mGroup, { kNow.mAt + 1s, kNow.mWall + 1s }, other.mActions);
+  BOOST_TEST(Contains<OwnersCall>(other.mActions));
+  other.Learn(OwnersOf({}));
+  BOOST_TEST(Contains<JoinCall>(other.mActions));
+}
+
 BOOST_AUTO_TEST_CASE(a_host_joins_where_nobody_is_larger)
 {
   Member alone(100);
+  OnFormerOwners(alone.mGroup, kNow, FormerOwners({}));
   alone.Learn(OwnersOf({}));
   BOOST_TEST(Contains<JoinCall>(alone.mActions));
   Member equal(500);
@@ -79,6 +119,7 @@
 BOOST_AUTO_TEST_CASE(a_member_leaves_for_a_larger_host)
 {
   Member member(100);
+  OnFormerOwners(member.mGroup, kNow, FormerOwners({}));
   member.Learn(OwnersOf({}));
   JoinAnswer joined;
   joined.mResult = CallResult::Done;
