Give a move up after a second, and trust older records of orders sooner

Change: a move that is not carried out is given up after 1 s in place of 3, so that a record of an order is out of the way after 8 s in place of 11. The reserve tells the hosts that it has, not all that there are, and is not emptied.

--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -16,7 +16,7 @@
 // A moved host shows in its new pool's demand this long after its arrival.
 constexpr Duration kListDelay = 700ms;
 constexpr Duration kRetryPause = 200ms;
-constexpr Duration kGiveUpAfter = 3s;
+constexpr Duration kGiveUpAfter = 1s;
 // Whoever should give first had its time by then.
 constexpr Duration kTurnToGive = 600ms;
 
@@ -191,7 +191,11 @@
 CountSpare(const FleetContext& aContext, const Shard& aShard, const Service& aPool, const Now& aNow)
 {
   if (aPool.mStandby) {
-    return static_cast<int>(aContext.mMachines->mMachines.size());
+    const auto& machines = aContext.mMachines->mMachines;
+    return static_cast<int>(
+      std::count_if(machines.begin(), machines.end(), [&](const auto& aEntry) {
+        return aEntry.second.mPool == aPool.mName && aEntry.second.mState == MachineState::Up;
+      }));
   }
   auto demand = DemandOf(aShard, aPool.mName, aNow);
   return demand.mPresent - demand.mWanted;
@@ -324,8 +328,8 @@
   idle.resize(std::min(idle.size(), static_cast<std::size_t>(wanted)));
   GiveIdleHosts(aRebalance, aNow, aContext, aShard, aLack, idle);
   auto given = static_cast<int>(idle.size());
-  auto toEmpty = std::max(0, wanted - given - emptying);
-  if (!aPool.mStandby) {
+  auto toEmpty = aPool.mStandby ? 0 : std::max(0, wanted - given - emptying);
+  if (toEmpty > 0) {
     EmptyHosts(aRebalance, aNow, aContext, aShard, aPool.mName, aLack.mPool, toEmpty);
   }
   if (given > 0 || toEmpty > 0) {
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -287,8 +287,8 @@
   owner.AddHost("m2", pool);
   owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 1s;
   owner.mMachines.mInPoolSince[MachineId("m2")] = kNow.mAt - 1s;
-  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 8s };
-  UpkeepRecord upkeep{ UpkeepPhase::Over, ExecutorId(), kNow.mWall - 8s };
+  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 7s };
+  UpkeepRecord upkeep{ UpkeepPhase::Over, ExecutorId(), kNow.mWall - 7s };
   owner.mLog.mUpkeeps[{ 1, MachineId("m2") }] = upkeep;
   owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
