--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -19,6 +19,19 @@
   return value;
 }
 
+evhttp_cmd_type
+CommandOf(EventHttpMethod aMethod)
+{
+  switch (aMethod) {
+    case EventHttpMethod::Post:
+      return EVHTTP_REQ_POST;
+    case EventHttpMethod::Delete:
+      return EVHTTP_REQ_DELETE;
+    default:
+      return EVHTTP_REQ_GET;
+  }
+}
+
 std::string
 BodyOf(evhttp_request* aRequest)
 {
@@ -124,14 +137,18 @@
   }
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
   auto* headers = evhttp_request_get_output_headers(request);
-  evhttp_add_header(headers, "Host", aLane.mAddress.c_str());
   for (const auto& [name, value] : aExchange.mRequest.mHeaders) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
   }
+  if (evhttp_find_header(headers, "Host") == nullptr) {
+    evhttp_add_header(headers, "Host", aLane.mAddress.c_str());
+  }
   const auto& body = aExchange.mRequest.mBody;
   evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
-  auto method = aExchange.mRequest.mIsPost ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
-  evhttp_make_request(aExchange.mConnection, request, method, aExchange.mRequest.mPath.c_str());
+  evhttp_make_request(aExchange.mConnection,
+                      request,
+                      CommandOf(aExchange.mRequest.mMethod),
+                      aExchange.mRequest.mPath.c_str());
 }
 
 evhttp_connection*
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibHttp/EventHttpMethod.h"
 
 #include <cstdint>
 #include <functional>
@@ -24,7 +25,7 @@
   std::string mAddress;
   // Calls of one lane share connections; a call that waits long gets a lane of its own.
   std::string mLane;
-  bool mIsPost = false;
+  EventHttpMethod mMethod = EventHttpMethod::Get;
   // With the query.
   std::string mPath;
   std::vector<std::pair<std::string, std::string>> mHeaders;
--- /dev/null
+++ b/Libraries/LibHttp/EventHttpMethod.h
@@ -0,0 +1,13 @@
+#pragma once
+
+namespace sesameseam {
+
+enum class EventHttpMethod
+{
+  Get,
+  Post,
+  Delete,
+  Other,
+};
+
+}
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Error.h"
+#include "LibHttp/EventHttpMethod.h"
 
 #include <cstdint>
 #include <functional>
@@ -13,14 +14,6 @@
 
 namespace sesameseam {
 
-enum class EventHttpMethod
-{
-  Get,
-  Post,
-  Delete,
-  Other,
-};
-
 struct EventHttpIncoming
 {
   // Names the request until it is answered.
--- a/Meta/scheduler-processes.sh
+++ b/Meta/scheduler-processes.sh
@@ -22,13 +22,15 @@
   fi
   cat >"$work/s$index.json" <<JSON
 { "name": "s$index", "front": "${fronts[$index]}", "ready": "${readies[$index]}",
-  "metrics": "${metrics[$index]}", "store": "$store", "machines": "$store", "partitions": 24,
+  "metrics": "${metrics[$index]}", "store": "${stores[$index]:-$store}",
+  "machines": "${stores[$index]:-$store}", "partitions": 24,
   "log_lines_per_second": 1000 }
 JSON
   start "s$index" "$build/Services/sesameseam-schedulerd" --settings "$work/s$index.json"
   schedulers[$index]=${processes[-1]}
 }
 
+# The caller may set `stores` to the address of the store as each scheduler sees it.
 start_schedulers() { # start_schedulers COUNT
   fronts=() readies=() metrics=() schedulers=()
   for i in $(seq 0 $(($1 - 1))); do
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -34,7 +34,7 @@
   EventHttpRequest request;
   request.mAddress = aAddress;
   request.mLane = "orders";
-  request.mIsPost = true;
+  request.mMethod = EventHttpMethod::Post;
   request.mPath = "/run";
   request.mBody = "order END";
   request.mTimeout = aTimeout;
--- /dev/null
+++ b/Tests/Soak/proxy.cpp
@@ -0,0 +1,261 @@
+// Stands between the processes of a soak: each link passes connections on from one loopback address
+// to another, and delays, holds back or resets them as it is told to.
+//
+// POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1]
+
+#include "LibHttp/EventHttpServer.h"
+
+#include <CLI/CLI.hpp>
+#include <algorithm>
+#include <arpa/inet.h>
+#include <chrono>
+#include <csignal>
+#include <cstring>
+#include <deque>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <iostream>
+#include <list>
+#include <sys/socket.h>
+
+namespace {
+
+using namespace sesameseam;
+using Clock = std::chrono::steady_clock;
+
+constexpr int kPumpMicroseconds = 2000;
+constexpr int kOk = 200;
+constexpr int kBadRequest = 400;
+
+sockaddr_in
+ParseAddress(const std::string& aText)
+{
+  auto colon = aText.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(static_cast<std::uint16_t>(std::atoi(aText.c_str() + colon + 1)));
+  inet_pton(AF_INET, aText.substr(0, colon).c_str(), &address.sin_addr);
+  return address;
+}
+
+// One direction of a connection.
+struct Flow
+{
+  struct Chunk
+  {
+    Clock::time_point mDue;
+    std::string mBytes;
+  };
+
+  bufferevent* mFrom = nullptr;
+  bufferevent* mTo = nullptr;
+  std::deque<Chunk> mChunks;
+  bool mEnded = false;
+};
+
+struct Connection
+{
+  Flow mToTarget;
+  Flow mFromTarget;
+};
+
+struct Link
+{
+  event_base* mBase = nullptr;
+  sockaddr_in mTarget{};
+  std::chrono::milliseconds mDelay{ 0 };
+  bool mHoldsTo = false;
+  bool mHoldsFrom = false;
+  std::list<std::unique_ptr<Connection>> mConnections;
+};
+
+struct Reading
+{
+  Link* mLink = nullptr;
+  Flow* mFlow = nullptr;
+};
+
+void
+OnBytes(bufferevent* aFrom, void* aReading)
+{
+  const auto& reading = *static_cast<Reading*>(aReading);
+  auto* input = bufferevent_get_input(aFrom);
+  std::string bytes(evbuffer_get_length(input), '\0');
+  evbuffer_remove(input, bytes.data(), bytes.size());
+  reading.mFlow->mChunks.push_back({ Clock::now() + reading.mLink->mDelay, std::move(bytes) });
+}
+
+void
+OnEnd(bufferevent* /*aFrom*/, short aWhat, void* aReading)
+{
+  if ((aWhat & (BEV_EVENT_EOF | BEV_EVENT_ERROR)) != 0) {
+    static_cast<Reading*>(aReading)->mFlow->mEnded = true;
+  }
+}
+
+// The other side sees a reset, not an orderly end.
+void
+CloseWithReset(bufferevent* aEnd)
+{
+  linger immediate{ 1, 0 };
+  setsockopt(bufferevent_getfd(aEnd), SOL_SOCKET, SO_LINGER, &immediate, sizeof immediate);
+  bufferevent_free(aEnd);
+}
+
+void
+Free(Connection& aConnection, bool aWithReset)
+{
+  for (auto* end : { aConnection.mToTarget.mFrom, aConnection.mToTarget.mTo }) {
+    void* reading = nullptr;
+    bufferevent_getcb(end, nullptr, nullptr, nullptr, &reading);
+    delete static_cast<Reading*>(reading);
+    if (aWithReset) {
+      CloseWithReset(end);
+    } else {
+      bufferevent_free(end);
+    }
+  }
+}
+
+// Passes on what is due. Whether the flow is over.
+bool
+Pump(Flow& aFlow, bool aIsHeld)
+{
+  if (aIsHeld) {
+    return false;
+  }
+  while (!aFlow.mChunks.empty() && aFlow.mChunks.front().mDue <= Clock::now()) {
+    const auto& bytes = aFlow.mChunks.front().mBytes;
+    bufferevent_write(aFlow.mTo, bytes.data(), bytes.size());
+    aFlow.mChunks.pop_front();
+  }
+  auto isWritten = evbuffer_get_length(bufferevent_get_output(aFlow.mTo)) == 0;
+  return aFlow.mEnded && aFlow.mChunks.empty() && isWritten;
+}
+
+void
+PumpLink(Link& aLink)
+{
+  aLink.mConnections.remove_if([&](auto& aConnection) {
+    auto isOver = Pump(aConnection->mToTarget, aLink.mHoldsTo);
+    isOver |= Pump(aConnection->mFromTarget, aLink.mHoldsFrom);
+    if (isOver) {
+      Free(*aConnection, false);
+    }
+    return isOver;
+  });
+}
+
+void
+OnAccept(evconnlistener* /*aListener*/, evutil_socket_t aSocket, sockaddr*, int, void* aLink)
+{
+  auto& link = *static_cast<Link*>(aLink);
+  auto& connection = *link.mConnections.emplace_back(std::make_unique<Connection>());
+  auto* caller = bufferevent_socket_new(link.mBase, aSocket, BEV_OPT_CLOSE_ON_FREE);
+  auto* target = bufferevent_socket_new(link.mBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  connection.mToTarget.mFrom = connection.mFromTarget.mTo = caller;
+  connection.mToTarget.mTo = connection.mFromTarget.mFrom = target;
+  bufferevent_setcb(caller, OnBytes, nullptr, OnEnd, new Reading{ &link, &connection.mToTarget });
+  bufferevent_setcb(target, OnBytes, nullptr, OnEnd, new Reading{ &link, &connection.mFromTarget });
+  bufferevent_enable(caller, EV_READ | EV_WRITE);
+  bufferevent_enable(target, EV_READ | EV_WRITE);
+  bufferevent_socket_connect(
+    target, reinterpret_cast<sockaddr*>(&link.mTarget), sizeof link.mTarget);
+}
+
+void
+Set(Link& aLink, const std::string& aName, const std::string& aValue)
+{
+  if (aName == "delay") {
+    aLink.mDelay = std::chrono::milliseconds(std::atoi(aValue.c_str()));
+  } else if (aName == "to") {
+    aLink.mHoldsTo = aValue == "held";
+  } else if (aName == "from") {
+    aLink.mHoldsFrom = aValue == "held";
+  } else if (aName == "reset") {
+    for (auto& connection : aLink.mConnections) {
+      Free(*connection, true);
+    }
+    aLink.mConnections.clear();
+  }
+}
+
+struct Proxy
+{
+  std::vector<std::unique_ptr<Link>> mLinks;
+
+  int Control(const std::string& aQuery)
+  {
+    Link* link = nullptr;
+    std::istringstream query(aQuery);
+    for (std::string part; std::getline(query, part, '&');) {
+      auto name = part.substr(0, part.find('='));
+      auto value = part.substr(std::min(part.size(), name.size() + 1));
+      if (name == "link") {
+        auto index = static_cast<std::size_t>(std::atoi(value.c_str()));
+        link = index < mLinks.size() ? mLinks[index].get() : nullptr;
+      } else if (link != nullptr) {
+        Set(*link, name, value);
+      }
+    }
+    return link == nullptr ? kBadRequest : kOk;
+  }
+};
+
+}
+
+int
+main(int aCount, char** aArguments)
+{
+  CLI::App app("Passes connections on, and does harm to them as it is told to");
+  std::string control;
+  std::vector<std::string> links;
+  app.add_option("--control", control, "Address for orders")->required();
+  app.add_option("--link", links, "LISTEN=TARGET; links are numbered from 0")->required();
+  CLI11_PARSE(app, aCount, aArguments);
+
+  signal(SIGPIPE, SIG_IGN);
+  auto* base = event_base_new();
+  Proxy proxy;
+  for (const auto& text : links) {
+    auto equals = text.find('=');
+    auto& link = *proxy.mLinks.emplace_back(std::make_unique<Link>());
+    link.mBase = base;
+    link.mTarget = ParseAddress(text.substr(equals + 1));
+    auto listen = ParseAddress(text.substr(0, equals));
+    auto flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+    auto* listener = evconnlistener_new_bind(
+      base, OnAccept, &link, flags, -1, reinterpret_cast<sockaddr*>(&listen), sizeof listen);
+    if (listener == nullptr) {
+      std::cerr << "can't listen at " << text << ": " << std::strerror(errno) << "\n";
+      return 1;
+    }
+  }
+  EventHttpServer* server = nullptr;
+  EventHttpServer orders(
+    base, EventHttpServerSettings{ control }, [&](const EventHttpIncoming& aIncoming) {
+      server->Reply(aIncoming.mTicket, { proxy.Control(aIncoming.mQuery) });
+    });
+  server = &orders;
+  auto started = orders.Start();
+  if (!started.ok()) {
+    std::cerr << started.message() << "\n";
+    return 1;
+  }
+  timeval interval{ 0, kPumpMicroseconds };
+  auto* pump = event_new(
+    base,
+    -1,
+    EV_PERSIST,
+    [](int, short, void* aProxy) {
+      for (auto& link : static_cast<Proxy*>(aProxy)->mLinks) {
+        PumpLink(*link);
+      }
+    },
+    &proxy);
+  event_add(pump, &interval);
+  event_base_dispatch(base);
+  return 0;
+}
--- /dev/null
+++ b/Tests/StandIns/job-platform/Executors.cpp
@@ -0,0 +1,287 @@
+#include "JobPlatform.h"
+
+#include "platform/CallSender.h"
+#include "platform/ExecutorWire.h"
+#include "platform/JobWire.h"
+#include "platform/JsonReading.h"
+#include "platform/Names.h"
+
+#include <iostream>
+#include <rapidjson/stringbuffer.h>
+#include <rapidjson/writer.h>
+
+// The executors' side of the stand-in.
+namespace sesameseam::standin {
+
+namespace {
+
+using schedule::CallResult;
+using schedule::Stream;
+using Writer = rapidjson::Writer<rapidjson::StringBuffer>;
+
+// Each task of the tests takes one core.
+constexpr std::size_t kCores = 8;
+constexpr int kMillicores = 1000;
+constexpr std::int64_t kMemoryMb = 64000;
+constexpr double kSlowClock = 0.98;
+
+// One queue, whose host is the one that the tests send.
+constexpr char kConfig[] =
+  R"({"version":1,"routes":[{"name":"previews","host":"x","prefix":"/previews/",)"
+  R"("targetRuntimeMs":600,"priority":0,"service":"previews","attempts":3,"stretch":1.6}],)"
+  R"("services":[{"name":"previews","standby":false}]})";
+
+std::string
+EntryOf(const FakeExecutor& aExecutor)
+{
+  rapidjson::StringBuffer buffer;
+  Writer writer(buffer);
+  writer.StartObject();
+  writer.Key("service");
+  writer.String(aExecutor.mEntry.mService.mValue.c_str());
+  writer.Key("address");
+  writer.String(aExecutor.mEntry.mAddress.c_str());
+  writer.Key("state");
+  writer.String("ready");
+  writer.Key("room");
+  writer.StartObject();
+  writer.Key("cpu");
+  writer.Int64(aExecutor.mEntry.mRoom.mCpuMillicores);
+  writer.Key("memMb");
+  writer.Int64(aExecutor.mEntry.mRoom.mMemoryMb);
+  writer.EndObject();
+  writer.EndObject();
+  return buffer.GetString();
+}
+
+// A line for whoever traces a broken promise.
+void
+Note(const char* aWhat, const schedule::TaskRun& aRun, const schedule::ExecutorId& aOn)
+{
+  auto now = ToMilliseconds(platform::CurrentTime().mWall.time_since_epoch()).count();
+  std::cout << now << " " << platform::EncodeTaskName(aRun.mTask) << " run " << aRun.mRun << " on "
+            << aOn.mValue << " " << aWhat << std::endl;
+}
+
+}
+
+Platform::Platform(event_base* aBase,
+                   const std::string& aStore,
+                   const std::vector<ExecutorAddresses>& aExecutors)
+  : mBase(aBase)
+  , mAddresses(aExecutors)
+  , mServers(aExecutors.size())
+{
+  EventHttpServerSettings store;
+  store.mAddress = aStore;
+  mStoreServer = std::make_unique<EventHttpServer>(
+    aBase, store, [this](const EventHttpIncoming& aIncoming) { OnStore(aIncoming); });
+  Append(mStore, { Stream::Operator, 0, { { "config", kConfig } } });
+  auto now = platform::CurrentTime();
+  for (std::size_t i = 0; i < aExecutors.size(); ++i) {
+    FakeExecutor executor;
+    executor.mEntry.mId = schedule::ExecutorId("i-" + std::to_string(i));
+    executor.mEntry.mService = schedule::ServiceName("previews");
+    executor.mEntry.mAddress = aExecutors[i].mListed;
+    executor.mEntry.mRoom = { std::int64_t(kCores) * kMillicores, kMemoryMb, 0 };
+    executor.mClockSpeed = i % 2 == 0 ? 1.0 : kSlowClock;
+    executor.mEntry.mIncarnation = ToMilliseconds(now.mWall.time_since_epoch()).count();
+    executor.mStartedAt = now.mAt;
+    Append(mStore, { Stream::Executors, 0, { { executor.mEntry.mId.mValue, EntryOf(executor) } } });
+    mExecutors.push_back(executor);
+    MakeServer(i);
+  }
+}
+
+void
+Platform::MakeServer(std::size_t aIndex)
+{
+  EventHttpServerSettings settings;
+  settings.mAddress = mAddresses[aIndex].mListen;
+  mServers[aIndex] = std::make_unique<EventHttpServer>(
+    mBase, settings, [this, aIndex](const EventHttpIncoming& aIncoming) {
+      OnExecutor(aIndex, aIncoming);
+    });
+}
+
+void
+Platform::RestartExecutor(std::size_t aIndex)
+{
+  mWaiting.remove_if(
+    [&](const Waiting& aWaiting) { return aWaiting.mServer == mServers[aIndex].get(); });
+  mServers[aIndex].reset();
+  Restart(mExecutors[aIndex], platform::CurrentTime().mAt);
+  MakeServer(aIndex);
+  auto started = mServers[aIndex]->Start();
+  if (!started.ok()) {
+    std::cerr << started.message() << "\n";
+  }
+}
+
+absl::Status
+Platform::Listen()
+{
+  TRY(mStoreServer->Start());
+  for (auto& server : mServers) {
+    TRY(server->Start());
+  }
+  return absl::OkStatus();
+}
+
+void
+Platform::Await(Waiting aWaiting)
+{
+  if (auto reply = aWaiting.mAnswer(false)) {
+    aWaiting.mServer->Reply(aWaiting.mTicket, *reply);
+    return;
+  }
+  mWaiting.push_back(std::move(aWaiting));
+}
+
+void
+Platform::Tick()
+{
+  auto now = platform::CurrentTime().mAt;
+  mWaiting.remove_if([&](Waiting& aWaiting) {
+    auto reply = aWaiting.mAnswer(now >= aWaiting.mUntil);
+    if (reply) {
+      aWaiting.mServer->Reply(aWaiting.mTicket, *reply);
+    }
+    return reply.has_value();
+  });
+}
+
+void
+Platform::NoteStart(const schedule::StartCall& aCall)
+{
+  ++mStarts;
+  mStartedJobs.insert(aCall.mRun.mTask.mJob.mValue);
+  if (mDone.contains(aCall.mRun.mTask)) {
+    ++mAgain;
+    Note("started again", aCall.mRun, aCall.mTo.mExecutor);
+  }
+  for (auto& executor : mExecutors) {
+    Advance(executor, platform::CurrentTime().mAt);
+    mOverfull += executor.mRuns.size() > kCores ? 1 : 0;
+    for (const auto& [run, state] : executor.mRuns) {
+      if (run.mTask == aCall.mRun.mTask && run.mRun != aCall.mRun.mRun) {
+        ++mTwice;
+        Note("runs twice", aCall.mRun, aCall.mTo.mExecutor);
+      }
+    }
+  }
+}
+
+EventHttpReply
+Platform::AnswerStart(std::size_t aIndex, const std::string& aBody)
+{
+  rapidjson::Document document;
+  platform::ParseObject(aBody, document);
+  auto name = platform::DecodeTaskName(platform::StringOr(document, "task", {}));
+  if (!name.ok()) {
+    return { kBadRequest, kJson, "{}" };
+  }
+  schedule::StartCall call;
+  call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
+  call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
+  call.mRun = { *name, static_cast<int>(platform::IntegerOr(document, "run", 0)) };
+  call.mSpec = platform::StringOr(document, "spec", {});
+  call.mLeaseEnd = std::chrono::milliseconds(platform::IntegerOr(document, "deadlineMs", 0));
+  auto isNew = !mExecutors[aIndex].mRuns.contains(call.mRun);
+  auto answer = Start(mExecutors[aIndex], call, platform::CurrentTime().mAt);
+  auto clock = "{\"clockMs\":" + std::to_string(answer.mClock.count());
+  if (answer.mResult == CallResult::Done) {
+    if (isNew) {
+      NoteStart(call);
+    }
+    return { kOk, kJson, clock + "}" };
+  }
+  auto isFenced = answer.mRefusal == schedule::StartRefusal::Fenced;
+  return { kConflict, kJson, clock + ",\"reason\":\"" + (isFenced ? "fence" : "old") + "\"}" };
+}
+
+EventHttpReply
+Platform::AnswerHold(std::size_t aIndex, const schedule::HoldCall& aCall)
+{
+  auto& executor = mExecutors[aIndex];
+  for (const auto& end : executor.mEnds) {
+    if (end.mNumber <= aCall.mLastSeen && end.mKind == schedule::EndKind::Done) {
+      mDone.insert(end.mRun.mTask);
+      Note("acknowledged as done", end.mRun, executor.mEntry.mId);
+    }
+  }
+  auto answer = Hold(executor, aCall, platform::CurrentTime().mAt);
+  if (answer.mFenced) {
+    return { kConflict, kJson, R"({"reason":"fence"})" };
+  }
+  std::string running;
+  for (const auto& task : answer.mRunning) {
+    running += running.empty() ? "" : ",";
+    running += "[\"" + platform::EncodeTaskName(task.mRun.mTask) + "\"," +
+               std::to_string(task.mRun.mRun) + ",\"\",100]";
+  }
+  static const std::map<schedule::EndKind, const char*> kNames{
+    { schedule::EndKind::Done, "done" },
+    { schedule::EndKind::Failed, "failed" },
+    { schedule::EndKind::Stopped, "stopped" },
+    { schedule::EndKind::LeaseLapsed, "lapsed" },
+  };
+  std::string ends;
+  for (const auto& end : answer.mEnds) {
+    ends += ends.empty() ? "" : ",";
+    ends += "[" + std::to_string(end.mNumber) + ",\"" + platform::EncodeTaskName(end.mRun.mTask) +
+            "\"," + std::to_string(end.mRun.mRun) + ",\"" + kNames.at(end.mKind) + "\",\"\"]";
+  }
+  return { kOk,
+           kJson,
+           "{\"clockMs\":" + std::to_string(answer.mClock.count()) +
+             ",\"born\":" + std::to_string(answer.mIncarnation) + ",\"running\":[" + running +
+             "],\"finished\":[" + ends + "]}" };
+}
+
+void
+Platform::OnExecutor(std::size_t aIndex, const EventHttpIncoming& aIncoming)
+{
+  auto& server = *mServers[aIndex];
+  if (aIncoming.mPath == platform::kStartPath) {
+    server.Reply(aIncoming.mTicket, AnswerStart(aIndex, aIncoming.mBody));
+    return;
+  }
+  rapidjson::Document document;
+  platform::ParseObject(aIncoming.mBody, document);
+  if (aIncoming.mPath == platform::kHoldPath) {
+    schedule::HoldCall call;
+    call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
+    call.mLastSeen = platform::IntegerOr(document, "lastSeen", 0);
+    call.mLeaseEnd = std::chrono::milliseconds(platform::IntegerOr(document, "deadlineMs", 0));
+    auto now = platform::CurrentTime().mAt;
+    auto until = now + std::chrono::milliseconds(platform::IntegerOr(document, "waitMs", 0));
+    auto first = AnswerHold(aIndex, call);
+    // Ends are acknowledged once, as the call comes.
+    call.mLastSeen = 0;
+    auto answer = [this, aIndex, call, first](bool aIsOver) -> std::optional<EventHttpReply> {
+      auto& executor = mExecutors[aIndex];
+      Advance(executor, platform::CurrentTime().mAt);
+      if (executor.mEnds.empty() && !aIsOver && first.mStatus == kOk) {
+        return std::nullopt;
+      }
+      return AnswerHold(aIndex, call);
+    };
+    Await({ &server, aIncoming.mTicket, until, answer });
+    return;
+  }
+  if (aIncoming.mPath == platform::kStopPath) {
+    auto name = platform::DecodeTaskName(platform::StringOr(document, "task", {}));
+    schedule::StopCall call;
+    call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
+    if (name.ok()) {
+      call.mRun = { *name, static_cast<int>(platform::IntegerOr(document, "run", 0)) };
+      Stop(mExecutors[aIndex], call, platform::CurrentTime().mAt);
+    }
+    server.Reply(aIncoming.mTicket, { kOk, kJson, "{}" });
+    return;
+  }
+  server.Reply(aIncoming.mTicket, { kNotFound });
+}
+
+}
--- /dev/null
+++ b/Tests/StandIns/job-platform/JobPlatform.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "LibHttp/EventHttpServer.h"
+#include "LibStandIn/FakeExecutor.h"
+#include "LibStandIn/FakeStore.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+struct event_base;
+
+// Takes the place of the users' platform in tests of whole processes: the store, the list of
+// machines and some executors, on one event loop. GET /summary tells what it has seen.
+namespace sesameseam::standin {
+
+inline constexpr int kOk = 200;
+inline constexpr int kBadRequest = 400;
+inline constexpr int kNotFound = 404;
+inline constexpr int kConflict = 409;
+inline constexpr int kGone = 410;
+inline constexpr int kOtherEnd = 412;
+inline constexpr int kUnavailable = 503;
+inline constexpr char kJson[] = "application/json";
+
+using StoreQuery = std::map<std::string, std::string>;
+
+// A request that is answered once there is news, or at its end.
+struct Waiting
+{
+  EventHttpServer* mServer = nullptr;
+  std::int64_t mTicket = 0;
+  schedule::Instant mUntil;
+  std::function<std::optional<EventHttpReply>(bool aIsOver)> mAnswer;
+};
+
+// An executor's own address, and the one under which it is listed.
+struct ExecutorAddresses
+{
+  std::string mListen;
+  std::string mListed;
+};
+
+class Platform
+{
+public:
+  Platform(event_base* aBase,
+           const std::string& aStore,
+           const std::vector<ExecutorAddresses>& aExecutors);
+
+  absl::Status Listen();
+  void Tick();
+
+private:
+  void OnStore(const EventHttpIncoming& aIncoming);
+  void OnExecutor(std::size_t aIndex, const EventHttpIncoming& aIncoming);
+  EventHttpReply AnswerAppend(const EventHttpIncoming& aIncoming, const StoreQuery& aQuery);
+  EventHttpReply AnswerNewest(const StoreQuery& aQuery);
+  EventHttpReply AnswerJoin(const std::string& aBody);
+  EventHttpReply AnswerMachines();
+  EventHttpReply AnswerStart(std::size_t aIndex, const std::string& aBody);
+  EventHttpReply AnswerHold(std::size_t aIndex, const schedule::HoldCall& aCall);
+  EventHttpReply Summary();
+  EventHttpReply Started();
+  // Sets the store's faults, or restarts an executor.
+  EventHttpReply Control(const StoreQuery& aQuery);
+  bool Chance(double aShare);
+  // Its process ends, with all connections, and another one starts at the same address.
+  void RestartExecutor(std::size_t aIndex);
+  void MakeServer(std::size_t aIndex);
+  void Await(Waiting aWaiting);
+  void NoteStart(const schedule::StartCall& aCall);
+
+  event_base* mBase;
+  FakeStore mStore;
+  std::vector<ExecutorAddresses> mAddresses;
+  std::vector<FakeExecutor> mExecutors;
+  std::unique_ptr<EventHttpServer> mStoreServer;
+  std::vector<std::unique_ptr<EventHttpServer>> mServers;
+  std::list<Waiting> mWaiting;
+  std::set<schedule::TaskName> mDone;
+  std::set<std::string> mStartedJobs;
+  // Shares of the store's calls that are refused, and that are carried out and not answered.
+  double mRefusedShare = 0;
+  double mLostShare = 0;
+  std::mt19937_64 mRandom{ 1 };
+  std::int64_t mStarts = 0;
+  std::int64_t mTwice = 0;
+  std::int64_t mAgain = 0;
+  std::int64_t mOverfull = 0;
+};
+
+}
