Tell lost dependencies, and take partitions without a holder for nobody's

Found by the owners' lines of the log; that the store or a single partition of it was away had no line at all.

Change: an empty name is no owner; each dependency (group, operator's stream, list of executors, list of machines, a shard's progress) has a line when it is lost for 0.5 s and one when it is back; a host that is being emptied is kept so through pauses of demand of 0.5 s, which wrote ten lines a second.

The test of the wire failed before.

--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -117,6 +117,17 @@
   aActions.emplace_back(call);
 }
 
+void
+NoteStream(FollowedStream& aStream, CallResult aResult, const Now& aNow, Actions& aActions)
+{
+  auto isOperator = aStream.mStream == Stream::Operator;
+  NoteDependency(aStream.mDependency,
+                 isOperator ? "the operator's stream" : "the list of executors",
+                 aResult,
+                 aNow.mAt,
+                 aActions);
+}
+
 void
 LoadAnew(FollowedStream& aStream)
 {
@@ -134,6 +145,7 @@
   FollowerChanges changes;
   auto& stream = StreamOf(aFollower, aAnswer.mCall.mStream);
   stream.mInFlight = false;
+  NoteStream(stream, aAnswer.mResult, aNow, aActions);
   if (aAnswer.mTrimmed) {
     LoadAnew(stream);
     return changes;
@@ -162,6 +174,7 @@
   FollowerChanges changes;
   auto& stream = StreamOf(aFollower, aAnswer.mCall.mStream);
   stream.mInFlight = false;
+  NoteStream(stream, aAnswer.mResult, aNow, aActions);
   if (aAnswer.mResult != CallResult::Done) {
     stream.mNextReadAt = aNow.mAt + kRetryPause;
     return changes;
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibSchedule/Calls.h"
+#include "LibSchedule/Dependency.h"
 
 #include <map>
 #include <optional>
@@ -20,6 +20,7 @@
   std::string mPageKey;
   std::int64_t mPagedEnd = -1;
   std::set<ExecutorId> mListed;
+  Dependency mDependency;
   Instant mNextReadAt;
   Instant mAnsweredAt;
 };
--- a/Libraries/LibSchedule/Group.cpp
+++ b/Libraries/LibSchedule/Group.cpp
@@ -31,9 +31,11 @@
 }
 
 bool
-OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer)
+OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer, Actions& aActions)
 {
   aGroup.mInFlight = false;
+  NoteDependency(
+    aGroup.mDependency, "the group of entry hosts", aAnswer.mResult, aNow.mAt, aActions);
   if (aGroup.mLeft || aGroup.mIsOutranked) {
     return false;
   }
--- a/Libraries/LibSchedule/Group.h
+++ b/Libraries/LibSchedule/Group.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibSchedule/Calls.h"
+#include "LibSchedule/Dependency.h"
 
 #include <optional>
 #include <set>
@@ -24,6 +24,7 @@
   Instant mNextOwnersAt;
   std::int64_t mGeneration = 0;
   std::set<int> mPartitions;
+  Dependency mDependency;
   bool mInFlight = false;
   bool mLeft = false;
   Instant mNextJoinAt;
@@ -32,7 +33,7 @@
 
 // Returns whether the partitions may have changed.
 bool
-OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer);
+OnJoinAnswer(Group& aGroup, const Now& aNow, const JoinAnswer& aAnswer, Actions& aActions);
 
 // Returns whether the partitions have changed.
 bool
--- a/Libraries/LibSchedule/MachineList.h
+++ b/Libraries/LibSchedule/MachineList.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibSchedule/Calls.h"
+#include "LibSchedule/Dependency.h"
 
 #include <map>
 
@@ -20,12 +20,13 @@
   std::map<MachineId, Machine> mPages;
   std::string mNextPage;
   Instant mFirstPageAt;
+  Dependency mDependency;
   bool mPending = false;
   Instant mNextReadAt;
 };
 
 void
-OnMachines(MachineList& aList, const Now& aNow, const MachinesAnswer& aAnswer);
+OnMachines(MachineList& aList, const Now& aNow, const MachinesAnswer& aAnswer, Actions& aActions);
 
 void
 AdvanceMachineList(MachineList& aList, const Now& aNow, Actions& aActions);
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -208,9 +208,9 @@
 }
 
 void
-On(Node& aNode, const Now& aNow, const JoinAnswer& aAnswer, Actions& /*aActions*/)
+On(Node& aNode, const Now& aNow, const JoinAnswer& aAnswer, Actions& aActions)
 {
-  if (!OnJoinAnswer(aNode.mGroup, aNow, aAnswer)) {
+  if (!OnJoinAnswer(aNode.mGroup, aNow, aAnswer, aActions)) {
     return;
   }
   MatchShards(aNode, aNow);
@@ -260,9 +260,9 @@
 }
 
 void
-On(Node& aNode, const Now& aNow, const MachinesAnswer& aAnswer, Actions& /*aActions*/)
+On(Node& aNode, const Now& aNow, const MachinesAnswer& aAnswer, Actions& aActions)
 {
-  OnMachines(aNode.mMachines, aNow, aAnswer);
+  OnMachines(aNode.mMachines, aNow, aAnswer, aActions);
 }
 
 void
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -17,6 +17,8 @@
 constexpr Duration kListDelay = 700ms;
 constexpr Duration kRetryPause = 200ms;
 constexpr Duration kGiveUpAfter = 1s;
+// Demands go up and down: a host that was to be emptied is kept so through a short pause.
+constexpr Duration kKeepEmptying = 500ms;
 // Whoever should give first had its time by then.
 constexpr Duration kTurnToGive = 600ms;
 
@@ -280,14 +282,22 @@
 
 // Hosts that are to be empty for a pool that lacks none any more take work again.
 void
-ReleaseEmptying(Rebalance& aRebalance, const FleetContext& aContext, const Lack& aLack)
+ReleaseEmptying(Rebalance& aRebalance,
+                const FleetContext& aContext,
+                const Lack& aLack,
+                Instant aNow)
 {
+  for (auto& [id, host] : aRebalance.mEmptying) {
+    if (aLack.mHosts > 0 && host.mTo == aLack.mPool) {
+      host.mWantedAt = aNow;
+    }
+  }
   std::erase_if(aRebalance.mEmptying, [&](const auto& aEntry) {
-    if (aLack.mHosts > 0 && aEntry.second.mTo == aLack.mPool) {
-      return false;
+    auto isOver = aNow - aEntry.second.mWantedAt > kKeepEmptying;
+    if (isOver) {
+      SetVacating(aContext, aEntry.first, Vacating::No);
     }
-    SetVacating(aContext, aEntry.first, Vacating::No);
-    return true;
+    return isOver;
   });
 }
 
@@ -304,7 +314,7 @@
   hosts.resize(std::min(hosts.size(), static_cast<std::size_t>(aCount)));
   for (const auto& host : hosts) {
     SetVacating(aContext, host.mId, Vacating::ForMove);
-    aRebalance.mEmptying[host.mId] = { aFrom, aTo };
+    aRebalance.mEmptying[host.mId] = { aFrom, aTo, aNow.mAt };
   }
 }
 
@@ -352,7 +362,7 @@
           Actions& aActions)
 {
   auto lack = GreatestLack(*aContext.mLog, aSettings, aNow.mWall);
-  ReleaseEmptying(aRebalance, aContext, lack);
+  ReleaseEmptying(aRebalance, aContext, lack, aNow.mAt);
   std::erase_if(aRebalance.mLackSince,
                 [&](const auto& aEntry) { return lack.mHosts <= 0 || aEntry.first != lack.mPool; });
   if (lack.mHosts <= 0 || !MayAppend(*aContext.mLog)) {
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -28,6 +28,8 @@
 {
   ServiceName mFrom;
   ServiceName mTo;
+  // When its pool was known to lack hosts last.
+  Instant mWantedAt;
 };
 
 struct PublishedDemand
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibSchedule/Calls.h"
+#include "LibSchedule/Dependency.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
 
@@ -102,6 +102,7 @@
   std::map<ExecutorId, std::int64_t> mEndsToRecord;
   std::int64_t mSequence = 0;
   std::optional<PendingWrite> mWrite;
+  Dependency mProgressLog;
   bool mNeedsPass = false;
   Instant mNextPassAt;
   // The last pass left tasks without a place.
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -185,6 +185,11 @@
 {
   auto& write = *aShard.mWrite;
   write.mInFlight = false;
+  NoteDependency(aShard.mProgressLog,
+                 "progress of shard " + std::to_string(aShard.mPartition),
+                 aAnswer.mResult,
+                 aNow.mAt,
+                 aActions);
   if (aAnswer.mRefusal == AppendRefusal::Fenced) {
     Lose(aShard, "a later owner has fenced the log", aActions);
     return;
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -451,6 +451,11 @@
   owner.mLog.mDemands.clear();
   owner.mRebalance.mNextCheckAt = {};
   owner.AdvanceMoves();
+  // A demand that is gone for a moment only.
+  BOOST_TEST(owner.mRebalance.mEmptying.size() == 1u);
+  owner.mRebalance.mEmptying.begin()->second.mWantedAt = kNow.mAt - 1s;
+  owner.mRebalance.mNextCheckAt = {};
+  owner.AdvanceMoves();
   BOOST_TEST(owner.mRebalance.mEmptying.empty());
   BOOST_TEST((executor.mVacating == Vacating::No));
 }
--- a/Tests/LibSchedule/TestGroup.cpp
+++ b/Tests/LibSchedule/TestGroup.cpp
@@ -125,7 +125,7 @@
   joined.mResult = CallResult::Done;
   joined.mGeneration = 1;
   joined.mPartitions = { 1, 2 };
-  OnJoinAnswer(member.mGroup, kNow, joined);
+  OnJoinAnswer(member.mGroup, kNow, joined, member.mActions);
   member.Learn(OwnersOf({ 100, 500 }));
   BOOST_TEST(Contains<LeaveCall>(member.mActions));
   BOOST_TEST(member.mGroup.mPartitions.empty());
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -153,6 +153,16 @@
   BOOST_TEST(answer.mForeign.mUnreadable.size() == 1u);
 }
 
+// After a loss of all hosts partitions were listed without a member, which counted as an owner of
+// no size: small hosts took the shards over before the large ones were back.
+BOOST_AUTO_TEST_CASE(partitions_that_nobody_holds_name_no_owner)
+{
+  OwnersAnswer answer;
+  DecodeOwners(200, R"({"parts":[["keyed.jobs",0,"",0],["keyed.jobs",1,null,0]]})", answer);
+  BOOST_TEST((answer.mResult == CallResult::Done));
+  BOOST_TEST(answer.mOwners.empty());
+}
+
 BOOST_AUTO_TEST_CASE(any_bytes_are_survived)
 {
   rc::check([] {
