Let a new owner order hosts that have arrived by their last order

Change: a host whose last record is the move to the pool in which it is up was away for the time of a move since its order, so that the rest of the holders' pause, 1.8 s, is enough.

The test failed without the change.

--- a/Libraries/LibSchedule/MachineList.cpp
+++ b/Libraries/LibSchedule/MachineList.cpp
@@ -29,9 +29,15 @@
   }
   for (const auto& [id, machine] : aList.mPages) {
     const auto* known = FindMachine(aList, id);
-    if (known == nullptr || known->mPool != machine.mPool) {
+    auto isNewHere = known == nullptr || known->mPool != machine.mPool;
+    if (isNewHere) {
       aList.mInPoolSince[id] = aNow.mAt;
     }
+    if (machine.mState != MachineState::Up) {
+      aList.mUpSince.erase(id);
+    } else if (isNewHere || !aList.mUpSince.contains(id)) {
+      aList.mUpSince[id] = aList.mFirstPageAt;
+    }
   }
   aList.mMachines.swap(aList.mPages);
   aList.mPages.clear();
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -113,6 +113,7 @@
   context.mPartitions = aNode.mSettings.mPartitions;
   context.mReportingShard = inUse.empty() ? -1 : *inUse.begin();
   context.mHolderLease = aNode.mSettings.mHolderLease;
+  context.mMoveTime = aNode.mSettings.mRebalance.mMoveTime;
   return context;
 }
 
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -81,6 +81,25 @@
   });
 }
 
+// The last order for the host was to move to where it is, and it has been away for that long since.
+bool
+HasArrived(const FleetContext& aContext, const MachineId& aMachine, Instant aNow)
+{
+  auto move = aContext.mLog->mMoves.find(aMachine);
+  const auto* machine = FindMachine(*aContext.mMachines, aMachine);
+  auto upSince = aContext.mMachines->mUpSince.find(aMachine);
+  if (move == aContext.mLog->mMoves.end() || machine == nullptr ||
+      upSince == aContext.mMachines->mUpSince.end() || machine->mPool != move->second.mTo) {
+    return false;
+  }
+  auto hasUpkeep = std::any_of(
+    aContext.mLog->mUpkeeps.begin(), aContext.mLog->mUpkeeps.end(), [&](const auto& aEntry) {
+      return aEntry.first.mMachine == aMachine && aEntry.second.mAt > move->second.mAt;
+    });
+  auto wait = aContext.mHolderLease + kHolderMargin - aContext.mMoveTime;
+  return !hasUpkeep && aNow - upSince->second > wait;
+}
+
 // A list that was asked for after the order was carried out shows the host up.
 bool
 IsBack(const FleetContext& aContext, const Machine& aMachine, const UpkeepTask& aTask)
@@ -316,7 +335,8 @@
   auto since = aContext.mMachines->mInPoolSince.find(aMachine);
   auto isOld = aNow.mAt - aShard.mTakenOverAt > wait &&
                since != aContext.mMachines->mInPoolSince.end() && aNow.mAt - since->second > wait;
-  return isOld || !HasRecentOrder(*aContext.mLog, aMachine, aNow.mWall);
+  return isOld || HasArrived(aContext, aMachine, aNow.mAt) ||
+         !HasRecentOrder(*aContext.mLog, aMachine, aNow.mWall);
 }
 
 bool
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -47,6 +47,8 @@
   int mReportingShard = 0;
   // Two holders may not order one host within this time.
   std::chrono::milliseconds mHolderLease{ 3000 };
+  // How long a host is away when it moves.
+  std::chrono::milliseconds mMoveTime{ 1500 };
 };
 
 // The shard of the pool, if this host is its owner by now.
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -313,6 +313,29 @@
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 1);
 }
 
+// A new owner in a peak: hosts that had come to the pool seconds ago were kept in it for as long as
+// if their last order could still be under way.
+BOOST_AUTO_TEST_CASE(a_new_owner_orders_hosts_that_have_arrived_by_their_last_order)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  owner.AddHost("m1", pool);
+  owner.AddHost("m2", pool);
+  owner.mShards.begin()->second.mTakenOverAt = kNow.mAt - 2s;
+  owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 2s;
+  owner.mMachines.mInPoolSince[MachineId("m2")] = kNow.mAt - 2s;
+  owner.mLog.mMoves[MachineId("m2")] = { ServiceName("elsewhere"), kNow.mWall - 4s };
+  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 4s };
+  owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
+  owner.mMachines.mUpSince[MachineId("m1")] = kNow.mAt - 1s;
+  owner.mMachines.mUpSince[MachineId("m2")] = kNow.mAt - 2s;
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
+  // It was away for 1.5 s, and is known to be here for 2 s.
+  owner.mMachines.mUpSince[MachineId("m1")] = kNow.mAt - 2s;
+  owner.mRebalance.mNextCheckAt = {};
+  BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/m1") == 1);
+}
+
 // A host that was frozen after its record would have ordered seconds later.
 BOOST_AUTO_TEST_CASE(a_move_that_was_not_ordered_in_time_is_given_up)
 {
