Empty hosts with lasting tasks from the start of a wave

Hosts with least work went first, so that those with lasting tasks came last; their steps let two tasks of 24 be away at a time.

Change: two hosts with lasting tasks are emptied side by side from the start; half of a wave's time is planned for in place of six tenths.

The test failed without the first change.

--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -18,7 +18,9 @@
 // What a busy host needs to become empty, and to be down.
 constexpr Duration kTimeForOneHost = 4s;
 // A wave is to be over after this share of its time, since some hosts take longer.
-constexpr double kPlannedShare = 0.6;
+constexpr double kPlannedShare = 0.5;
+// So many hosts with lasting tasks are emptied side by side from the start of a wave.
+constexpr int kLastingAtOnce = 2;
 // After this share of the time hosts that are due stay in their pools.
 constexpr double kShareForMoves = 0.3;
 
@@ -188,15 +190,25 @@
 {
   Executor* mExecutor = nullptr;
   std::int64_t mUsedCpu = 0;
+  bool mHasLasting = false;
 };
 
 struct VacatingHosts
 {
-  // Hosts that get no new work, and those that could be next.
+  // Hosts that get no new work, those of them with lasting tasks, and those that could be next.
   int mChosen = 0;
+  int mChosenWithLasting = 0;
   std::vector<NextHost> mNext;
 };
 
+bool
+HasLasting(const Executor& aExecutor)
+{
+  return std::any_of(aExecutor.mRuns.begin(), aExecutor.mRuns.end(), [](const auto& aEntry) {
+    return aEntry.second.mLasts;
+  });
+}
+
 Duration
 ShareOf(std::chrono::seconds aTime, double aShare)
 {
@@ -252,15 +264,28 @@
     }
     if (found->second.mVacating == Vacating::ForUpkeep) {
       ++vacating.mChosen;
+      vacating.mChosenWithLasting += HasLasting(found->second) ? 1 : 0;
     } else if (found->second.mVacating == Vacating::No && machine->mState == MachineState::Up) {
-      vacating.mNext.push_back({ &found->second, UsedCpu(found->second) });
+      vacating.mNext.push_back(
+        { &found->second, UsedCpu(found->second), HasLasting(found->second) });
     }
   }
   return vacating;
 }
 
+// How many hosts with such work may get no new work side by side.
+int
+LimitFor(const NextHost& aHost, const Wave& aWave, int aBusyAtOnce)
+{
+  if (aHost.mExecutor->mRuns.empty()) {
+    return aWave.mMaxAtOnce;
+  }
+  return std::min(aWave.mMaxAtOnce, aBusyAtOnce);
+}
+
 // Chooses the hosts of a shard that get no new work, so that the wave goes on as soon as its limit
-// allows: idle ones one after the other, and as many busy ones as the time demands.
+// allows: idle ones at once, and as many busy ones as the time demands. A few with lasting tasks
+// are among them from the start, since their steps let only some tasks be away at a time.
 void
 ChooseVacating(const Upkeep& aUpkeep,
                const Now& aNow,
@@ -275,13 +300,15 @@
     vacating.mNext.begin(),
     vacating.mNext.end(),
     [](const NextHost& aLeft, const NextHost& aRight) { return aLeft.mUsedCpu < aRight.mUsedCpu; });
-  for (auto& [executor, usedCpu] : vacating.mNext) {
-    auto isIdle = executor->mRuns.empty();
-    if (vacating.mChosen >= (isIdle ? aWave.mMaxAtOnce : std::min(aWave.mMaxAtOnce, busyAtOnce))) {
-      return;
+  for (auto& host : vacating.mNext) {
+    auto isNeeded = host.mHasLasting && vacating.mChosenWithLasting < kLastingAtOnce &&
+                    vacating.mChosen < aWave.mMaxAtOnce;
+    if (!isNeeded && vacating.mChosen >= LimitFor(host, aWave, busyAtOnce)) {
+      continue;
     }
-    executor->mVacating = Vacating::ForUpkeep;
+    host.mExecutor->mVacating = Vacating::ForUpkeep;
     ++vacating.mChosen;
+    vacating.mChosenWithLasting += host.mHasLasting ? 1 : 0;
   }
 }
 
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -524,11 +524,40 @@
     for (const auto& [id, executor] : owner.mShards.begin()->second.mExecutors) {
       vacating += executor.mVacating == Vacating::ForUpkeep ? 1 : 0;
     }
-    // Twelve of the twenty seconds are planned for, four for each host.
+    // Ten of the twenty seconds are planned for, four for each host.
     BOOST_TEST(vacating == (elapsed == 1s ? 3 : 5));
   }
 }
 
+// A wave through a pool of jobs that last and a peak of short ones: hosts with lasting tasks came
+// last, and a few at a time took longer than was left.
+BOOST_AUTO_TEST_CASE(hosts_with_lasting_tasks_are_emptied_from_the_start)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  std::vector<MachineId> machines;
+  for (int i = 0; i < 8; ++i) {
+    auto name = "m" + std::to_string(i);
+    PlacedRun run;
+    run.mLasts = i >= 4;
+    run.mReserved = { 1000 + 1000 * i, 0, 0 };
+    owner.AddHost(name, pool).mRuns[{ { JobId("j"), 0, 0, i }, 1 }] = run;
+    machines.emplace_back(name);
+  }
+  owner.mWaves[1] = WaveOf(machines, 8);
+  owner.mWaves[1].mSeenAt = kNow.mAt;
+  owner.AdvanceWaves();
+  int lasting = 0;
+  int others = 0;
+  for (const auto& [id, executor] : owner.mShards.begin()->second.mExecutors) {
+    if (executor.mVacating == Vacating::ForUpkeep) {
+      ++(executor.mRuns.begin()->second.mLasts ? lasting : others);
+    }
+  }
+  BOOST_TEST(lasting == 2);
+  BOOST_TEST(others == 4);
+}
+
 // Hosts that were lent from pool to pool were never in one for long enough to be maintained.
 BOOST_AUTO_TEST_CASE(a_host_that_is_due_stays_in_its_pool_once_time_gets_short)
 {
