Split decisions on hosts by question, and trust older records of orders after 8 s

Upkeep.cpp answered four questions: it follows hosts through a wave, and HostOrders says when a host may be ordered, WaveVacating which hosts are emptied next, FleetContext what such decisions need; HostsToGive leaves Rebalance.

It says 8 now, and a test asks for 9.

--- /dev/null
+++ b/Libraries/LibSchedule/FleetContext.cpp
@@ -0,0 +1,23 @@
+#include "LibSchedule/FleetContext.h"
+
+#include "LibBase/Hash.h"
+
+namespace sesameseam::schedule {
+
+int
+PartitionOf(const ServiceName& aService, int aPartitions)
+{
+  return static_cast<int>(StableHash(aService.mValue) % static_cast<std::uint64_t>(aPartitions));
+}
+
+Shard*
+FindShard(const FleetContext& aContext, const ServiceName& aPool)
+{
+  auto found = aContext.mShards->find(PartitionOf(aPool, aContext.mPartitions));
+  if (found == aContext.mShards->end() || found->second.mPhase != ShardPhase::Active) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+}
--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -185,6 +185,20 @@
   return { std::string(kMovePrefix) + aMachine.mValue, {} };
 }
 
+const UpkeepRecord*
+FindUpkeep(const FleetLog& aLog, const UpkeepKey& aKey)
+{
+  auto found = aLog.mUpkeeps.find(aKey);
+  return found == aLog.mUpkeeps.end() ? nullptr : &found->second;
+}
+
+bool
+IsOver(const FleetLog& aLog, const UpkeepKey& aKey)
+{
+  const auto* record = FindUpkeep(aLog, aKey);
+  return record != nullptr && record->mPhase == UpkeepPhase::Over;
+}
+
 absl::Status
 TakeFleetRecord(FleetLog& aLog, std::string_view aKey, std::string_view aValue)
 {
--- a/Libraries/LibSchedule/FleetLog.h
+++ b/Libraries/LibSchedule/FleetLog.h
@@ -91,6 +91,12 @@
 LogRecord
 MoveOver(const MachineId& aMachine);
 
+const UpkeepRecord*
+FindUpkeep(const FleetLog& aLog, const UpkeepKey& aKey);
+// Whether the host has had its upkeep.
+bool
+IsOver(const FleetLog& aLog, const UpkeepKey& aKey);
+
 // Takes in a record; what can't be read is an error.
 absl::Status
 TakeFleetRecord(FleetLog& aLog, std::string_view aKey, std::string_view aValue);
--- /dev/null
+++ b/Libraries/LibSchedule/HostOrders.cpp
@@ -0,0 +1,77 @@
+#include "LibSchedule/HostOrders.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+constexpr Duration kHolderMargin = 300ms;
+// An order to move a host is not repeated for longer.
+constexpr Duration kMoveOrderLifetime = 6s;
+// An order is given within 2.5 s of its record: the record's answer takes 1.5 s at most, and a move
+// is given up 1 s later. Two holders leave 3 s between their orders, and the clocks of two hosts
+// differ by up to 2.5 s.
+constexpr Duration kOrderMemory = 8s;
+
+// Every order is recorded before it is given, so that a host without a recent record has none.
+bool
+HasRecentOrder(const FleetLog& aLog, const MachineId& aMachine, TimePoint aNow)
+{
+  auto move = aLog.mMoves.find(aMachine);
+  if (move != aLog.mMoves.end() && aNow - move->second.mAt < kOrderMemory) {
+    return true;
+  }
+  return std::any_of(aLog.mUpkeeps.begin(), aLog.mUpkeeps.end(), [&](const auto& aEntry) {
+    const auto& [key, record] = aEntry;
+    auto mayBeOrdered = record.mPhase == UpkeepPhase::Begun || aNow - record.mAt < kOrderMemory;
+    return key.mMachine == aMachine && mayBeOrdered;
+  });
+}
+
+// The last order for the host was to move to where it is, and it has been away for that long since.
+bool
+HasArrived(const FleetContext& aContext, const MachineId& aMachine, Instant aNow)
+{
+  auto move = aContext.mLog->mMoves.find(aMachine);
+  const auto* machine = FindMachine(*aContext.mMachines, aMachine);
+  auto upSince = aContext.mMachines->mUpSince.find(aMachine);
+  if (move == aContext.mLog->mMoves.end() || machine == nullptr ||
+      upSince == aContext.mMachines->mUpSince.end() || machine->mPool != move->second.mTo) {
+    return false;
+  }
+  auto hasUpkeep = std::any_of(
+    aContext.mLog->mUpkeeps.begin(), aContext.mLog->mUpkeeps.end(), [&](const auto& aEntry) {
+      return aEntry.first.mMachine == aMachine && aEntry.second.mAt > move->second.mAt;
+    });
+  auto wait = aContext.mHolderLease + kHolderMargin - aContext.mMoveTime;
+  return !hasUpkeep && aNow - upSince->second > wait;
+}
+
+}
+
+bool
+MayOrder(const FleetContext& aContext,
+         const Shard& aShard,
+         const MachineId& aMachine,
+         const Now& aNow)
+{
+  if (!detail::MayStart(aShard, aNow.mAt)) {
+    return false;
+  }
+  auto wait = aContext.mHolderLease + kHolderMargin;
+  auto since = aContext.mMachines->mInPoolSince.find(aMachine);
+  auto isOld = aNow.mAt - aShard.mTakenOverAt > wait &&
+               since != aContext.mMachines->mInPoolSince.end() && aNow.mAt - since->second > wait;
+  return isOld || HasArrived(aContext, aMachine, aNow.mAt) ||
+         !HasRecentOrder(*aContext.mLog, aMachine, aNow.mWall);
+}
+
+bool
+IsMoving(const FleetLog& aLog, const MachineId& aMachine, TimePoint aNow)
+{
+  auto found = aLog.mMoves.find(aMachine);
+  return found != aLog.mMoves.end() && aNow - found->second.mAt < kMoveOrderLifetime;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/HostsToGive.cpp
@@ -0,0 +1,100 @@
+#include "LibSchedule/HostsToGive.h"
+
+#include "LibSchedule/HostOrders.h"
+#include "LibSchedule/WaveVacating.h"
+
+#include <algorithm>
+
+namespace sesameseam::schedule {
+
+namespace {
+
+bool
+IsIdle(const Shard& aShard, const Machine& aMachine, Instant aNow)
+{
+  auto found = aShard.mExecutors.find(aMachine.mExecutor);
+  return found != aShard.mExecutors.end() && IsUsable(found->second, aNow) &&
+         found->second.mRuns.empty();
+}
+
+bool
+IsEmpty(const Shard& aShard, const Machine& aMachine)
+{
+  auto found = aShard.mExecutors.find(aMachine.mExecutor);
+  return found == aShard.mExecutors.end() || found->second.mRuns.empty();
+}
+
+// A wave has taken the host down, or is about to.
+bool
+IsDown(const FleetLog& aLog, const MachineId& aMachine)
+{
+  return std::any_of(aLog.mUpkeeps.begin(), aLog.mUpkeeps.end(), [&](const auto& aEntry) {
+    return aEntry.first.mMachine == aMachine && aEntry.second.mPhase == UpkeepPhase::Begun;
+  });
+}
+
+// Whether the host may leave its pool, once it is empty.
+bool
+MayLeave(const FleetContext& aContext,
+         const Rebalance& aRebalance,
+         const Shard& aShard,
+         const Machine& aMachine,
+         const Now& aNow)
+{
+  return aMachine.mState == MachineState::Up && !aRebalance.mTasks.contains(aMachine.mId) &&
+         !IsDown(*aContext.mLog, aMachine.mId) && MayAppend(*aContext.mLog, aMachine.mId) &&
+         MayOrder(aContext, aShard, aMachine.mId, aNow) &&
+         !StaysForUpkeep(aContext, aMachine.mId, aNow.mAt);
+}
+
+}
+
+std::vector<MachineId>
+IdleHosts(const FleetContext& aContext,
+          const Rebalance& aRebalance,
+          const Shard& aShard,
+          const Service& aPool,
+          const Now& aNow)
+{
+  std::vector<MachineId> hosts;
+  for (const auto& [id, machine] : aContext.mMachines->mMachines) {
+    auto isFree =
+      machine.mPool == aPool.mName &&
+      (aPool.mStandby || aRebalance.mEmptying.contains(id) ? IsEmpty(aShard, machine)
+                                                           : IsIdle(aShard, machine, aNow.mAt));
+    if (isFree && MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
+      hosts.push_back(id);
+    }
+  }
+  return hosts;
+}
+
+std::vector<BusyHost>
+HostsToEmpty(const FleetContext& aContext,
+             const Rebalance& aRebalance,
+             const Shard& aShard,
+             const ServiceName& aPool,
+             const Now& aNow)
+{
+  std::vector<BusyHost> hosts;
+  for (const auto& [id, machine] : aContext.mMachines->mMachines) {
+    auto found = aShard.mExecutors.find(machine.mExecutor);
+    if (machine.mPool != aPool || found == aShard.mExecutors.end() ||
+        !IsUsable(found->second, aNow.mAt) ||
+        !MayLeave(aContext, aRebalance, aShard, machine, aNow)) {
+      continue;
+    }
+    const auto& runs = found->second.mRuns;
+    auto lasts =
+      std::any_of(runs.begin(), runs.end(), [](const auto& aRun) { return aRun.second.mLasts; });
+    if (!lasts) {
+      hosts.push_back({ id, ReservedRoom(found->second).mCpuMillicores });
+    }
+  }
+  std::sort(hosts.begin(), hosts.end(), [](const BusyHost& aLeft, const BusyHost& aRight) {
+    return aLeft.mUsedCpu < aRight.mUsedCpu;
+  });
+  return hosts;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibSchedule/HostsToGive.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "LibSchedule/Rebalance.h"
+
+#include <vector>
+
+// Which hosts of a pool may go to another one.
+namespace sesameseam::schedule {
+
+// Hosts that may go now: those of the reserve, idle ones, and those that were emptied for it.
+std::vector<MachineId>
+IdleHosts(const FleetContext& aContext,
+          const Rebalance& aRebalance,
+          const Shard& aShard,
+          const Service& aPool,
+          const Now& aNow);
+
+struct BusyHost
+{
+  MachineId mId;
+  std::int64_t mUsedCpu = 0;
+};
+
+// Hosts whose work ends by itself, those with least of it first.
+std::vector<BusyHost>
+HostsToEmpty(const FleetContext& aContext,
+             const Rebalance& aRebalance,
+             const Shard& aShard,
+             const ServiceName& aPool,
+             const Now& aNow);
+
+}
--- a/Libraries/LibSchedule/MachineList.h
+++ b/Libraries/LibSchedule/MachineList.h
@@ -12,7 +12,8 @@
   std::map<MachineId, Machine> mMachines;
   // Since when a machine is known to be in its pool.
   std::map<MachineId, Instant> mInPoolSince;
-  // Since when a machine is known to be up in its pool, by the time at which the list was asked for.
+  // Since when a machine is known to be up in its pool, by the time at which the list was asked
+  // for.
   std::map<MachineId, Instant> mUpSince;
   bool mIsKnown = false;
   // When the list that is known was asked for.
--- a/Libraries/LibSchedule/Upkeep.h
+++ b/Libraries/LibSchedule/Upkeep.h
@@ -1,9 +1,7 @@
 #pragma once
 
 #include "LibSchedule/Calls.h"
-#include "LibSchedule/FleetLog.h"
-#include "LibSchedule/MachineList.h"
-#include "LibSchedule/Shard.h"
+#include "LibSchedule/FleetContext.h"
 
 #include <map>
 #include <optional>
@@ -35,46 +33,10 @@
   Instant mNextReportAt;
 };
 
-// What decisions on hosts need to know of this entry host.
-struct FleetContext
-{
-  const std::map<std::int64_t, Wave>* mWaves = nullptr;
-  std::map<int, Shard>* mShards = nullptr;
-  FleetLog* mLog = nullptr;
-  MachineList* mMachines = nullptr;
-  int mPartitions = 1;
-  // The shard whose owner reports the state of waves.
-  int mReportingShard = 0;
-  // Two holders may not order one host within this time.
-  std::chrono::milliseconds mHolderLease{ 3000 };
-  // How long a host is away when it moves.
-  std::chrono::milliseconds mMoveTime{ 1500 };
-};
-
-// The shard of the pool, if this host is its owner by now.
-Shard*
-FindShard(const FleetContext& aContext, const ServiceName& aPool);
-
-// Whether no other holder can have ordered the host within the time that holders must leave.
-bool
-MayOrder(const FleetContext& aContext,
-         const Shard& aShard,
-         const MachineId& aMachine,
-         const Now& aNow);
-
-// The partition that holds the jobs of a service.
-int
-PartitionOf(const ServiceName& aService, int aPartitions);
-
 // A wave whose hosts are not all done.
 bool
 HasOpenWave(const Upkeep& aUpkeep, const std::map<std::int64_t, Wave>& aWaves);
 
-// Whether the host is due for its upkeep, and the time for that is no longer ample: it stays in its
-// pool until then.
-bool
-StaysForUpkeep(const FleetContext& aContext, const MachineId& aMachine, Instant aNow);
-
 // Notes the fencing token of the records that were stored.
 void
 OnUpkeepRecorded(Upkeep& aUpkeep, const AppendAnswer& aAnswer, Actions& aActions);
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -308,7 +308,7 @@
   owner.AddHost("m2", pool);
   owner.mShards.begin()->second.mTakenOverAt = kNow.mAt - 100ms;
   owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 100ms;
-  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 20s };
+  owner.mLog.mMoves[MachineId("m1")] = { pool, kNow.mWall - 9s };
   owner.mLog.mDemands[ServiceName("previews")] = { 9, 2, kNow.mWall };
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 1);
 }
