Explain from the logs what became of a job

What: LibExplain names the cause from the lines of all hosts (refused while the log was away, cancelled, failed by itself or by its executor, late by a lost executor, a lost owner, or a log that took no placements), without I/O; `sesameseam explain ID FILE...` prints it with the lines that decided. A run that is lost with its executor has a line now (`task-lost`).

--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -77,9 +77,22 @@
   }
 }
 
+// A run has ended, and left no end of its own.
+void
+LoseRun(Shard& aShard,
+        Executor& aExecutor,
+        const TaskRun& aRun,
+        const char* aReason,
+        Actions& aActions)
+{
+  ++aShard.mCounters.mTasksLost;
+  detail::LogRun("task-lost", aRun, aExecutor, aReason, aActions);
+  detail::DropRun(aShard, aExecutor, aRun);
+}
+
 // A run that is not listed has ended, if it was there when the list was asked for.
 void
-DropUnlisted(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer)
+DropUnlisted(Shard& aShard, Executor& aExecutor, const HoldAnswer& aAnswer, Actions& aActions)
 {
   std::set<TaskRun> listed;
   for (const auto& running : aAnswer.mRunning) {
@@ -99,14 +112,13 @@
     ended.push_back(name);
   }
   for (const auto& name : ended) {
-    ++aShard.mCounters.mTasksLost;
-    detail::DropRun(aShard, aExecutor, name);
+    LoseRun(aShard, aExecutor, name, "the executor does not list it", aActions);
   }
 }
 
 // The lease of everything there is over.
 void
-DropAll(Shard& aShard, Executor& aExecutor)
+DropAll(Shard& aShard, Executor& aExecutor, Actions& aActions)
 {
   std::vector<TaskRun> names;
   for (const auto& [name, run] : aExecutor.mRuns) {
@@ -115,8 +127,7 @@
     }
   }
   for (const auto& name : names) {
-    ++aShard.mCounters.mTasksLost;
-    detail::DropRun(aShard, aExecutor, name);
+    LoseRun(aShard, aExecutor, name, "its lease is over", aActions);
   }
 }
 
@@ -240,7 +251,7 @@
 {
   auto isUnreachable = aExecutor.mUnanswered > 0 || aExecutor.mEntry.mState == ExecutorState::Gone;
   if (isUnreachable && aExecutor.mLapsedAt < aNow.mAt && !aExecutor.mRuns.empty()) {
-    DropAll(aShard, aExecutor);
+    DropAll(aShard, aExecutor, aActions);
     if (aExecutor.mIsSilent) {
       aShard.mSilenceToRecord.insert(aExecutor.mEntry.mId);
     }
@@ -303,7 +314,7 @@
   }
   // A list that is not whole says nothing of what is not on it.
   if (aAnswer.mEnds.size() < kMaxListedEnds && aAnswer.mUnreadable == 0) {
-    DropUnlisted(aShard, *executor, aAnswer);
+    DropUnlisted(aShard, *executor, aAnswer, aActions);
   }
   detail::AdjustPace(aShard, *executor, aNow.mAt, aActions);
 }
--- /dev/null
+++ b/Tests/LibExplain/TestExplain.cpp
@@ -0,0 +1,96 @@
+#include "LibExplain/Explain.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace sesameseam;
+using namespace sesameseam::explain;
+
+namespace {
+
+constexpr char kJob[] = "5c0e7a21d94b36f8";
+
+Explanation
+ExplainTexts(const std::vector<std::string>& aTexts)
+{
+  std::vector<LoggedLine> lines;
+  for (const auto& text : aTexts) {
+    auto line = ParseLoggedLine(text);
+    BOOST_REQUIRE(line.ok());
+    lines.push_back(*line);
+  }
+  return Explain(std::move(lines), kJob);
+}
+
+std::string
+Line(int aTime, const std::string& aEvent, const std::string& aRest, bool aIsOwn = true)
+{
+  auto job = aIsOwn ? std::string(kJob) : "0000000000000001";
+  return "{\"time_ms\":" + std::to_string(aTime) +
+         ",\"level\":\"info\",\"host\":\"e1\",\"event\":\"" + aEvent + "\",\"job\":\"" + job +
+         "\"" + aRest + "}";
+}
+
+std::string
+Dependency(int aTime, const std::string& aEvent)
+{
+  return "{\"time_ms\":" + std::to_string(aTime) +
+         ",\"level\":\"warning\",\"host\":\"e1\",\"event\":\"" + aEvent +
+         "\",\"subject\":\"progress of shard 4\"}";
+}
+
+const std::string kStored = Line(1000, "job-stored", ",\"outcome\":\"accepted\"");
+const std::string kCompleted =
+  Line(9000, "job-finished", ",\"outcome\":\"completed\",\"version\":7");
+
+}
+
+BOOST_AUTO_TEST_SUITE(TheExplanation)
+
+BOOST_AUTO_TEST_CASE(a_job_that_no_line_names)
+{
+  auto explanation = ExplainTexts({ Line(1, "job-stored", "", false) });
+  BOOST_TEST((explanation.mCause == Cause::NotFound));
+}
+
+BOOST_AUTO_TEST_CASE(a_refused_job_shows_what_its_host_had_lost_by_then)
+{
+  auto refused = Line(3000, "job-refused", ",\"reason\":\"the log does not answer\"");
+  auto explanation = ExplainTexts({ Dependency(2000, "dependency-lost"), refused });
+  BOOST_TEST((explanation.mCause == Cause::RefusedByLog));
+  BOOST_TEST(explanation.mEvidence.size() == 2u);
+  explanation = ExplainTexts(
+    { Dependency(1000, "dependency-lost"), Dependency(2000, "dependency-regained"), refused });
+  BOOST_TEST(explanation.mEvidence.size() == 1u);
+}
+
+BOOST_AUTO_TEST_CASE(a_late_job_and_what_made_it_wait)
+{
+  BOOST_TEST((ExplainTexts({ kStored, kCompleted }).mCause == Cause::Waited));
+  auto lost = Line(2000, "task-lost", ",\"subject\":\"x1\"");
+  BOOST_TEST((ExplainTexts({ kCompleted, lost, kStored }).mCause == Cause::ExecutorLost));
+  auto owned = R"({"time_ms":5000,"host":"e1","event":"shard-owned","subject":"4","version":7})";
+  BOOST_TEST((ExplainTexts({ kStored, owned, kCompleted }).mCause == Cause::OwnerLost));
+  auto away = Dependency(5000, "dependency-lost");
+  BOOST_TEST((ExplainTexts({ kStored, away, kCompleted }).mCause == Cause::LogAway));
+}
+
+BOOST_AUTO_TEST_CASE(a_failed_job_is_told_from_a_failing_executor)
+{
+  auto end = Line(9000, "job-finished", ",\"outcome\":\"failed\"");
+  auto on = [](const char* aExecutor, bool aIsOwn = true) {
+    return Line(5000, "task-failed", std::string(",\"subject\":\"") + aExecutor + "\"", aIsOwn);
+  };
+  auto other = on("x1", false);
+  auto third = other;
+  third.replace(third.find("0001"), 4, "0002");
+  BOOST_TEST((ExplainTexts({ kStored, on("x1"), on("x2"), end }).mCause == Cause::FailsByItself));
+  BOOST_TEST(
+    (ExplainTexts({ kStored, on("x1"), other, third, end }).mCause == Cause::ExecutorFails));
+}
+
+BOOST_AUTO_TEST_CASE(what_is_no_line_of_the_log_is_an_error)
+{
+  BOOST_TEST(!ParseLoggedLine("not json").ok());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestGroup.cpp
+++ b/Tests/LibSchedule/TestGroup.cpp
@@ -22,7 +22,7 @@
 }
 
 OwnersAnswer
-OwnersOf(std::vector<int> aCapacities)
+OwnersOf(const std::vector<int>& aCapacities)
 {
   OwnersAnswer answer;
   answer.mResult = CallResult::Done;
--- a/Tests/StandIns/job-platform/main.cpp
+++ b/Tests/StandIns/job-platform/main.cpp
@@ -39,6 +39,7 @@
   signal(SIGPIPE, SIG_IGN);
   auto* base = event_base_new();
   std::vector<ExecutorAddresses> addresses;
+  addresses.reserve(executors.size());
   for (const auto& executor : executors) {
     addresses.push_back(ParseAddresses(executor));
   }
--- a/Utilities/sesameseam/Commands.h
+++ b/Utilities/sesameseam/Commands.h
@@ -44,6 +44,8 @@
 AddAuditCommands(CLI::App& aApp, CommandContext& aContext);
 void
 AddSettingsCommands(CLI::App& aApp, CommandContext& aContext);
+void
+AddExplainCommands(CLI::App& aApp, CommandContext& aContext);
 
 // Prints what was wrong and gives the exit code for it.
 int
--- /dev/null
+++ b/Utilities/sesameseam/ExplainCommands.cpp
@@ -0,0 +1,68 @@
+#include "Commands.h"
+#include "LibExplain/Explain.h"
+
+#include <fstream>
+#include <iostream>
+
+namespace sesameseam {
+
+namespace {
+
+void
+Print(const explain::LoggedLine& aLine)
+{
+  std::cout << aLine.mTimeMs << " " << aLine.mHost << " " << aLine.mEvent;
+  for (const auto* part : { &aLine.mSubject, &aLine.mOutcome, &aLine.mReason }) {
+    if (!part->empty()) {
+      std::cout << ", " << *part;
+    }
+  }
+  std::cout << "\n";
+}
+
+int
+ExplainJob(const std::string& aJob, const std::vector<std::string>& aFiles)
+{
+  std::vector<explain::LoggedLine> lines;
+  int unreadable = 0;
+  for (const auto& name : aFiles) {
+    std::ifstream file(name);
+    if (!file) {
+      return ReportError(MakeError(ErrorKind::BadField, "cannot read " + name));
+    }
+    for (std::string text; std::getline(file, text);) {
+      auto line = explain::ParseLoggedLine(text);
+      if (line.ok()) {
+        lines.push_back(*std::move(line));
+      } else {
+        ++unreadable;
+      }
+    }
+  }
+  auto explanation = explain::Explain(std::move(lines), aJob);
+  std::cout << aJob << ": " << explanation.mSentence << "\n";
+  for (const auto& line : explanation.mEvidence) {
+    Print(line);
+  }
+  if (unreadable > 0) {
+    std::cerr << unreadable << " lines are no lines of the log, and were left out\n";
+  }
+  return explanation.mCause == explain::Cause::NotFound ? kExitRefused : kExitDone;
+}
+
+}
+
+void
+AddExplainCommands(CLI::App& aApp, CommandContext& aContext)
+{
+  auto job = std::make_shared<std::string>();
+  auto files = std::make_shared<std::vector<std::string>>();
+  auto* command = aApp.add_subcommand(
+    "explain", "What became of a job and why, from the logs of all entry hosts");
+  command->add_option("job", *job, "The job's id")->required();
+  command->add_option("file", *files, "Files with lines of the log")->required();
+  command->callback(
+    [&aContext, job, files] { aContext.mRun = [job, files] { return ExplainJob(*job, *files); }; });
+}
+
+}
--- a/Utilities/sesameseam/main.cpp
+++ b/Utilities/sesameseam/main.cpp
@@ -81,6 +81,7 @@
   AddStatusCommands(app, context);
   AddAuditCommands(app, context);
   AddSettingsCommands(app, context);
+  AddExplainCommands(app, context);
   try {
     app.parse(aCount, aArguments);
   } catch (const CLI::ParseError& error) {
