Let tasks that last go to hosts that stay

The records show one shard that takes the last four or five hosts one after the other, 1.5 to 3 s each, all with lasting tasks, of which two of a job may be away at a time: tasks that had to go were placed on hosts that were still to be maintained, and had to go again.

Change: a host that is due counts against it for tasks that last; four hosts with such tasks are emptied side by side in place of two.

The test failed without the change.

--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -85,6 +85,8 @@
   std::int64_t mAcknowledgedEnds = 0;
   std::map<TaskRun, PlacedRun> mRuns;
   Vacating mVacating = Vacating::No;
+  // Its host has yet to be maintained in a wave, so that a task that lasts would soon have to go.
+  bool mIsDue = false;
   int mFailuresInARow = 0;
   Instant mAvoidUntil;
   // It is among those that the shard looks at before the next sweep.
--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -12,6 +12,7 @@
 constexpr std::int64_t kFailedThere = 1'000'000'000;
 constexpr std::int64_t kOtherRack = 100'000'000;
 constexpr std::int64_t kDisturbs = 10'000'000;
+constexpr std::int64_t kHasToGoSoon = 1'000'000;
 
 bool
 HasLabel(const Executor& aExecutor, const std::string& aLabel)
@@ -69,6 +70,9 @@
   if (!step.mPreferredRack.empty() && aCandidate.mRack != step.mPreferredRack) {
     cost += kOtherRack;
   }
+  if (step.mLasting && aCandidate.mExecutor->mIsDue) {
+    cost += kHasToGoSoon;
+  }
   if (step.mFills) {
     cost += kDisturbs * aCandidate.mServing;
   }
--- a/Libraries/LibSchedule/WaveVacating.cpp
+++ b/Libraries/LibSchedule/WaveVacating.cpp
@@ -11,7 +11,7 @@
 // A wave is to be over after this share of its time, since some hosts take longer.
 constexpr double kPlannedShare = 0.5;
 // So many hosts with lasting tasks are emptied side by side from the start of a wave.
-constexpr int kLastingAtOnce = 2;
+constexpr int kLastingAtOnce = 4;
 // After this share of the time hosts that are due stay in their pools.
 constexpr double kShareForMoves = 0.3;
 
@@ -91,6 +91,7 @@
       continue;
     }
     UpkeepKey key{ aWave.mNumber, id };
+    found->second.mIsDue = !IsOver(*aContext.mLog, key);
     if (FindUpkeep(*aContext.mLog, key) != nullptr) {
       // One that this owner has recorded is down or back by now, with another executor.
       auto isBack = HasOrder(aUpkeep, key, aShard) && found->second.mVacating == Vacating::No;
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -554,7 +554,7 @@
       ++(executor.mRuns.begin()->second.mLasts ? lasting : others);
     }
   }
-  BOOST_TEST(lasting == 2);
+  BOOST_TEST(lasting == 4);
   BOOST_TEST(others == 4);
 }
 
