--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -117,8 +117,8 @@
   BOOST_TEST(fleet.Choose(step) == "near");
 }
 
-// A wave through a pool with tasks that last: those that had to go went to hosts from which they had
-// to go again.
+// A wave through a pool with tasks that last: those that had to go went to hosts from which they
+// had to go again.
 BOOST_AUTO_TEST_CASE(a_task_that_lasts_goes_to_a_host_that_stays)
 {
   Fleet fleet;
