Let a host be empty when its upkeep or move is ordered

Change: what an owner has recorded it may order at once; an executor is the one after the upkeep only once that was ordered; upkeep and moves are ordered only while nothing runs on the host, and an executor that came meanwhile is emptied first.

A test is made exact: a_host_that_is_back_from_its_upkeep_is_not_emptied now says that the upkeep was ordered, without which a host is not back.

The new tests failed with the former code.

--- a/Libraries/LibSchedule/HostsToGive.cpp
+++ b/Libraries/LibSchedule/HostsToGive.cpp
@@ -17,13 +17,6 @@
          found->second.mRuns.empty();
 }
 
-bool
-IsEmpty(const Shard& aShard, const Machine& aMachine)
-{
-  auto found = aShard.mExecutors.find(aMachine.mExecutor);
-  return found == aShard.mExecutors.end() || found->second.mRuns.empty();
-}
-
 // A wave has taken the host down, or is about to.
 bool
 IsDown(const FleetLog& aLog, const MachineId& aMachine)
@@ -49,6 +42,13 @@
 
 }
 
+bool
+IsEmpty(const Shard& aShard, const Machine& aMachine)
+{
+  auto found = aShard.mExecutors.find(aMachine.mExecutor);
+  return found == aShard.mExecutors.end() || found->second.mRuns.empty();
+}
+
 std::vector<MachineId>
 IdleHosts(const FleetContext& aContext,
           const Rebalance& aRebalance,
--- a/Libraries/LibSchedule/HostsToGive.h
+++ b/Libraries/LibSchedule/HostsToGive.h
@@ -7,6 +7,10 @@
 // Which hosts of a pool may go to another one.
 namespace sesameseam::schedule {
 
+// Whether nothing runs on the host, as far as is known.
+bool
+IsEmpty(const Shard& aShard, const Machine& aMachine);
+
 // Hosts that may go now: those of the reserve, idle ones, and those that were emptied for it.
 std::vector<MachineId>
 IdleHosts(const FleetContext& aContext,
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -287,6 +287,14 @@
   }
 }
 
+bool
+IsStillEmpty(const FleetContext& aContext, const MachineId& aHost)
+{
+  const auto* machine = FindMachine(*aContext.mMachines, aHost);
+  const auto* shard = machine == nullptr ? nullptr : FindShard(aContext, machine->mPool);
+  return shard == nullptr || IsEmpty(*shard, *machine);
+}
+
 void
 OrderMoves(Rebalance& aRebalance, const Now& aNow, const FleetContext& aContext, Actions& aActions)
 {
@@ -307,6 +315,11 @@
   });
   for (auto& [id, task] : aRebalance.mTasks) {
     auto isDue = task.mFence != 0 && !task.mOrdered && !task.mCallPending;
+    if (isDue && !IsStillEmpty(aContext, id)) {
+      // Since the record another executor may have come to the host, and work to that.
+      SetVacating(aContext, id, Vacating::ForMove);
+      continue;
+    }
     if (isDue && aNow.mAt >= task.mRetryAt) {
       task.mCallPending = true;
       aActions.emplace_back(MoveCall{ id, task.mTo, task.mFence });
--- a/Libraries/LibSchedule/Upkeep.cpp
+++ b/Libraries/LibSchedule/Upkeep.cpp
@@ -75,7 +75,7 @@
                Actions& aActions)
 {
   UpkeepKey key{ aWave.mNumber, aMachine.mId };
-  if (IsOver(*aContext.mLog, key) || !MayOrder(aContext, aShard, aMachine.mId, aNow)) {
+  if (IsOver(*aContext.mLog, key)) {
     return;
   }
   auto& task = aUpkeep.mTasks[key];
@@ -83,9 +83,18 @@
     task = {};
     task.mEpoch = aShard.mEpoch;
   }
+  // What this owner has recorded it may order: nobody else has recorded an order since.
+  auto mayOrder = task.mFence != 0 ? detail::MayStart(aShard, aNow.mAt)
+                                   : MayOrder(aContext, aShard, aMachine.mId, aNow);
+  if (!mayOrder) {
+    return;
+  }
   if (task.mFence != 0) {
     if (!IsBack(aContext, aMachine, task)) {
-      OrderUpkeep(task, aNow, key, aShard, aActions);
+      // Since the record another executor may have come to the host, and work to that.
+      if (IsEmpty(aShard, aMachine.mExecutor)) {
+        OrderUpkeep(task, aNow, key, aShard, aActions);
+      }
     } else if (MayAppend(*aContext.mLog, aMachine.mId)) {
       auto record = ToRecord(key, { UpkeepPhase::Over, aMachine.mExecutor, aNow.mWall });
       Gather(*aContext.mLog, aMachine.mId, std::move(record));
--- a/Libraries/LibSchedule/WaveVacating.cpp
+++ b/Libraries/LibSchedule/WaveVacating.cpp
@@ -65,7 +65,7 @@
 {
   auto task = aUpkeep.mTasks.find(aKey);
   return task != aUpkeep.mTasks.end() && task->second.mEpoch == aShard.mEpoch &&
-         task->second.mFence != 0;
+         task->second.mOrdered;
 }
 
 // A host on the way to another pool stays so.
@@ -93,7 +93,7 @@
     UpkeepKey key{ aWave.mNumber, id };
     found->second.mIsDue = !IsOver(*aContext.mLog, key);
     if (FindUpkeep(*aContext.mLog, key) != nullptr) {
-      // One that this owner has recorded is down or back by now, with another executor.
+      // One that this owner has ordered is down or back by now, with another executor.
       auto isBack = HasOrder(aUpkeep, key, aShard) && found->second.mVacating == Vacating::No;
       auto needsOrder = !isBack && !IsOver(*aContext.mLog, key);
       SetVacating(found->second, needsOrder && machine->mState == MachineState::Up);
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -115,6 +115,7 @@
   UpkeepKey key{ 1, MachineId("m1") };
   owner.mLog.mUpkeeps[key] = { UpkeepPhase::Begun, ExecutorId("former") };
   owner.mUpkeep.mTasks[key].mFence = 5;
+  owner.mUpkeep.mTasks[key].mOrdered = true;
   owner.mLog.mAppendPending = true;
   owner.AdvanceWaves();
   BOOST_TEST((executor.mVacating == Vacating::No));
@@ -352,6 +353,30 @@
   BOOST_TEST((executor.mVacating == Vacating::No));
 }
 
+// As with upkeep: between record and order another executor may come to the host, and take work.
+BOOST_AUTO_TEST_CASE(a_host_is_empty_when_its_move_is_ordered)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  auto& executor = owner.AddHost("m1", pool);
+  executor.mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  MoveTask task{ ServiceName("previews"), 0, 5 };
+  task.mGiveUpAt = kNow.mAt + 1s;
+  owner.mRebalance.mTasks[MachineId("m1")] = task;
+  auto countMoves = [&] {
+    int count = 0;
+    for (const auto& action : owner.AdvanceMoves()) {
+      count += std::holds_alternative<MoveCall>(action) ? 1 : 0;
+    }
+    owner.mRebalance.mNextCheckAt = {};
+    return count;
+  };
+  BOOST_TEST(countMoves() == 0);
+  BOOST_TEST((executor.mVacating == Vacating::ForMove));
+  executor.mRuns.clear();
+  BOOST_TEST(countMoves() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(what_an_append_did_not_store_is_taken_back)
 {
   Owner owner;
@@ -574,4 +599,41 @@
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/m1") == 1);
 }
 
+// Found on citra-sesame trouble-3: between record and order of its upkeep a host got another
+// executor, which took lasting tasks; the order ended two of one step.
+BOOST_AUTO_TEST_CASE(a_host_is_empty_when_its_upkeep_is_ordered)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  auto& executor = owner.AddHost("m1", pool);
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  UpkeepKey key{ 1, MachineId("m1") };
+  owner.mLog.mUpkeeps[key] = { UpkeepPhase::Begun, ExecutorId("former"), kNow.mWall - 1s };
+  owner.mUpkeep.mTasks[key].mFence = 5;
+  executor.mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] = {};
+  auto actions = owner.AdvanceWaves();
+  BOOST_TEST(actions.empty());
+  BOOST_TEST((executor.mVacating == Vacating::ForUpkeep));
+  executor.mRuns.clear();
+  actions = owner.AdvanceWaves();
+  BOOST_REQUIRE(actions.size() == 1u);
+  BOOST_TEST(std::holds_alternative<UpkeepCall>(actions[0]));
+}
+
+// The same day: the record that an owner had made kept it away from the host itself.
+BOOST_AUTO_TEST_CASE(an_owner_orders_at_once_what_it_has_recorded)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  owner.AddHost("m1", pool).mVacating = Vacating::ForUpkeep;
+  owner.mMachines.mInPoolSince[MachineId("m1")] = kNow.mAt - 1s;
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  UpkeepKey key{ 1, MachineId("m1") };
+  owner.mLog.mUpkeeps[key] = { UpkeepPhase::Begun, ExecutorId("x-m1"), kNow.mWall };
+  owner.mUpkeep.mTasks[key].mFence = 5;
+  auto actions = owner.AdvanceWaves();
+  BOOST_REQUIRE(actions.size() == 1u);
+  BOOST_TEST(std::holds_alternative<UpkeepCall>(actions[0]));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
