Meet small lacks of hosts first, and want one for a task that fits nowhere

Its pool had cores enough by the sums, so that it wanted no host, but none had the memory beside other tasks that last; and a pool that lacks one host would have waited in any case, since only the greatest lack was met.

Change: where the last pass left a task that lasts without a place, the pool wants one more host, up to one for each such task; lacks of one or two hosts are met first, then the greatest.

The tests failed with the former code.

--- a/Libraries/LibSchedule/Demand.cpp
+++ b/Libraries/LibSchedule/Demand.cpp
@@ -35,6 +35,9 @@
   // times seconds.
   double mArrived = 0;
   double mArrivedBefore = 0;
+  // Tasks that last and have not ended, and those of them that wait.
+  int mLasting = 0;
+  int mLastingWaiting = 0;
   // Hosts that a step needs because few of its tasks may share one.
   int mHosts = 0;
 };
@@ -59,6 +62,7 @@
                         .mSteps[static_cast<std::size_t>(aStep)];
   auto open = static_cast<int>(state.mTasks.size()) - state.mDone;
   aSums.mRunning += (open - state.mWaiting) * CoresOf(step);
+  aSums.mLasting += step.mLasting ? open : 0;
   if (step.mMaxPerExecutor > 0) {
     aSums.mHosts = std::max(aSums.mHosts, (open + step.mMaxPerExecutor - 1) / step.mMaxPerExecutor);
   }
@@ -68,6 +72,7 @@
   auto cores = state.mWaiting * CoresOf(step);
   if (step.mLasting) {
     aSums.mRunning += cores;
+    aSums.mLastingWaiting += state.mWaiting;
   } else if (LatestStart(aJob, aOccurrence, aStep) < aNow.mWall) {
     aSums.mLate += cores * SecondsOf(step);
   } else {
@@ -145,6 +150,12 @@
   }
   auto perHost = cores / demand.mPresent * kUsableShare;
   demand.mWanted = std::max({ 1, sums.mHosts, static_cast<int>(std::ceil(needed / perHost)) });
+  if (aShard.mIsFull && sums.mLastingWaiting > 0) {
+    // Cores would do, but memory or the tasks beside it leave no place for a task that lasts. One
+    // host for each such task has to be enough.
+    auto enough = demand.mWanted + sums.mLasting;
+    demand.mWanted = std::max(demand.mWanted, std::min(demand.mPresent + 1, enough));
+  }
   return demand;
 }
 
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -13,6 +13,7 @@
 // A lack that lasts is told again after this time, so that a new reader trusts it.
 constexpr Duration kRepublishInterval = 500ms;
 constexpr Duration kDemandLifetime = 1500ms;
+constexpr int kSmallLack = 2;
 // Changes of this many hosts are told even where no host lacks.
 constexpr int kNotableChange = 3;
 // A moved host shows in its new pool's demand this long after its arrival.
@@ -80,21 +81,28 @@
   int mHosts = 0;
 };
 
-// The pool that lacks most, by what was told lately.
-Lack
-GreatestLack(const FleetLog& aLog, const RebalanceSettings& aSettings, TimePoint aNow)
+// The pools to give hosts to, by what was told lately: first those that lack one or two, which may
+// be for tasks that last, then the one that lacks most.
+std::vector<Lack>
+LacksToMeet(const FleetLog& aLog, const RebalanceSettings& aSettings, TimePoint aNow)
 {
+  std::vector<Lack> lacks;
   Lack greatest;
   for (const auto& [pool, demand] : aLog.mDemands) {
     if (aNow - demand.mAt > kDemandLifetime) {
       continue;
     }
-    auto lack = LackOf(demand) - CountComing(aLog, aSettings, pool, demand.mAt);
-    if (lack > greatest.mHosts) {
-      greatest = { pool, lack };
+    Lack lack{ pool, LackOf(demand) - CountComing(aLog, aSettings, pool, demand.mAt) };
+    if (lack.mHosts > 0 && lack.mHosts <= kSmallLack) {
+      lacks.push_back(lack);
+    } else if (lack.mHosts > greatest.mHosts) {
+      greatest = lack;
     }
   }
-  return greatest;
+  if (greatest.mHosts > 0) {
+    lacks.push_back(greatest);
+  }
+  return lacks;
 }
 
 int
@@ -189,14 +197,21 @@
 }
 
 // Hosts that are to be empty for a pool that lacks none any more take work again.
+bool
+Lacks(const std::vector<Lack>& aLacks, const ServiceName& aPool)
+{
+  return std::any_of(
+    aLacks.begin(), aLacks.end(), [&](const Lack& aLack) { return aLack.mPool == aPool; });
+}
+
 void
 ReleaseEmptying(Rebalance& aRebalance,
                 const FleetContext& aContext,
-                const Lack& aLack,
+                const std::vector<Lack>& aLacks,
                 Instant aNow)
 {
   for (auto& [id, host] : aRebalance.mEmptying) {
-    if (aLack.mHosts > 0 && host.mTo == aLack.mPool) {
+    if (Lacks(aLacks, host.mTo)) {
       host.mWantedAt = aNow;
     }
   }
@@ -261,6 +276,25 @@
   return given;
 }
 
+void
+MeetLack(Rebalance& aRebalance,
+         const Now& aNow,
+         const FleetContext& aContext,
+         const std::vector<Service>& aServices,
+         Lack aLack,
+         Actions& aActions)
+{
+  aRebalance.mLackSince.try_emplace(aLack.mPool, aNow.mAt);
+  for (const auto& pool : aServices) {
+    const auto* shard = FindShard(aContext, pool.mName);
+    if (pool.mName == aLack.mPool || shard == nullptr) {
+      continue;
+    }
+    auto share = ShareOfLack(aRebalance, *aContext.mLog, aServices, pool, aLack, aNow.mAt);
+    aLack.mHosts -= GiveFrom(aRebalance, aNow, aContext, pool, *shard, aLack, share, aActions);
+  }
+}
+
 void
 GiveHosts(Rebalance& aRebalance,
           const RebalanceSettings& aSettings,
@@ -269,21 +303,15 @@
           const std::vector<Service>& aServices,
           Actions& aActions)
 {
-  auto lack = GreatestLack(*aContext.mLog, aSettings, aNow.mWall);
-  ReleaseEmptying(aRebalance, aContext, lack, aNow.mAt);
+  auto lacks = LacksToMeet(*aContext.mLog, aSettings, aNow.mWall);
+  ReleaseEmptying(aRebalance, aContext, lacks, aNow.mAt);
   std::erase_if(aRebalance.mLackSince,
-                [&](const auto& aEntry) { return lack.mHosts <= 0 || aEntry.first != lack.mPool; });
-  if (lack.mHosts <= 0 || !MayAppend(*aContext.mLog)) {
+                [&](const auto& aEntry) { return !Lacks(lacks, aEntry.first); });
+  if (!MayAppend(*aContext.mLog)) {
     return;
   }
-  aRebalance.mLackSince.try_emplace(lack.mPool, aNow.mAt);
-  for (const auto& pool : aServices) {
-    const auto* shard = FindShard(aContext, pool.mName);
-    if (pool.mName == lack.mPool || shard == nullptr) {
-      continue;
-    }
-    auto share = ShareOfLack(aRebalance, *aContext.mLog, aServices, pool, lack, aNow.mAt);
-    lack.mHosts -= GiveFrom(aRebalance, aNow, aContext, pool, *shard, lack, share, aActions);
+  for (const auto& lack : lacks) {
+    MeetLack(aRebalance, aNow, aContext, aServices, lack, aActions);
   }
 }
 
--- a/Tests/LibSchedule/TestDemand.cpp
+++ b/Tests/LibSchedule/TestDemand.cpp
@@ -97,4 +97,31 @@
   BOOST_TEST(pool.Wanted() == 2);
 }
 
+// Found on citra-sesame quiet-1: one task that lasts fitted on none of the pool's hosts, which had
+// cores enough, and waited for 16 s.
+BOOST_AUTO_TEST_CASE(a_task_that_lasts_and_fits_nowhere_wants_one_more_host)
+{
+  Pool pool;
+  JobDefinition definition;
+  definition.mService = pool.mName;
+  definition.mSteps = { MakeLastingStep(10, 1, 0) };
+  pool.mShard.mJobs.emplace(JobId("l"), MakeJob(JobId("l"), definition, nullptr));
+  BOOST_TEST(pool.Wanted() == 10);
+  // The last pass found no place for some of its tasks.
+  pool.mShard.mIsFull = true;
+  BOOST_TEST(pool.Wanted() == 11);
+}
+
+// What fits nowhere at all must not draw all hosts into its pool.
+BOOST_AUTO_TEST_CASE(tasks_that_last_want_no_more_than_a_host_each)
+{
+  Pool pool;
+  JobDefinition definition;
+  definition.mService = pool.mName;
+  definition.mSteps = { MakeLastingStep(1, 1, 0) };
+  pool.mShard.mJobs.emplace(JobId("l"), MakeJob(JobId("l"), definition, nullptr));
+  pool.mShard.mIsFull = true;
+  BOOST_TEST(pool.Wanted() == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -270,6 +270,32 @@
   BOOST_TEST(CountAppended(owner.AdvanceMoves(), "move/") == 0);
 }
 
+// The same day: a pool that lacked one host waited until the one that lacked thirty had them all.
+BOOST_AUTO_TEST_CASE(a_small_lack_does_not_wait_for_a_large_one)
+{
+  Owner owner;
+  auto pool = owner.AddPool("archives");
+  for (const auto* name : { "m1", "m2", "m3", "m4" }) {
+    owner.AddHost(name, pool);
+  }
+  owner.mLog.mDemands[ServiceName("large")] = { 30, 2, kNow.mWall };
+  owner.mLog.mDemands[ServiceName("small")] = { 6, 5, kNow.mWall };
+  FleetLog recorded;
+  for (const auto& action : owner.AdvanceMoves()) {
+    if (const auto* append = std::get_if<AppendCall>(&action); append && append->mExpectedEnd) {
+      for (const auto& record : append->mRecords) {
+        BOOST_TEST(TakeFleetRecord(recorded, record.mKey, record.mValue).ok());
+      }
+    }
+  }
+  std::map<ServiceName, int> counts;
+  for (const auto& [id, move] : recorded.mMoves) {
+    ++counts[move.mTo];
+  }
+  BOOST_TEST(counts[ServiceName("small")] == 1);
+  BOOST_TEST(counts[ServiceName("large")] == 2);
+}
+
 BOOST_AUTO_TEST_CASE(an_old_demand_moves_nothing)
 {
   Owner owner;
