Let a test wait for lines that are written every 100 ms

Lines are gathered and written with each tick of 100 ms, so that a state can be seen before its line.

Change: the test asks for the same text for up to 5 s.

--- a/Tests/Processes/explain.sh
+++ b/Tests/Processes/explain.sh
@@ -12,13 +12,16 @@
   echo '{"spec":"'"$1"'","steps":[{"count":2,"cpu":1000,"memMb":10,"estimateMs":200}]}'
 }
 
+# Schedulers write their lines every 100 ms, so that a state may be shown before its line is there.
 explained() { # explained NUMBER TEXT: whether the explanation of the job has the text
-  "$build/Utilities/sesameseam" explain "$(job_id "$1")" "$work"/s*.log >"$work/explained" 2>&1 || true
-  grep -q "$2" "$work/explained" || {
-    echo "job $1 is not explained by \"$2\":"
-    cat "$work/explained"
-    exit 1
-  }
+  for _ in $(seq 50); do
+    "$build/Utilities/sesameseam" explain "$(job_id "$1")" "$work"/s*.log >"$work/explained" 2>&1 || true
+    grep -q "$2" "$work/explained" && return 0
+    sleep 0.1
+  done
+  echo "job $1 is not explained by \"$2\":"
+  cat "$work/explained"
+  exit 1
 }
 
 start_job_platform 3
