Let a test wait for buffers that are measured once a second

Buffers are measured at the start, when there is no pool, and then each second; this time the whole test took 1.05 s and asked before that.

Change: the test asks for the same texts for up to 5 s.

--- a/Tests/Processes/cli.sh
+++ b/Tests/Processes/cli.sh
@@ -95,17 +95,28 @@
 [ -z "$("$sesameseam" audit --pool previews --until 2000-01-01T00:00:00Z)" ]
 expect 0 "entry-host-down" "$sesameseam" --entry "$SESAMESEAM_ENTRY,127.0.0.1:$(free_ports 1)" status
 
-page=$(http "${operators[0]}" GET /metrics)
-for text in '# TYPE sesameseam_request_seconds summary' 'sesameseam_buffer_hosts{pool="previews"}' \
-  'sesameseam_buffer_host_hours_total{pool="previews"}' 'sesameseam_roll_out_seconds_count' \
-  'sesameseam_host_moves_total' \
-  'sesameseam_request_seconds_count{pool="previews",class="urgent",outcome="answered"} 1'; do
-  grep -qF -- "$text" <<<"$page" || {
-    echo "FAILED: the metrics lack $text"
-    echo "$page"
-    exit 1
-  }
+lacking_metric() { # the first text that the metrics lack
+  for text in '# TYPE sesameseam_request_seconds summary' 'sesameseam_buffer_hosts{pool="previews"}' \
+    'sesameseam_buffer_host_hours_total{pool="previews"}' 'sesameseam_roll_out_seconds_count' \
+    'sesameseam_host_moves_total' \
+    'sesameseam_request_seconds_count{pool="previews",class="urgent",outcome="answered"} 1'; do
+    grep -qF -- "$text" <<<"$page" || {
+      echo "$text"
+      return
+    }
+  done
+}
+# Buffers are measured once a second.
+for _ in $(seq 50); do
+  page=$(http "${operators[0]}" GET /metrics)
+  [ -z "$(lacking_metric)" ] && break
+  sleep 0.1
 done
+[ -z "$(lacking_metric)" ] || {
+  echo "FAILED: the metrics lack $(lacking_metric)"
+  echo "$page"
+  exit 1
+}
 duplicates=$(grep '^# TYPE' <<<"$page" | sort | uniq -d)
 [ -z "$duplicates" ] || {
   echo "FAILED: families stand twice: $duplicates"
