--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/EventHttpClient.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
@@ -41,6 +42,27 @@
   return body;
 }
 
+// The bytes of an answer's body that have arrived. libevent leaves them with the connection until
+// the body is complete.
+std::size_t
+ReceivedBytes(evhttp_connection* aConnection, evhttp_request* aRequest)
+{
+  auto* buffered = bufferevent_get_input(evhttp_connection_get_bufferevent(aConnection));
+  return evbuffer_get_length(buffered) +
+         evbuffer_get_length(evhttp_request_get_input_buffer(aRequest));
+}
+
+void
+CountTraffic(const EventHttpRequest& aRequest,
+             const EventHttpResponse& aResponse,
+             EventHttpTraffic& aTraffic)
+{
+  ++aTraffic.mCalls;
+  aTraffic.mUnanswered += aResponse.mAnswered ? 0 : 1;
+  aTraffic.mSentBytes += static_cast<std::int64_t>(aRequest.mPath.size() + aRequest.mBody.size());
+  aTraffic.mReceivedBytes += static_cast<std::int64_t>(aResponse.mReceivedBytes);
+}
+
 // Connections close by the deadline of each call; libevent's own limit only has to be longer.
 constexpr int kIdleLimitSeconds = 60;
 
@@ -54,6 +76,10 @@
   Callback mCallback;
   event* mTimer = nullptr;
   evhttp_connection* mConnection = nullptr;
+  // Owned by the connection, which frees it along with itself.
+  evhttp_request* mSent = nullptr;
+  std::chrono::steady_clock::time_point mCalledAt;
+  Duration mWaitedForConnection{ 0 };
   std::list<std::unique_ptr<Exchange>>::iterator mSelf;
 };
 
@@ -104,6 +130,7 @@
   exchange.mRequest = std::move(aRequest);
   exchange.mCallback = std::move(aCallback);
   exchange.mSelf = std::prev(lane->mExchanges.end());
+  exchange.mCalledAt = std::chrono::steady_clock::now();
   exchange.mTimer = evtimer_new(mBase, OnTimeout, &exchange);
   auto timeout = ToTimeval(exchange.mRequest.mTimeout);
   evtimer_add(exchange.mTimer, &timeout);
@@ -135,7 +162,10 @@
     aExchange.mConnection = aLane.mIdle.back();
     aLane.mIdle.pop_back();
   }
+  aExchange.mWaitedForConnection =
+    std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aExchange.mCalledAt);
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
+  aExchange.mSent = request;
   auto* headers = evhttp_request_get_output_headers(request);
   for (const auto& [name, value] : aExchange.mRequest.mHeaders) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
@@ -173,8 +203,9 @@
     response.mAnswered = true;
     response.mStatus = evhttp_request_get_response_code(aRequest);
     response.mBody = BodyOf(aRequest);
+    response.mReceivedBytes = response.mBody.size();
   }
-  exchange.mClient->Finish(exchange, response, response.mAnswered);
+  exchange.mClient->Finish(exchange, std::move(response));
 }
 
 void
@@ -182,23 +213,25 @@
 {
   auto& exchange = *static_cast<Exchange*>(aExchange);
   exchange.mLane->mWaiting.remove(&exchange);
+  EventHttpResponse response;
   if (exchange.mConnection != nullptr) {
+    response.mReceivedBytes = ReceivedBytes(exchange.mConnection, exchange.mSent);
     // At once and without a callback: an answer may be there already, and would find no call.
     evhttp_connection_free(exchange.mConnection);
     exchange.mConnection = nullptr;
     --exchange.mLane->mOpen;
   }
-  exchange.mClient->Finish(exchange, {}, false);
+  exchange.mClient->Finish(exchange, std::move(response));
 }
 
 void
-EventHttpClient::Finish(Exchange& aExchange,
-                        const EventHttpResponse& aResponse,
-                        bool aKeepConnection)
+EventHttpClient::Finish(Exchange& aExchange, EventHttpResponse aResponse)
 {
   auto& lane = *aExchange.mLane;
   event_free(aExchange.mTimer);
-  if (aExchange.mConnection != nullptr && aKeepConnection) {
+  aResponse.mWaitedForConnection = aExchange.mWaitedForConnection;
+  CountTraffic(aExchange.mRequest, aResponse, mTraffic[aExchange.mRequest.mKind]);
+  if (aExchange.mConnection != nullptr && aResponse.mAnswered) {
     lane.mIdle.push_back(aExchange.mConnection);
   } else if (aExchange.mConnection != nullptr) {
     --lane.mOpen;
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -25,6 +25,8 @@
   std::string mAddress;
   // Calls of one lane share connections; a call that waits long gets a lane of its own.
   std::string mLane;
+  // The kind of call under which its traffic is counted.
+  std::string mKind;
   EventHttpMethod mMethod = EventHttpMethod::Get;
   // With the query.
   std::string mPath;
@@ -40,6 +42,19 @@
   bool mAnswered = false;
   int mStatus = 0;
   std::string mBody;
+  // The bytes of the body that have arrived, also of an answer that is not complete.
+  std::size_t mReceivedBytes = 0;
+  // How long the call waited for a connection of its lane.
+  Duration mWaitedForConnection{ 0 };
+};
+
+// The traffic of one kind of call. Paths and bodies are counted, headers are not.
+struct EventHttpTraffic
+{
+  std::int64_t mCalls = 0;
+  std::int64_t mUnanswered = 0;
+  std::int64_t mSentBytes = 0;
+  std::int64_t mReceivedBytes = 0;
 };
 
 struct EventHttpClientSettings
@@ -65,6 +80,9 @@
   // Connections opened so far.
   [[nodiscard]] std::int64_t Opened() const { return mOpened; }
 
+  // The traffic so far, by EventHttpRequest::mKind.
+  [[nodiscard]] const std::map<std::string, EventHttpTraffic>& Traffic() const { return mTraffic; }
+
 private:
   struct Lane;
   struct Exchange;
@@ -74,7 +92,7 @@
   static void OnCleanUp(int aDescriptor, short aWhat, void* aClient);
 
   void Send(Lane& aLane, Exchange& aExchange);
-  void Finish(Exchange& aExchange, const EventHttpResponse& aResponse, bool aKeepConnection);
+  void Finish(Exchange& aExchange, EventHttpResponse aResponse);
   void SendNext(Lane& aLane);
   evhttp_connection* Connect(const Lane& aLane);
 
@@ -85,6 +103,7 @@
   std::vector<evhttp_connection*> mBroken;
   event* mCleanUp = nullptr;
   std::int64_t mOpened = 0;
+  std::map<std::string, EventHttpTraffic> mTraffic;
 };
 
 }
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -52,6 +52,28 @@
   Status,
 };
 
+inline std::string
+NameOf(Stream aStream)
+{
+  switch (aStream) {
+    case Stream::Operator:
+      return "operator";
+    case Stream::Executors:
+      return "executors";
+    case Stream::Jobs:
+      return "jobs";
+    case Stream::Progress:
+      return "progress";
+    case Stream::Owners:
+      return "owners";
+    case Stream::Fleet:
+      return "fleet";
+    case Stream::Status:
+      return "status";
+  }
+  return "unknown";
+}
+
 struct LogRecord
 {
   std::string mKey;
@@ -125,6 +147,8 @@
   Reader mReader = Reader::Follower;
   std::int64_t mFrom = 0;
   std::chrono::milliseconds mWait{ 0 };
+  // The maximum size of the answer; 0 for the store's own limit.
+  int mMaxKilobytes = 0;
   std::int64_t mTicket = 0;
 };
 
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -68,6 +68,43 @@
 
 BOOST_AUTO_TEST_SUITE(TestEventHttp)
 
+BOOST_AUTO_TEST_CASE(traffic_is_counted_by_kind_of_call)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, kWholeAnswer);
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server));
+  order.mKind = "order";
+  CallInTurn(base.get(), client, order, 3);
+  const auto& traffic = client.Traffic().at("order");
+  BOOST_TEST(traffic.mCalls == 3);
+  BOOST_TEST(traffic.mUnanswered == 0);
+  BOOST_TEST(traffic.mSentBytes ==
+             3 * static_cast<std::int64_t>(order.mPath.size() + order.mBody.size()));
+  BOOST_TEST(traffic.mReceivedBytes == 3 * 4);
+}
+
+BOOST_AUTO_TEST_CASE(what_has_arrived_of_an_answer_that_is_not_complete_is_counted)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\nsix by");
+    std::this_thread::sleep_for(600ms);
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server), 200ms);
+  order.mKind = "order";
+  auto answers = CallInTurn(base.get(), client, order, 1);
+  BOOST_TEST(!answers.at(0).mAnswered);
+  BOOST_TEST(answers.at(0).mReceivedBytes == 6u);
+  BOOST_TEST(client.Traffic().at("order").mUnanswered == 1);
+  BOOST_TEST(client.Traffic().at("order").mReceivedBytes == 6);
+}
+
 BOOST_AUTO_TEST_CASE(connections_are_kept)
 {
   RawServer server([](int aDescriptor, int) {
