--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -147,13 +147,13 @@
     aActions.emplace_back(std::move(reply));
     return;
   }
-  if (!aAnswer.mJob) {
+  if (!aAnswer.mPhase) {
     AddReply(aActions, query.mTicket, ReplyKind::Gone);
     LogRequest(aActions, "job-not-known", query.mJob.mValue, "neither stream has it");
     return;
   }
   if (query.mKind == RequestKind::Cancel) {
-    if (IsFinal(aAnswer.mJob->mPhase)) {
+    if (IsFinal(*aAnswer.mPhase)) {
       AddReply(aActions, query.mTicket, ReplyKind::Cancelled);
     } else {
       CancelJob(aNode, aNow, aPartition, query);
@@ -163,7 +163,7 @@
   Reply reply;
   reply.mTicket = query.mTicket;
   reply.mKind = ReplyKind::State;
-  reply.mPhase = aAnswer.mJob->mPhase;
+  reply.mPhase = *aAnswer.mPhase;
   aActions.emplace_back(std::move(reply));
 }
 
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -44,6 +44,9 @@
   Jobs,
   // The state of the jobs, written by the owner of the shard.
   Progress,
+  // The phase of each job, written by the owner of the shard after Progress. Callers' queries are
+  // answered from it.
+  JobStates,
   // One record per change of a shard's owner. Its offset is the fencing token.
   Owners,
   // Records that shard owners exchange about hosts: maintenance, moves and demand.
@@ -64,6 +67,8 @@
       return "jobs";
     case Stream::Progress:
       return "progress";
+    case Stream::JobStates:
+      return "job-states";
     case Stream::Owners:
       return "owners";
     case Stream::Fleet:
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1541,6 +1541,238 @@
 }
 
 
+JobState::~JobState() noexcept {
+}
+
+
+void JobState::__set_phase(const int32_t val) {
+  this->phase = val;
+}
+
+void JobState::__set_pending_in(const std::string& val) {
+  this->pending_in = val;
+__isset.pending_in = true;
+}
+std::ostream& operator<<(std::ostream& out, const JobState& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t JobState::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_phase = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->phase);
+          isset_phase = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->pending_in);
+          this->__isset.pending_in = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_phase)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t JobState::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("JobState");
+
+  xfer += oprot->writeFieldBegin("phase", ::apache::thrift::protocol::T_I32, 1);
+  xfer += oprot->writeI32(this->phase);
+  xfer += oprot->writeFieldEnd();
+
+  if (this->__isset.pending_in) {
+    xfer += oprot->writeFieldBegin("pending_in", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->pending_in);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(JobState &a, JobState &b) {
+  using ::std::swap;
+  swap(a.phase, b.phase);
+  swap(a.pending_in, b.pending_in);
+  swap(a.__isset, b.__isset);
+}
+
+JobState::JobState(const JobState& other48) {
+  phase = other48.phase;
+  pending_in = other48.pending_in;
+  __isset = other48.__isset;
+}
+JobState& JobState::operator=(const JobState& other49) {
+  phase = other49.phase;
+  pending_in = other49.pending_in;
+  __isset = other49.__isset;
+  return *this;
+}
+void JobState::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "JobState(";
+  out << "phase=" << to_string(phase);
+  out << ", " << "pending_in="; (__isset.pending_in ? (out << to_string(pending_in)) : (out << "<null>"));
+  out << ")";
+}
+
+
+StateCoverage::~StateCoverage() noexcept {
+}
+
+
+void StateCoverage::__set_jobs_end(const int64_t val) {
+  this->jobs_end = val;
+}
+
+void StateCoverage::__set_progress_end(const int64_t val) {
+  this->progress_end = val;
+}
+std::ostream& operator<<(std::ostream& out, const StateCoverage& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t StateCoverage::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_jobs_end = false;
+  bool isset_progress_end = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->jobs_end);
+          isset_jobs_end = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->progress_end);
+          isset_progress_end = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_jobs_end)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_progress_end)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t StateCoverage::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("StateCoverage");
+
+  xfer += oprot->writeFieldBegin("jobs_end", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->jobs_end);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("progress_end", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->progress_end);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(StateCoverage &a, StateCoverage &b) {
+  using ::std::swap;
+  swap(a.jobs_end, b.jobs_end);
+  swap(a.progress_end, b.progress_end);
+}
+
+StateCoverage::StateCoverage(const StateCoverage& other50) noexcept {
+  jobs_end = other50.jobs_end;
+  progress_end = other50.progress_end;
+}
+StateCoverage& StateCoverage::operator=(const StateCoverage& other51) noexcept {
+  jobs_end = other51.jobs_end;
+  progress_end = other51.progress_end;
+  return *this;
+}
+void StateCoverage::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "StateCoverage(";
+  out << "jobs_end=" << to_string(jobs_end);
+  out << ", " << "progress_end=" << to_string(progress_end);
+  out << ")";
+}
+
+
 Silence::~Silence() noexcept {
 }
 
@@ -1618,11 +1850,11 @@
   swap(a.lapsed_at_ms, b.lapsed_at_ms);
 }
 
-Silence::Silence(const Silence& other48) noexcept {
-  lapsed_at_ms = other48.lapsed_at_ms;
+Silence::Silence(const Silence& other52) noexcept {
+  lapsed_at_ms = other52.lapsed_at_ms;
 }
-Silence& Silence::operator=(const Silence& other49) noexcept {
-  lapsed_at_ms = other49.lapsed_at_ms;
+Silence& Silence::operator=(const Silence& other53) noexcept {
+  lapsed_at_ms = other53.lapsed_at_ms;
   return *this;
 }
 void Silence::printTo(std::ostream& out) const {
@@ -1750,17 +1982,17 @@
   swap(a.__isset, b.__isset);
 }
 
-Upkeep::Upkeep(const Upkeep& other50) {
-  phase = other50.phase;
-  former_executor = other50.former_executor;
-  at_ms = other50.at_ms;
-  __isset = other50.__isset;
+Upkeep::Upkeep(const Upkeep& other54) {
+  phase = other54.phase;
+  former_executor = other54.former_executor;
+  at_ms = other54.at_ms;
+  __isset = other54.__isset;
 }
-Upkeep& Upkeep::operator=(const Upkeep& other51) {
-  phase = other51.phase;
-  former_executor = other51.former_executor;
-  at_ms = other51.at_ms;
-  __isset = other51.__isset;
+Upkeep& Upkeep::operator=(const Upkeep& other55) {
+  phase = other55.phase;
+  former_executor = other55.former_executor;
+  at_ms = other55.at_ms;
+  __isset = other55.__isset;
   return *this;
 }
 void Upkeep::printTo(std::ostream& out) const {
@@ -1929,21 +2161,21 @@
   swap(a.__isset, b.__isset);
 }
 
-PoolDemand::PoolDemand(const PoolDemand& other52) noexcept {
-  wanted = other52.wanted;
-  present = other52.present;
-  at_ms = other52.at_ms;
-  idle = other52.idle;
-  lacked_at_ms = other52.lacked_at_ms;
-  __isset = other52.__isset;
-}
-PoolDemand& PoolDemand::operator=(const PoolDemand& other53) noexcept {
-  wanted = other53.wanted;
-  present = other53.present;
-  at_ms = other53.at_ms;
-  idle = other53.idle;
-  lacked_at_ms = other53.lacked_at_ms;
-  __isset = other53.__isset;
+PoolDemand::PoolDemand(const PoolDemand& other56) noexcept {
+  wanted = other56.wanted;
+  present = other56.present;
+  at_ms = other56.at_ms;
+  idle = other56.idle;
+  lacked_at_ms = other56.lacked_at_ms;
+  __isset = other56.__isset;
+}
+PoolDemand& PoolDemand::operator=(const PoolDemand& other57) noexcept {
+  wanted = other57.wanted;
+  present = other57.present;
+  at_ms = other57.at_ms;
+  idle = other57.idle;
+  lacked_at_ms = other57.lacked_at_ms;
+  __isset = other57.__isset;
   return *this;
 }
 void PoolDemand::printTo(std::ostream& out) const {
@@ -2055,13 +2287,13 @@
   swap(a.at_ms, b.at_ms);
 }
 
-HostMove::HostMove(const HostMove& other54) {
-  to = other54.to;
-  at_ms = other54.at_ms;
+HostMove::HostMove(const HostMove& other58) {
+  to = other58.to;
+  at_ms = other58.at_ms;
 }
-HostMove& HostMove::operator=(const HostMove& other55) {
-  to = other55.to;
-  at_ms = other55.at_ms;
+HostMove& HostMove::operator=(const HostMove& other59) {
+  to = other59.to;
+  at_ms = other59.at_ms;
   return *this;
 }
 void HostMove::printTo(std::ostream& out) const {
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -33,6 +33,10 @@
 
 class Progress;
 
+class JobState;
+
+class StateCoverage;
+
 class Silence;
 
 class Upkeep;
@@ -598,6 +602,100 @@
 
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
+typedef struct _JobState__isset {
+  _JobState__isset() : pending_in(false) {}
+  bool pending_in :1;
+} _JobState__isset;
+
+class JobState : public virtual ::apache::thrift::TBase {
+ public:
+
+  JobState(const JobState&);
+  JobState& operator=(const JobState&);
+  JobState() noexcept
+           : phase(0),
+             pending_in() {
+  }
+
+  virtual ~JobState() noexcept;
+  int32_t phase;
+  std::string pending_in;
+
+  _JobState__isset __isset;
+
+  void __set_phase(const int32_t val);
+
+  void __set_pending_in(const std::string& val);
+
+  bool operator == (const JobState & rhs) const
+  {
+    if (!(phase == rhs.phase))
+      return false;
+    if (__isset.pending_in != rhs.__isset.pending_in)
+      return false;
+    else if (__isset.pending_in && !(pending_in == rhs.pending_in))
+      return false;
+    return true;
+  }
+  bool operator != (const JobState &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const JobState & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(JobState &a, JobState &b);
+
+std::ostream& operator<<(std::ostream& out, const JobState& obj);
+
+
+class StateCoverage : public virtual ::apache::thrift::TBase {
+ public:
+
+  StateCoverage(const StateCoverage&) noexcept;
+  StateCoverage& operator=(const StateCoverage&) noexcept;
+  StateCoverage() noexcept
+                : jobs_end(0),
+                  progress_end(0) {
+  }
+
+  virtual ~StateCoverage() noexcept;
+  int64_t jobs_end;
+  int64_t progress_end;
+
+  void __set_jobs_end(const int64_t val);
+
+  void __set_progress_end(const int64_t val);
+
+  bool operator == (const StateCoverage & rhs) const
+  {
+    if (!(jobs_end == rhs.jobs_end))
+      return false;
+    if (!(progress_end == rhs.progress_end))
+      return false;
+    return true;
+  }
+  bool operator != (const StateCoverage &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const StateCoverage & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(StateCoverage &a, StateCoverage &b);
+
+std::ostream& operator<<(std::ostream& out, const StateCoverage& obj);
+
 
 class Silence : public virtual ::apache::thrift::TBase {
  public:
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -99,6 +99,7 @@
   }
   if (aProgress != nullptr) {
     job.mPhase = aProgress->mPhase;
+    job.mRecordedPhase = aProgress->mPhase;
     for (const auto& step : aProgress->mFinishedSteps) {
       RestoreFinishedStep(job, step);
     }
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -56,6 +56,8 @@
   // For each step, the sum of the estimates on the longest path from its start to the job's end.
   std::vector<std::chrono::milliseconds> mCriticalPaths;
   JobPhase mPhase = JobPhase::Pending;
+  // The phase in the newest record of the job's progress that was written or is being written.
+  JobPhase mRecordedPhase = JobPhase::Pending;
   // When the owner of the shard received the job; unset for a job that it loaded when taking over.
   Instant mArrivedAt;
   // It has changes that are not in the log yet.
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -280,4 +280,38 @@
   return progress;
 }
 
+std::string
+EncodeJobState(const JobState& aState)
+{
+  record::JobState out;
+  out.phase = static_cast<std::int32_t>(aState.mPhase);
+  if (!aState.mPendingIn.IsEmpty()) {
+    out.__set_pending_in(aState.mPendingIn.mValue);
+  }
+  return Encode(out);
+}
+
+absl::StatusOr<JobState>
+DecodeJobState(std::string_view aBytes)
+{
+  auto record = TRY(Decode<record::JobState>(aBytes));
+  return JobState{ TRY(PhaseOf(record.phase)), QueueName(std::move(record.pending_in)) };
+}
+
+std::string
+EncodeStateCoverage(const StateCoverage& aCoverage)
+{
+  record::StateCoverage out;
+  out.jobs_end = aCoverage.mJobsEnd;
+  out.progress_end = aCoverage.mProgressEnd;
+  return Encode(out);
+}
+
+absl::StatusOr<StateCoverage>
+DecodeStateCoverage(std::string_view aBytes)
+{
+  auto record = TRY(Decode<record::StateCoverage>(aBytes));
+  return StateCoverage{ record.jobs_end, record.progress_end };
+}
+
 }
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -75,4 +75,36 @@
 absl::StatusOr<JobProgress>
 DecodeProgress(std::string_view aBytes);
 
+// What callers are told about a job.
+struct JobState
+{
+  JobPhase mPhase = JobPhase::Pending;
+  // The queue of a job that counts as pending there. Empty once the job has begun, and for a
+  // recurring job.
+  QueueName mPendingIn;
+};
+
+std::string
+EncodeJobState(const JobState& aState);
+absl::StatusOr<JobState>
+DecodeJobState(std::string_view aBytes);
+
+// How much of a shard's other streams is reflected in its job states: all job records before the
+// offset mJobsEnd, and all progress records before mProgressEnd.
+struct StateCoverage
+{
+  std::int64_t mJobsEnd = 0;
+  std::int64_t mProgressEnd = 0;
+
+  bool operator==(const StateCoverage&) const = default;
+};
+
+// The key of the coverage record. It sorts before all job ids, so that it is on the first page.
+inline constexpr std::string_view kStateCoverageKey = "!covered";
+
+std::string
+EncodeStateCoverage(const StateCoverage& aCoverage);
+absl::StatusOr<StateCoverage>
+DecodeStateCoverage(std::string_view aBytes);
+
 }
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -26,6 +26,26 @@
   return found->second;
 }
 
+JobState
+StateOfNewJob(const JobDefinition& aDefinition)
+{
+  JobState state;
+  state.mPendingIn = aDefinition.mRunCount > 0 ? QueueName() : aDefinition.mQueue;
+  return state;
+}
+
+// Publishes a job that has no progress yet. A job with progress is published from there.
+void
+PublishNewJob(Shard& aShard, const Job& aJob, std::int64_t aOffset)
+{
+  auto state = StateOfNewJob(aJob.mDefinition);
+  if (aShard.mPhase == ShardPhase::Active) {
+    AddState(aShard.mStates, aJob.mId, std::move(state));
+  } else {
+    AddLoadedState(aShard.mStates, { aJob.mId, std::move(state), StateSource::Jobs, aOffset });
+  }
+}
+
 // Adds the runs of the former owner as uncertain: only their executors know whether they still run.
 void
 AdoptAttempts(Shard& aShard, const Job& aJob, const JobProgress& aProgress, const Now& aNow)
@@ -53,6 +73,7 @@
   shard.mSettings = aSettings;
   shard.mTakenOverAt = aNow;
   shard.mConfirmedAt = aNow;
+  shard.mStates.mPartition = aPartition;
   return shard;
 }
 
@@ -92,6 +113,8 @@
   detail::AdvanceExecutors(aShard, aNow, aActions);
   detail::PlaceTasks(aShard, aNow, aActions);
   detail::WriteProgress(aShard, aNow, aActions);
+  StateCoverage coverage{ aShard.mNextJobsOffset, aShard.mProgressEnd };
+  AdvancePublisher(aShard.mStates, aNow, coverage, aActions);
 }
 
 namespace detail {
@@ -202,6 +225,8 @@
   }
   if (progress != nullptr) {
     AdoptAttempts(aShard, job, *progress, aNow);
+  } else {
+    PublishNewJob(aShard, job, aRecord.mOffset);
   }
   aShard.mNeedsPlacementPass = true;
 }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -3,6 +3,7 @@
 #include "LibSchedule/Dependency.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
+#include "LibSchedule/StatePublisher.h"
 
 #include <deque>
 #include <map>
@@ -35,6 +36,12 @@
   std::chrono::milliseconds mStopTime{ 900 };
 };
 
+struct PhaseChange
+{
+  JobId mJob;
+  JobPhase mPhase = JobPhase::Pending;
+};
+
 // A progress append in flight, and the actions that wait until it is stored.
 struct PendingWrite
 {
@@ -44,6 +51,7 @@
   std::vector<TaskRun> mStarts;
   std::map<ExecutorId, std::int64_t> mEnds;
   std::vector<JobId> mFinished;
+  std::vector<PhaseChange> mPhaseChanges;
   // Executors whose record as unresponsive is removed by this append.
   std::vector<ExecutorId> mResponsiveAgain;
 };
@@ -88,6 +96,9 @@
   std::int64_t mNextJobsOffset = -1;
   // All jobs and cancellations that were stored before this time are known.
   Instant mJobsCurrentAsOf;
+  // The end of the progress stream, as far as this owner has read or written it.
+  std::int64_t mProgressEnd = 0;
+  StatePublisher mStates;
   std::string mPageKey;
 
   std::map<ExecutorId, Executor> mExecutors;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -134,7 +134,10 @@
     aActions.emplace_back(std::move(entry));
     return;
   }
-  aShard.mLoadedProgress[JobId(aRecord.mKey)] = *std::move(progress);
+  JobId id(aRecord.mKey);
+  AddLoadedState(aShard.mStates,
+                 { id, { progress->mPhase, {} }, StateSource::Progress, aRecord.mOffset });
+  aShard.mLoadedProgress[id] = *std::move(progress);
 }
 
 void
@@ -145,6 +148,7 @@
   }
   // Offsets begin at 0, and an executor reads a missing token as 0.
   aShard.mEpoch = aAnswer.mOffset + 1;
+  aShard.mStates.mEpoch = aShard.mEpoch;
   SetPhase(aShard, ShardPhase::Fencing);
 }
 
@@ -172,6 +176,13 @@
   if (aAnswer.mCall.mStream == Stream::Progress && aAnswer.mCall.mTicket != aShard.mEpoch) {
     return;
   }
+  if (aAnswer.mCall.mStream == Stream::JobStates) {
+    // A later owner fences this stream last, so that the answer doesn't confirm the ownership.
+    if (OnPublishAnswer(aShard.mStates, aNow, aAnswer) == PublishOutcome::Fenced) {
+      detail::LoseOwnership(aShard, "a later owner has fenced the job states", aActions);
+    }
+    return;
+  }
   if (aAnswer.mResult == CallResult::Done) {
     ConfirmOwnership(aShard, aAnswer.mSentAt);
   }
@@ -193,6 +204,10 @@
 void
 OnNewestAnswer(Shard& aShard, const Now& aNow, const ReadNewestAnswer& aAnswer, Actions& aActions)
 {
+  if (aAnswer.mCall.mStream == Stream::JobStates) {
+    OnCoverageAnswer(aShard.mStates, aNow, aAnswer, aActions);
+    return;
+  }
   if (aAnswer.mCall.mTicket != aShard.mEpoch) {
     return;
   }
@@ -206,6 +221,9 @@
     // The pages are not a snapshot: changes made while they are read are read again from here.
     aShard.mNextJobsOffset = aAnswer.mEnd;
   }
+  if (isProgress) {
+    aShard.mProgressEnd = std::max(aShard.mProgressEnd, aAnswer.mEnd);
+  }
   // The key of a cancellation sorts after the keys of all jobs, so its job is known by then.
   for (const auto& record : aAnswer.mRecords) {
     if (isProgress) {
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -38,6 +38,10 @@
       continue;
     }
     job->mDirty = false;
+    if (job->mPhase != job->mRecordedPhase) {
+      job->mRecordedPhase = job->mPhase;
+      aWrite.mPhaseChanges.push_back({ id, job->mPhase });
+    }
     auto value = EncodeProgress(ProgressOf(*job));
     bytes += value.size();
     aWrite.mCall.mRecords.push_back({ id.mValue, std::move(value) });
@@ -141,6 +145,9 @@
       aShard.mNeedsPlacementPass = true;
     }
   }
+  for (const auto& change : write.mPhaseChanges) {
+    AddState(aShard.mStates, change.mJob, JobState{ change.mPhase, {} });
+  }
   for (const auto& id : write.mFinished) {
     CloseJob(aShard, id, aNow.mAt);
   }
@@ -206,6 +213,7 @@
     write.mRetryAt = aNow.mAt + kRetryDelay;
     return;
   }
+  aShard.mProgressEnd = std::max(aShard.mProgressEnd, aAnswer.mEnd);
   CompleteWrite(aShard, aNow, aActions);
 }
 
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -7,66 +7,90 @@
 namespace {
 
 constexpr Duration kRetryPause = 100ms;
+// A long answer would keep a host with a slow link from everything else that it reads.
+constexpr int kMaxReadKilobytes = 64;
 
 void
-ApplyDefinition(StatusView& aView, const KeyedRecord& aRecord)
+ApplyCoverage(StatusView& aView, const KeyedRecord& aRecord)
 {
-  auto id = JobOfKey(aRecord.mKey);
-  if (aRecord.mValue.empty()) {
-    aView.mJobs.erase(id);
-    aView.mPendingJobQueues.erase(id);
-    return;
-  }
-  auto& job = aView.mJobs[id];
-  if (IsCancellationKey(aRecord.mKey)) {
-    job.mIsCancelled = true;
+  auto coverage = DecodeStateCoverage(aRecord.mValue);
+  if (!coverage.ok() || coverage->mJobsEnd <= aView.mCoveredJobsEnd) {
+    // An unreadable record is not logged here: the next owner of the shard reads and logs it.
     return;
   }
-  auto definition = DecodeJob(aRecord.mValue);
-  if (!definition.ok()) {
-    // Not logged here: the owner of the shard reads the same record and logs the error.
-    return;
-  }
-  job.mIsKnown = true;
-  job.mIsRecurring = definition->mRunCount > 0;
-  if (job.mPhase == JobPhase::Pending && !job.mIsRecurring) {
-    aView.mPendingJobQueues[id] = definition->mQueue;
+  aView.mCoveredJobsEnd = coverage->mJobsEnd;
+  std::erase_if(aView.mUncoveredJobs,
+                [&](const auto& aEntry) { return aEntry.second.mOffset < aView.mCoveredJobsEnd; });
+  aView.mUncovered.mPosition = std::max(aView.mUncovered.mPosition, aView.mCoveredJobsEnd);
+}
+
+void
+AddToPendingCount(StatusView& aView, const JobState& aState, int aChange)
+{
+  if (aState.mPhase == JobPhase::Pending && !aState.mPendingIn.IsEmpty()) {
+    aView.mPendingCounts[aState.mPendingIn] += aChange;
   }
 }
 
 void
-ApplyProgress(StatusView& aView, const KeyedRecord& aRecord)
+ApplyState(StatusView& aView, const KeyedRecord& aRecord)
 {
-  if (IsLeaseExpiryKey(aRecord.mKey)) {
+  if (aRecord.mKey == kStateCoverageKey) {
+    ApplyCoverage(aView, aRecord);
     return;
   }
   JobId id(aRecord.mKey);
+  auto known = aView.mJobs.find(id);
   if (aRecord.mValue.empty()) {
-    aView.mJobs.erase(id);
-    aView.mPendingJobQueues.erase(id);
+    if (known != aView.mJobs.end()) {
+      AddToPendingCount(aView, known->second, -1);
+      aView.mJobs.erase(known);
+    }
     return;
   }
-  auto progress = DecodeProgress(aRecord.mValue);
-  if (!progress.ok()) {
-    // As above, the owner of the shard logs the error.
+  auto state = DecodeJobState(aRecord.mValue);
+  if (!state.ok()) {
+    // As above.
     return;
   }
-  auto& job = aView.mJobs[id];
-  job.mIsKnown = true;
-  job.mPhase = progress->mPhase;
-  if (job.mPhase != JobPhase::Pending) {
-    aView.mPendingJobQueues.erase(id);
+  if (known == aView.mJobs.end()) {
+    AddToPendingCount(aView, *state, 1);
+    aView.mJobs.emplace(id, *std::move(state));
+    return;
+  }
+  // A page may show a newer state than the records that are read after it.
+  if (!IsFinal(known->second.mPhase)) {
+    AddToPendingCount(aView, known->second, -1);
+    AddToPendingCount(aView, *state, 1);
+    known->second = *std::move(state);
   }
 }
 
+void
+ApplyJob(StatusView& aView, const KeyedRecord& aRecord)
+{
+  auto isNewJob = !aRecord.mValue.empty() && !IsCancellationKey(aRecord.mKey) &&
+                  aRecord.mOffset >= aView.mCoveredJobsEnd;
+  if (!isNewJob) {
+    return;
+  }
+  auto definition = DecodeJob(aRecord.mValue);
+  if (!definition.ok()) {
+    // Not logged here: the owner of the shard reads the same record and logs the error.
+    return;
+  }
+  auto queue = definition->mRunCount > 0 ? QueueName() : definition->mQueue;
+  aView.mUncoveredJobs[JobId(aRecord.mKey)] = { aRecord.mOffset, std::move(queue) };
+}
+
 void
 ApplyRecords(StatusView& aView, Stream aStream, const std::vector<KeyedRecord>& aRecords)
 {
   for (const auto& record : aRecords) {
-    if (aStream == Stream::Progress) {
-      ApplyProgress(aView, record);
+    if (aStream == Stream::JobStates) {
+      ApplyState(aView, record);
     } else {
-      ApplyDefinition(aView, record);
+      ApplyJob(aView, record);
     }
   }
 }
@@ -74,7 +98,7 @@
 ViewStream&
 StreamOf(StatusView& aView, Stream aStream)
 {
-  return aStream == Stream::Progress ? aView.mProgress : aView.mDefinitions;
+  return aStream == Stream::JobStates ? aView.mStates : aView.mUncovered;
 }
 
 void
@@ -90,6 +114,7 @@
     call.mPartition = aView.mPartition;
     call.mReader = Reader::View;
     call.mFrom = aStream.mPosition;
+    call.mMaxKilobytes = kMaxReadKilobytes;
     aActions.emplace_back(call);
     return;
   }
@@ -108,19 +133,34 @@
   return aStream.mLoaded && aStream.mCurrentAsOf >= aQuery.mReceivedAt;
 }
 
-const ViewedJob*
-FindKnown(const StatusView& aView, const JobId& aId)
+std::optional<JobPhase>
+FindPhase(const StatusView& aView, const JobId& aId)
 {
-  auto found = aView.mJobs.find(aId);
-  return found == aView.mJobs.end() || !found->second.mIsKnown ? nullptr : &found->second;
+  auto published = aView.mJobs.find(aId);
+  if (published != aView.mJobs.end()) {
+    return published->second.mPhase;
+  }
+  return aView.mUncoveredJobs.contains(aId) ? std::optional(JobPhase::Pending) : std::nullopt;
 }
 
-// The progress records describe any job that has begun. The definitions are needed to tell whether
-// an unknown job exists, and to count pending jobs.
+// The published states describe every job that the owner of the shard has read. The rest of the
+// jobs stream tells whether an unknown job exists, and completes the count of pending jobs.
 bool
-NeedsDefinitions(const StatusView& aView, const StatusQuery& aQuery)
+NeedsUncoveredJobs(const StatusView& aView, const StatusQuery& aQuery)
 {
-  return aQuery.mIsCountQuery || FindKnown(aView, aQuery.mJob) == nullptr;
+  return aQuery.mIsCountQuery || !FindPhase(aView, aQuery.mJob);
+}
+
+std::int64_t
+CountPending(const StatusView& aView, const QueueName& aQueue)
+{
+  auto counted = aView.mPendingCounts.find(aQueue);
+  auto published = counted == aView.mPendingCounts.end() ? 0 : counted->second;
+  auto uncovered = std::count_if(
+    aView.mUncoveredJobs.begin(), aView.mUncoveredJobs.end(), [&](const auto& aEntry) {
+      return aEntry.second.mQueue == aQueue && !aView.mJobs.contains(aEntry.first);
+    });
+  return published + uncovered;
 }
 
 std::optional<ViewAnswer>
@@ -128,22 +168,17 @@
 {
   ViewAnswer answer;
   answer.mQuery = aQuery;
-  const auto* known = FindKnown(aView, aQuery.mJob);
+  auto phase = FindPhase(aView, aQuery.mJob);
   // A final phase never changes, so the view need not be current.
-  if (!aQuery.mIsCountQuery && known != nullptr && IsFinal(known->mPhase)) {
-    answer.mJob = *known;
+  if (!aQuery.mIsCountQuery && phase && IsFinal(*phase)) {
+    answer.mPhase = phase;
     return answer;
   }
-  auto isCurrent = IsCurrentFor(aView.mProgress, aQuery) &&
-                   (!NeedsDefinitions(aView, aQuery) || IsCurrentFor(aView.mDefinitions, aQuery));
+  auto isCurrent = IsCurrentFor(aView.mStates, aQuery) &&
+                   (!NeedsUncoveredJobs(aView, aQuery) || IsCurrentFor(aView.mUncovered, aQuery));
   if (isCurrent) {
-    if (known != nullptr) {
-      answer.mJob = *known;
-    }
-    answer.mCount =
-      std::count_if(aView.mPendingJobQueues.begin(),
-                    aView.mPendingJobQueues.end(),
-                    [&](const auto& aEntry) { return aEntry.second == aQuery.mQueue; });
+    answer.mPhase = phase;
+    answer.mCount = aQuery.mIsCountQuery ? CountPending(aView, aQuery.mQueue) : 0;
     return answer;
   }
   if (aNow >= aQuery.mDeadline) {
@@ -153,6 +188,28 @@
   return std::nullopt;
 }
 
+// Loads the newest record of every key instead of the records that are gone.
+void
+RestartLoad(ViewStream& aStream)
+{
+  aStream.mLoaded = false;
+  aStream.mPageKey.clear();
+  aStream.mPagedEnd = -1;
+}
+
+// The owner of the shard publishes what it reads within moments, so that the states are read again
+// before all jobs are.
+void
+OnTrimmed(StatusView& aView, ViewStream& aStream)
+{
+  if (aStream.mStream == Stream::Jobs && aView.mTrimmedAt != aStream.mPosition) {
+    aView.mTrimmedAt = aStream.mPosition;
+    aView.mStates.mCurrentAsOf = {};
+    return;
+  }
+  RestartLoad(aStream);
+}
+
 }
 
 void
@@ -167,9 +224,7 @@
   auto& stream = StreamOf(aView, aAnswer.mCall.mStream);
   stream.mInFlight = false;
   if (aAnswer.mTrimmed) {
-    stream.mLoaded = false;
-    stream.mPageKey.clear();
-    stream.mPagedEnd = -1;
+    OnTrimmed(aView, stream);
     return;
   }
   if (aAnswer.mResult != CallResult::Done) {
@@ -178,7 +233,7 @@
   }
   ApplyRecords(aView, stream.mStream, aAnswer.mRecords);
   if (!aAnswer.mRecords.empty()) {
-    stream.mPosition = aAnswer.mRecords.back().mOffset + 1;
+    stream.mPosition = std::max(stream.mPosition, aAnswer.mRecords.back().mOffset + 1);
   }
   if (stream.mPosition >= aAnswer.mEnd) {
     stream.mCurrentAsOf = aAnswer.mSentAt;
@@ -203,7 +258,7 @@
     return;
   }
   // The pages do not form a snapshot, so reading continues from the end that the first page gave.
-  stream.mPosition = stream.mPagedEnd;
+  stream.mPosition = std::max(stream.mPosition, stream.mPagedEnd);
   stream.mLoaded = true;
 }
 
@@ -211,25 +266,25 @@
 AdvanceView(StatusView& aView, const Now& aNow, Actions& aActions)
 {
   std::vector<ViewAnswer> answers;
-  auto needsProgress = false;
-  auto needsDefinitions = false;
+  auto needsStates = false;
+  auto needsUncovered = false;
   std::erase_if(aView.mQueries, [&](const StatusQuery& aQuery) {
     if (auto answer = Answer(aView, aQuery, aNow.mAt)) {
       answers.push_back(*std::move(answer));
       return true;
     }
-    if (!IsCurrentFor(aView.mProgress, aQuery)) {
-      needsProgress = true;
+    if (!IsCurrentFor(aView.mStates, aQuery)) {
+      needsStates = true;
     } else {
-      needsDefinitions = true;
+      needsUncovered = true;
     }
     return false;
   });
-  if (needsProgress) {
-    SendRead(aView, aView.mProgress, aNow, aActions);
+  if (needsStates) {
+    SendRead(aView, aView.mStates, aNow, aActions);
   }
-  if (needsDefinitions) {
-    SendRead(aView, aView.mDefinitions, aNow, aActions);
+  if (needsUncovered) {
+    SendRead(aView, aView.mUncovered, aNow, aActions);
   }
   return answers;
 }
--- a/Libraries/LibSchedule/StatusView.h
+++ b/Libraries/LibSchedule/StatusView.h
@@ -8,22 +8,16 @@
 #include <vector>
 
 // The state of a partition's jobs as seen by any entry host, read from the log when a caller asks.
-// A query is answered from a read that was sent after the query arrived, except for final phases,
-// which do not change.
+// States come from the compact stream that the owner of the shard publishes. A job that the owner
+// has not published yet is looked up in the part of the jobs stream that the published states do
+// not cover. A query is answered from a read that was sent after the query arrived, except for
+// final phases, which do not change.
 namespace sesameseam::schedule {
 
-struct ViewedJob
-{
-  JobPhase mPhase = JobPhase::Pending;
-  bool mIsKnown = false;
-  bool mIsRecurring = false;
-  bool mIsCancelled = false;
-};
-
 // The read position in one stream of the partition.
 struct ViewStream
 {
-  Stream mStream = Stream::Progress;
+  Stream mStream = Stream::JobStates;
   std::int64_t mPosition = 0;
   bool mLoaded = false;
   bool mInFlight = false;
@@ -46,13 +40,28 @@
   Instant mDeadline;
 };
 
+// A job of the jobs stream that the published states do not cover.
+struct UncoveredJob
+{
+  std::int64_t mOffset = 0;
+  // The queue in which it counts as pending; empty for a recurring job.
+  QueueName mQueue;
+};
+
 struct StatusView
 {
   int mPartition = 0;
-  std::map<JobId, ViewedJob> mJobs;
-  std::map<JobId, QueueName> mPendingJobQueues;
-  ViewStream mProgress{ Stream::Progress };
-  ViewStream mDefinitions{ Stream::Jobs };
+  std::map<JobId, JobState> mJobs;
+  // The number of jobs in mJobs that count as pending in each queue.
+  std::map<QueueName, std::int64_t> mPendingCounts;
+  // Jobs at offsets of the jobs stream from here on may be missing from mJobs.
+  std::int64_t mCoveredJobsEnd = 0;
+  std::map<JobId, UncoveredJob> mUncoveredJobs;
+  ViewStream mStates{ Stream::JobStates };
+  // Follows the jobs stream from mCoveredJobsEnd on; it needs no load unless history is gone.
+  ViewStream mUncovered{ .mStream = Stream::Jobs, .mLoaded = true };
+  // The position at which the jobs stream was last found to be trimmed, or -1.
+  std::int64_t mTrimmedAt = -1;
   std::vector<StatusQuery> mQueries;
 };
 
@@ -68,7 +77,7 @@
 {
   StatusQuery mQuery;
   // Empty if the job is unknown, or if the deadline passed before the log answered.
-  std::optional<ViewedJob> mJob;
+  std::optional<JobPhase> mPhase;
   std::int64_t mCount = 0;
   bool mTimedOut = false;
 };
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -66,6 +66,20 @@
   3: optional list<Task> tasks,
 }
 
+// The phase of a job as callers are told it.
+struct JobState {
+  1: required i32 phase,
+  // The queue of a job that counts as pending there; absent otherwise.
+  2: optional string pending_in,
+}
+
+// Every job record before jobs_end and every progress record before progress_end is reflected in
+// the job states that were stored before this record.
+struct StateCoverage {
+  1: required i64 jobs_end,
+  2: required i64 progress_end,
+}
+
 // An unresponsive executor, and the time by which all leases on it have expired.
 struct Silence {
   1: required i64 lapsed_at_ms,
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -323,7 +323,9 @@
   if (aDefinition != nullptr) {
     request.mJob = *aDefinition;
   }
-  mRequests[request.mTicket] = { aKind, aJob };
+  auto known = mJobs.find(aJob);
+  auto wasAccepted = known != mJobs.end() && known->second.mAccepted;
+  mRequests[request.mTicket] = { aKind, aJob, wasAccepted, mShownFinal.contains(aJob) };
   HandleEvent(aHost, request);
 }
 
@@ -368,6 +370,9 @@
     return;
   }
   auto& job = known->second;
+  if (aReply.mKind == schedule::ReplyKind::State) {
+    CheckShownPhase(request, aReply.mPhase);
+  }
   if (aReply.mKind == schedule::ReplyKind::Accepted) {
     job.mAccepted = true;
   } else if (aReply.mKind == schedule::ReplyKind::Cancelled) {
@@ -375,11 +380,57 @@
     job.mCancelledAt = mNow;
   } else if (aReply.mKind == schedule::ReplyKind::Refused) {
     job.mRefused |= request.mKind == schedule::RequestKind::Submit;
-  } else if (aReply.mKind == schedule::ReplyKind::Gone && job.mAccepted) {
+  } else if (aReply.mKind == schedule::ReplyKind::Gone && request.mWasAccepted) {
     mViolations.push_back("accepted job " + request.mJob.mValue + " is unknown to the host");
   }
 }
 
+void
+Simulation::CheckShownPhase(const Request& aRequest, schedule::JobPhase aPhase)
+{
+  const auto& job = aRequest.mJob;
+  if (aRequest.mWasShownEnded && mShownFinal.at(job) != aPhase) {
+    mViolations.push_back("job " + job.mValue + " was shown as ended and then otherwise");
+  }
+  if (!schedule::IsFinal(aPhase)) {
+    return;
+  }
+  mShownFinal[job] = aPhase;
+  if (StoredPhase(job) != aPhase) {
+    mViolations.push_back("job " + job.mValue + " was shown as ended before that was stored");
+  }
+}
+
+schedule::JobPhase
+Simulation::StoredPhase(const JobId& aJob) const
+{
+  for (const auto& [key, partition] : mStore.mPartitions) {
+    auto newest = partition.mNewest.find(aJob.mValue);
+    if (key.mStream != Stream::Progress || newest == partition.mNewest.end()) {
+      continue;
+    }
+    auto progress =
+      schedule::DecodeProgress(partition.mRecords[static_cast<std::size_t>(newest->second)].mValue);
+    return progress.ok() ? progress->mPhase : schedule::JobPhase::Pending;
+  }
+  return schedule::JobPhase::Pending;
+}
+
+void
+Simulation::CountQueryBytes(schedule::Reader aReader,
+                            const std::vector<schedule::KeyedRecord>& aRecords)
+{
+  if (aReader != schedule::Reader::View) {
+    return;
+  }
+  // The store's own length fields of the record and of its key.
+  constexpr std::size_t kLengthBytes = 5;
+  for (const auto& record : aRecords) {
+    mQueryBytes +=
+      static_cast<std::int64_t>(kLengthBytes + record.mKey.size() + record.mValue.size());
+  }
+}
+
 void
 Simulation::CallStore(int aHost, const Event& aWithoutAnswer, const std::function<Event()>& aWork)
 {
@@ -491,6 +542,7 @@
     ScheduleAfter(kLongPollInterval, [=, this] { AnswerRead(aHost, aIncarnation, aCall, aUntil); });
     return;
   }
+  CountQueryBytes(aCall.mReader, answer.mRecords);
   ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, aIncarnation, answer); });
 }
 
@@ -620,6 +672,7 @@
   CallStore(aHost, lost, [=, this]() -> Event {
     auto answer = Newest(mStore, aCall);
     answer.mCall = aCall;
+    CountQueryBytes(aCall.mReader, answer.mRecords);
     FillExternalRecords(aCall.mStream, 0, answer.mExternalRecords);
     DropUnlisted(answer.mExternalRecords.mExecutors);
     if (aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors) {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -94,6 +94,8 @@
   [[nodiscard]] const std::vector<std::string>& Violations() const { return mViolations; }
   [[nodiscard]] int CountRuns(const JobId& aJob) const;
   [[nodiscard]] std::int64_t CompletedTasks() const { return mCompletedTasks; }
+  // Bytes of records that hosts have read from the log to answer callers' queries.
+  [[nodiscard]] std::int64_t QueryBytes() const { return mQueryBytes; }
 
   FakeStore mStore;
   std::vector<SimulatedHost> mHosts;
@@ -104,6 +106,16 @@
   std::vector<schedule::WaveStatusCall> mWaveReports;
 
 private:
+  struct Request
+  {
+    schedule::RequestKind mKind = schedule::RequestKind::State;
+    JobId mJob;
+    // Whether the caller had been told that the job is accepted when it sent the request.
+    bool mWasAccepted = false;
+    // Whether the caller had been told that the job has ended when it sent the request.
+    bool mWasShownEnded = false;
+  };
+
   struct ScheduledWork
   {
     schedule::Instant mAt;
@@ -142,6 +154,11 @@
   void Perform(int aHost, const schedule::WaveStatusCall& aCall);
   void Perform(int aHost, const schedule::LogEntry& aEntry);
   void RecordReply(const schedule::Reply& aReply);
+  void CheckShownPhase(const Request& aRequest, schedule::JobPhase aPhase);
+  // The phase of a job in its newest progress record.
+  [[nodiscard]] schedule::JobPhase StoredPhase(const JobId& aJob) const;
+  void CountQueryBytes(schedule::Reader aReader,
+                       const std::vector<schedule::KeyedRecord>& aRecords);
   void Send(int aHost,
             schedule::RequestKind aKind,
             const JobId& aJob,
@@ -190,12 +207,6 @@
   std::set<int> mCutExecutors;
   std::vector<schedule::ExternalRecords> mOperatorRecords;
   std::vector<schedule::ExternalRecords> mExecutorRecords;
-  struct Request
-  {
-    schedule::RequestKind mKind = schedule::RequestKind::State;
-    JobId mJob;
-  };
-
   std::map<schedule::RequestTicket, Request> mRequests;
   schedule::RequestTicket mNextRequest = 1;
   std::map<JobId, schedule::Reply> mReplies;
@@ -205,6 +216,9 @@
   std::set<schedule::TaskId> mDone;
   std::vector<std::string> mViolations;
   std::int64_t mCompletedTasks = 0;
+  std::int64_t mQueryBytes = 0;
+  // The final phases that callers were told.
+  std::map<JobId, schedule::JobPhase> mShownFinal;
 };
 
 }
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -45,6 +45,112 @@
   return aSimulation.PhaseAt(aJob);
 }
 
+// Whether the host shows each of the accepted jobs as ended. Calls may still be lost, so that a
+// query may be refused.
+bool
+ShowsAllAsEnded(Simulation& aSimulation, int aHost, std::vector<JobId> aJobs)
+{
+  constexpr int kTries = 4;
+  std::erase_if(aJobs, [&](const JobId& aJob) { return !aSimulation.mJobs.at(aJob).mAccepted; });
+  for (int i = 0; i < kTries && !aJobs.empty(); ++i) {
+    for (const auto& job : aJobs) {
+      aSimulation.AskState(aHost, job);
+    }
+    aSimulation.RunFor(4s);
+    std::erase_if(aJobs, [&](const JobId& aJob) {
+      return aSimulation.LastReply(aJob) == ReplyKind::State && IsFinal(aSimulation.PhaseAt(aJob));
+    });
+  }
+  return aJobs.empty();
+}
+
+// Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or executed
+// late, and partitions are reassigned. Returns what is wrong: invariants that were broken, and what
+// has not recovered after the faults are over.
+std::vector<std::string>
+PlayRandomFaults(const SimulationSettings& aSettings)
+{
+  Simulation simulation(aSettings);
+  std::mt19937_64 random(aSettings.mSeed);
+  auto pick = [&](int aBelow) {
+    return static_cast<int>(random() % static_cast<unsigned>(aBelow));
+  };
+  simulation.RunFor(kStart);
+  std::vector<JobId> jobs;
+  for (int round = 0; round < 60; ++round) {
+    auto host = pick(3);
+    if (simulation.mHosts[static_cast<std::size_t>(host)].mIsUp) {
+      jobs.push_back(simulation.Submit(
+        host,
+        { MakeStep(1 + pick(4), 1 + pick(3)), After(MakeStep(1 + pick(3), 1), { 0 }) },
+        "250"));
+    }
+    auto executor = pick(4);
+    switch (pick(14)) {
+      case 0:
+        simulation.Kill(pick(3));
+        break;
+      case 1:
+        simulation.Freeze(pick(3));
+        break;
+      case 2:
+        simulation.CutFromStore(pick(3), true);
+        break;
+      case 3:
+        simulation.CrashExecutor(executor);
+        break;
+      case 4:
+        simulation.CutExecutor(executor, true);
+        break;
+      case 5:
+        ReassignPartitions(simulation.mStore);
+        break;
+      case 6:
+        TrimHistory(simulation.mStore);
+        break;
+      case 7:
+        simulation.StoreDown(true);
+        break;
+      case 8:
+        simulation.Cancel(pick(3), jobs[random() % jobs.size()]);
+        break;
+      default:
+        break;
+    }
+    simulation.AskState(pick(3), jobs.empty() ? JobId() : jobs[random() % jobs.size()]);
+    simulation.RunFor(std::chrono::milliseconds(pick(400)));
+    if (pick(3) == 0) {
+      simulation.StoreDown(false);
+      for (int i = 0; i < 3; ++i) {
+        simulation.Thaw(i);
+        simulation.Revive(i);
+        simulation.CutFromStore(i, false);
+      }
+      simulation.CutExecutor(executor, false);
+    }
+  }
+  simulation.StoreDown(false);
+  for (int i = 0; i < 3; ++i) {
+    simulation.Thaw(i);
+    simulation.Revive(i);
+    simulation.CutFromStore(i, false);
+  }
+  for (int i = 0; i < 4; ++i) {
+    simulation.CutExecutor(i, false);
+  }
+  simulation.RunFor(60s);
+  auto problems = simulation.Violations();
+  if (!simulation.AllEnded()) {
+    problems.push_back("an accepted job has not ended");
+  }
+  for (int host = 0; host < 3; ++host) {
+    if (!ShowsAllAsEnded(simulation, host, jobs)) {
+      problems.push_back("host " + std::to_string(host) + " does not show all jobs as ended");
+    }
+  }
+  return problems;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(TheSimulation)
@@ -62,6 +168,32 @@
   CheckInvariants(simulation);
 }
 
+// Callers ask every entry host for the states of all jobs while these run. When each host read the
+// placements of all tasks to answer them, the traffic of a host grew with the work of the pool, and
+// slow links had no room left for anything else.
+BOOST_AUTO_TEST_CASE(queries_cost_a_host_a_few_bytes_a_job_however_many_tasks_it_has)
+{
+  constexpr int kHosts = 6;
+  constexpr int kJobs = 24;
+  constexpr std::int64_t kMaxBytesPerJob = 200;
+  Simulation simulation({ .mHosts = kHosts, .mExecutors = 8 });
+  simulation.RunFor(kStart);
+  std::vector<JobId> jobs;
+  for (int i = 0; i < kJobs; ++i) {
+    jobs.push_back(
+      simulation.Submit(i % kHosts, { MakeStep(12, 1), After(MakeStep(12, 1), { 0 }) }, "300"));
+  }
+  for (int round = 0; round < 60; ++round) {
+    for (int host = 0; host < kHosts; ++host) {
+      simulation.AskState(host, jobs[static_cast<std::size_t>(round % kJobs)]);
+    }
+    simulation.RunFor(100ms);
+  }
+  BOOST_TEST(simulation.AllEnded());
+  BOOST_TEST(simulation.QueryBytes() / (kHosts * kJobs) < kMaxBytesPerJob);
+  CheckInvariants(simulation);
+}
+
 BOOST_AUTO_TEST_CASE(a_job_that_nobody_handed_in_is_not_known)
 {
   Simulation simulation({});
@@ -452,9 +584,6 @@
   CheckInvariants(simulation);
 }
 
-// Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or executed
-// late, and partitions are reassigned. Every invariant must hold throughout, and every accepted job
-// must have ended after the faults are over.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_random_faults)
 {
   auto holds = rc::check([] {
@@ -465,81 +594,32 @@
     settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
     settings.mSmallHosts = *rc::gen::element(0, 1, 2);
     settings.mOtherExecutors = *rc::gen::element(0, 2);
-    Simulation simulation(settings);
-    std::mt19937_64 random(settings.mSeed);
-    auto pick = [&](int aBelow) {
-      return static_cast<int>(random() % static_cast<unsigned>(aBelow));
-    };
-    simulation.RunFor(kStart);
-    std::vector<JobId> jobs;
-    for (int round = 0; round < 60; ++round) {
-      auto host = pick(3);
-      if (simulation.mHosts[static_cast<std::size_t>(host)].mIsUp) {
-        jobs.push_back(simulation.Submit(
-          host,
-          { MakeStep(1 + pick(4), 1 + pick(3)), After(MakeStep(1 + pick(3), 1), { 0 }) },
-          "250"));
-      }
-      auto executor = pick(4);
-      switch (pick(14)) {
-        case 0:
-          simulation.Kill(pick(3));
-          break;
-        case 1:
-          simulation.Freeze(pick(3));
-          break;
-        case 2:
-          simulation.CutFromStore(pick(3), true);
-          break;
-        case 3:
-          simulation.CrashExecutor(executor);
-          break;
-        case 4:
-          simulation.CutExecutor(executor, true);
-          break;
-        case 5:
-          ReassignPartitions(simulation.mStore);
-          break;
-        case 6:
-          TrimHistory(simulation.mStore);
-          break;
-        case 7:
-          simulation.StoreDown(true);
-          break;
-        case 8:
-          simulation.Cancel(pick(3), jobs[random() % jobs.size()]);
-          break;
-        default:
-          break;
-      }
-      simulation.RunFor(std::chrono::milliseconds(pick(400)));
-      if (pick(3) == 0) {
-        simulation.StoreDown(false);
-        for (int i = 0; i < 3; ++i) {
-          simulation.Thaw(i);
-          simulation.Revive(i);
-          simulation.CutFromStore(i, false);
-        }
-        simulation.CutExecutor(executor, false);
-      }
-    }
-    simulation.StoreDown(false);
-    for (int i = 0; i < 3; ++i) {
-      simulation.Thaw(i);
-      simulation.Revive(i);
-      simulation.CutFromStore(i, false);
-    }
-    for (int i = 0; i < 4; ++i) {
-      simulation.CutExecutor(i, false);
+    auto problems = PlayRandomFaults(settings);
+    for (const auto& problem : problems) {
+      RC_LOG() << problem << "\n";
     }
-    simulation.RunFor(60s);
-    for (const auto& broken : simulation.Violations()) {
-      RC_LOG() << broken << "\n";
-    }
-    RC_ASSERT(simulation.Violations().empty());
-    RC_ASSERT(simulation.AllEnded());
+    RC_ASSERT(problems.empty());
   });
   BOOST_TEST(holds);
 }
 
+// Settings under which an invariant was broken once.
+BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_faults_that_broke_one_before)
+{
+  const SimulationSettings kFailedBefore[] = {
+    // A number of ends was acknowledged to an executor that had restarted, and that had ended other
+    // runs under these numbers.
+    { .mSmallHosts = 1, .mOtherExecutors = 2, .mSeed = 5, .mAnswerLoss = 0.02, .mLateOrders = 0.1 },
+    // An owner whose reads of the jobs stream were lost started a cancelled job.
+    { .mSmallHosts = 2, .mSeed = 233114204231, .mAnswerLoss = 0.1, .mLateOrders = 0.02 },
+  };
+  for (const auto& settings : kFailedBefore) {
+    auto problems = PlayRandomFaults(settings);
+    for (const auto& problem : problems) {
+      BOOST_TEST_MESSAGE(problem);
+    }
+    BOOST_TEST(problems.empty(), "seed " << settings.mSeed);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/StandIns/job-platform/Store.cpp
+++ b/Tests/StandIns/job-platform/Store.cpp
@@ -43,6 +43,7 @@
                        Stream::Executors,
                        Stream::Jobs,
                        Stream::Progress,
+                       Stream::JobStates,
                        Stream::Owners,
                        Stream::Fleet }) {
     if (platform::TopicOf(stream) == aTopic) {
