Remove the definitions of ended jobs, and close three gaps that the property found

And: ten minutes after a job's end its progress was removed while its definition stayed, so that the next owner ran the job again. Change: once the final state of a job is published its definition is removed from the jobs stream, once a second for all together; its progress expires only after that. A job counts as unknown only if the states were read after the jobs stream. From the property with queries, traced: a start that an owner had prepared before it was suspended was carried out by an executor that had just restarted and knew no fencing token (starts now need a confirmation of the last second); 300 ms were too long for acknowledgements (100 ms now).

--- a/Libraries/LibSchedule/Intake.cpp
+++ b/Libraries/LibSchedule/Intake.cpp
@@ -124,6 +124,13 @@
   partition.mPendingBatch.mCallers.push_back(std::move(aCaller));
 }
 
+bool
+IsIntakeCall(const AppendCall& aCall)
+{
+  // Owners set their epoch, which is never 0.
+  return aCall.mTicket == 0;
+}
+
 void
 OnIntakeAnswer(Intake& aIntake, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
 {
--- a/Libraries/LibSchedule/Intake.h
+++ b/Libraries/LibSchedule/Intake.h
@@ -51,6 +51,9 @@
 // Adds a record to the next batch of its partition.
 void
 EnqueueRecord(Intake& aIntake, int aPartition, LogRecord aRecord, WaitingCaller aCaller);
+// Whether an append to the jobs stream was made by an intake; the owner of a shard makes others.
+bool
+IsIntakeCall(const AppendCall& aCall);
 void
 OnIntakeAnswer(Intake& aIntake, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions);
 void
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -152,8 +152,11 @@
 {
   switch (aAnswer.mCall.mStream) {
     case Stream::Jobs:
-      OnIntakeAnswer(aNode.mIntake, aNow, aAnswer, aActions);
-      return;
+      if (IsIntakeCall(aAnswer.mCall)) {
+        OnIntakeAnswer(aNode.mIntake, aNow, aAnswer, aActions);
+        return;
+      }
+      break;
     case Stream::Fleet:
       if (OnFleetAppend(aNode.mFleetLog, aNow, aAnswer, aActions)) {
         OnMaintenanceRecorded(aNode.mMaintenance, aAnswer, aActions);
@@ -167,10 +170,11 @@
         });
       return;
     default:
-      WithShard(aNode, aAnswer.mCall.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
-        OnAppendAnswer(aShard, aNow, aResult, aActions);
-      });
+      break;
   }
+  WithShard(aNode, aAnswer.mCall.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
+    OnAppendAnswer(aShard, aNow, aResult, aActions);
+  });
 }
 
 void
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -115,6 +115,7 @@
   detail::WriteProgress(aShard, aNow, aActions);
   StateCoverage coverage{ aShard.mNextJobsOffset, aShard.mProgressEnd };
   AdvancePublisher(aShard.mStates, aNow, coverage, aActions);
+  AdvanceRemoval(aShard.mEnded, aNow.mAt, aShard.mPartition, aShard.mEpoch, aActions);
 }
 
 namespace detail {
@@ -195,10 +196,17 @@
     auto* job = FindJob(aShard, id);
     if (job != nullptr && !IsFinal(job->mPhase)) {
       FinishJob(aShard, *job, JobPhase::Cancelled, "cancelled by its caller", aActions);
+    } else if (aShard.mEnded.mIds.contains(id)) {
+      AddEndedJobRecord(aShard.mEnded, id, aRecord.mKey);
     }
     return;
   }
-  if (aShard.mFinished.contains(id) || aShard.mJobs.contains(id)) {
+  if (aShard.mEnded.mIds.contains(id)) {
+    // Its caller has sent it again.
+    AddEndedJobRecord(aShard.mEnded, id, aRecord.mKey);
+    return;
+  }
+  if (aShard.mJobs.contains(id)) {
     return;
   }
   auto definition = DecodeJob(aRecord.mValue);
@@ -215,8 +223,9 @@
     progress = &loaded->second;
   }
   if (progress != nullptr && IsFinal(progress->mPhase)) {
-    aShard.mFinished.insert(id);
-    aShard.mRetainedJobs.push_back({ id, aNow.mAt });
+    // The former owner may not have published how the job ended.
+    AddState(aShard.mStates, id, JobState{ progress->mPhase, {} });
+    AddEndedJob(aShard.mEnded, id);
     return;
   }
   auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "LibSchedule/Dependency.h"
+#include "LibSchedule/EndedJobs.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
 #include "LibSchedule/StatePublisher.h"
 
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -52,17 +52,12 @@
   std::map<ExecutorId, std::int64_t> mEnds;
   std::vector<JobId> mFinished;
   std::vector<PhaseChange> mPhaseChanges;
+  // Ended jobs whose progress is removed by this append.
+  std::vector<JobId> mExpired;
   // Executors whose record as unresponsive is removed by this append.
   std::vector<ExecutorId> mResponsiveAgain;
 };
 
-// An ended job whose outcome is retained for callers that query it.
-struct FinishedJob
-{
-  JobId mId;
-  Instant mAt;
-};
-
 struct ShardCounters
 {
   std::int64_t mStarts = 0;
@@ -90,8 +85,7 @@
   Instant mRetryAt;
 
   std::map<JobId, Job> mJobs;
-  std::set<JobId> mFinished;
-  std::deque<FinishedJob> mRetainedJobs;
+  EndedJobs mEnded;
   std::map<JobId, JobProgress> mLoadedProgress;
   std::int64_t mNextJobsOffset = -1;
   // All jobs and cancellations that were stored before this time are known.
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -23,7 +23,11 @@
 constexpr Duration kInitialRetryDelay = 100ms;
 // An executor may have restarted since it last answered, and have ended other runs under the same
 // numbers. It does not restart and end a run within this time.
-constexpr Duration kMaxAnswerAgeToAcknowledge = 300ms;
+constexpr Duration kMaxAnswerAgeToAcknowledge = 100ms;
+// An executor that has restarted knows no fencing token and takes starts of any owner. An owner
+// that was suspended therefore confirms that it still is the owner before it sends the starts that
+// it prepared.
+constexpr Duration kMaxUnconfirmedToStart = 1s;
 constexpr int kMaxRetryDoublings = 3;
 constexpr Duration kStopRetryDelay = 400ms;
 // The longest delay before work that becomes due by time alone is noticed.
@@ -479,8 +483,9 @@
   if (found == executor.mRuns.end() || found->second.mState != RunState::Recording) {
     return;
   }
-  auto isStillValid = !IsFinal(job->mPhase) && !found->second.mStopRequested &&
-                      MayStartTasks(aShard, aNow.mAt) && IsSchedulable(executor, aNow.mAt);
+  auto isStillValid =
+    !IsFinal(job->mPhase) && !found->second.mStopRequested && MayStartTasks(aShard, aNow.mAt) &&
+    aNow.mAt - aShard.mConfirmedAt < kMaxUnconfirmedToStart && IsSchedulable(executor, aNow.mAt);
   if (!isStillValid) {
     DropRun(aShard, executor, aRun);
     return;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -81,10 +81,22 @@
   }
 }
 
+// Ended jobs that have no definition any more were removed by a former owner.
+void
+KeepEndedJobs(Shard& aShard, Instant aNow)
+{
+  for (const auto& [id, progress] : aShard.mLoadedProgress) {
+    if (IsFinal(progress.mPhase) && aShard.mEnded.mIds.insert(id).second) {
+      aShard.mEnded.mExpiring.push_back({ id, aNow });
+    }
+  }
+}
+
 void
 Activate(Shard& aShard, const Now& aNow, Actions& aActions)
 {
   SetPhase(aShard, ShardPhase::Active);
+  KeepEndedJobs(aShard, aNow.mAt);
   aShard.mLoadedProgress.clear();
   aShard.mNeedsPlacementPass = true;
   RecordUnlistedExecutors(aShard);
@@ -176,7 +188,16 @@
   if (aAnswer.mCall.mStream == Stream::Progress && aAnswer.mCall.mTicket != aShard.mEpoch) {
     return;
   }
+  if (aAnswer.mCall.mStream == Stream::Jobs) {
+    if (aAnswer.mCall.mTicket == aShard.mEpoch) {
+      OnRemovalAnswer(aShard.mEnded, aNow.mAt, aAnswer);
+    }
+    return;
+  }
   if (aAnswer.mCall.mStream == Stream::JobStates) {
+    if (aAnswer.mResult == CallResult::Done && aAnswer.mCall.mTicket == aShard.mEpoch) {
+      OnStatesPublished(aShard.mEnded, aAnswer.mCall.mRecords);
+    }
     // A later owner fences this stream last, so that the answer doesn't confirm the ownership.
     if (OnPublishAnswer(aShard.mStates, aNow, aAnswer) == PublishOutcome::Fenced) {
       detail::LoseOwnership(aShard, "a later owner has fenced the job states", aActions);
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -12,17 +12,14 @@
 constexpr Duration kRetryDelay = 60ms;
 // Keeps a write well below the maximum request size of the store.
 constexpr std::size_t kMaxWriteBytes = 1 << 20;
-// How long callers can query a job after its end.
-constexpr Duration kRetention = 600s;
 constexpr std::size_t kMaxExpiredPerWrite = 100;
 
 void
 AddExpiredJobs(Shard& aShard, Instant aNow, PendingWrite& aWrite)
 {
-  while (!aShard.mRetainedJobs.empty() && aNow - aShard.mRetainedJobs.front().mAt > kRetention &&
-         aWrite.mCall.mRecords.size() < kMaxExpiredPerWrite) {
-    aWrite.mCall.mRecords.push_back({ aShard.mRetainedJobs.front().mId.mValue, {} });
-    aShard.mRetainedJobs.pop_front();
+  aWrite.mExpired = TakeExpired(aShard.mEnded, aNow, kMaxExpiredPerWrite);
+  for (const auto& id : aWrite.mExpired) {
+    aWrite.mCall.mRecords.push_back({ id.mValue, {} });
   }
 }
 
@@ -97,7 +94,7 @@
 
 // Stops the remaining runs of an ended job, and discards its state except for its id.
 void
-CloseJob(Shard& aShard, const JobId& aId, Instant aNow)
+CloseJob(Shard& aShard, const JobId& aId)
 {
   auto found = aShard.mJobs.find(aId);
   if (found == aShard.mJobs.end()) {
@@ -120,9 +117,11 @@
       }
     }
   }
+  AddEndedJob(aShard.mEnded, aId);
+  if (found->second.mPhase == JobPhase::Cancelled) {
+    AddEndedJobRecord(aShard.mEnded, aId, CancellationKey(aId));
+  }
   aShard.mJobs.erase(found);
-  aShard.mFinished.insert(aId);
-  aShard.mRetainedJobs.push_back({ aId, aNow });
 }
 
 void
@@ -148,8 +147,11 @@
   for (const auto& change : write.mPhaseChanges) {
     AddState(aShard.mStates, change.mJob, JobState{ change.mPhase, {} });
   }
+  for (const auto& id : write.mExpired) {
+    AddState(aShard.mStates, id, std::nullopt);
+  }
   for (const auto& id : write.mFinished) {
-    CloseJob(aShard, id, aNow.mAt);
+    CloseJob(aShard, id);
   }
   for (const auto& run : write.mStarts) {
     detail::SendStart(aShard, aNow, run, aActions);
@@ -164,10 +166,8 @@
 WriteProgress(Shard& aShard, const Now& aNow, Actions& aActions)
 {
   if (!aShard.mWrite) {
-    auto hasWork =
-      !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() ||
-      !aShard.mResponsivenessToRecord.empty() ||
-      (!aShard.mRetainedJobs.empty() && aNow.mAt - aShard.mRetainedJobs.front().mAt > kRetention);
+    auto hasWork = !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() ||
+                   !aShard.mResponsivenessToRecord.empty() || HasExpired(aShard.mEnded, aNow.mAt);
     if (!hasWork) {
       return;
     }
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -143,12 +143,24 @@
   return aView.mUncoveredJobs.contains(aId) ? std::optional(JobPhase::Pending) : std::nullopt;
 }
 
+// Whether a job that is in neither stream does not exist. It may have left the jobs stream after
+// its final state was published, so that the states have to be read last.
+bool
+IsKnownToBeUnknown(const StatusView& aView, const StatusQuery& aQuery)
+{
+  return IsCurrentFor(aView.mStates, aQuery) && IsCurrentFor(aView.mUncovered, aQuery) &&
+         aView.mStates.mCurrentAsOf > aView.mUncovered.mCurrentAsOf;
+}
+
 // The published states describe every job that the owner of the shard has read. The rest of the
 // jobs stream tells whether an unknown job exists, and completes the count of pending jobs.
 bool
-NeedsUncoveredJobs(const StatusView& aView, const StatusQuery& aQuery)
+IsAnswerable(const StatusView& aView, const StatusQuery& aQuery, bool aIsKnown)
 {
-  return aQuery.mIsCountQuery || !FindPhase(aView, aQuery.mJob);
+  if (aQuery.mIsCountQuery) {
+    return IsCurrentFor(aView.mStates, aQuery) && IsCurrentFor(aView.mUncovered, aQuery);
+  }
+  return aIsKnown ? IsCurrentFor(aView.mStates, aQuery) : IsKnownToBeUnknown(aView, aQuery);
 }
 
 std::int64_t
@@ -174,9 +186,7 @@
     answer.mPhase = phase;
     return answer;
   }
-  auto isCurrent = IsCurrentFor(aView.mStates, aQuery) &&
-                   (!NeedsUncoveredJobs(aView, aQuery) || IsCurrentFor(aView.mUncovered, aQuery));
-  if (isCurrent) {
+  if (IsAnswerable(aView, aQuery, phase.has_value())) {
     answer.mPhase = phase;
     answer.mCount = aQuery.mIsCountQuery ? CountPending(aView, aQuery.mQueue) : 0;
     return answer;
@@ -273,11 +283,9 @@
       answers.push_back(*std::move(answer));
       return true;
     }
-    if (!IsCurrentFor(aView.mStates, aQuery)) {
-      needsStates = true;
-    } else {
-      needsUncovered = true;
-    }
+    auto needsUncoveredFirst =
+      IsCurrentFor(aView.mStates, aQuery) && !IsCurrentFor(aView.mUncovered, aQuery);
+    (needsUncoveredFirst ? needsUncovered : needsStates) = true;
     return false;
   });
   if (needsStates) {
--- a/Tests/LibSchedule/TestJobStates.cpp
+++ b/Tests/LibSchedule/TestJobStates.cpp
@@ -326,6 +326,10 @@
   view.AnswerRead(Stream::Jobs, { JobRecord(kSecond, 6) }, 8);
   BOOST_TEST(view.Advance().empty());
   view.AnswerRead(Stream::Jobs, { JobRecord(JobId("0000000000000003"), 7) }, 8);
+  // The job may have left the jobs stream since the states were read.
+  view.mTime += 10ms;
+  BOOST_TEST(view.Advance().empty());
+  view.AnswerRead(Stream::JobStates, {}, 4);
   auto answers = view.Advance();
   BOOST_REQUIRE(answers.size() == 1u);
   BOOST_TEST(!answers[0].mPhase);
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -180,6 +180,31 @@
   BOOST_TEST(owner.HasPlaced());
 }
 
+// An owner that was suspended sent starts that it had prepared before. The executor had just
+// restarted and knew no fencing token, and the task had ended under another owner meanwhile.
+BOOST_AUTO_TEST_CASE(an_owner_that_was_suspended_confirms_its_ownership_before_it_starts_tasks)
+{
+  for (auto answeredAfter : { 20ms, 1100ms }) {
+    Owner owner;
+    owner.AddJob(Later(10ms));
+    owner.Advance(Later(10ms));
+    AppendAnswer answer;
+    for (const auto& call : Select<AppendCall>(owner.mActions)) {
+      if (call.mStream == Stream::Progress) {
+        answer.mCall = call;
+      }
+    }
+    answer.mResult = CallResult::Done;
+    answer.mSentAt = Later(10ms).mAt;
+    owner.mActions.clear();
+    OnAppendAnswer(owner.mShard, Later(answeredAfter), answer, owner.mActions);
+    auto starts = Select<StartCall>(owner.mActions).size();
+    BOOST_TEST(starts == (answeredAfter < 1s ? 1u : 0u));
+    // It is placed again.
+    BOOST_TEST(owner.HasPlaced() == (answeredAfter < 1s));
+  }
+}
+
 // Records that do not reach the end of the stream leave out later cancellations.
 BOOST_AUTO_TEST_CASE(news_of_the_jobs_counts_only_once_the_end_of_the_stream_is_reached)
 {
