Look up a host's maintenance by wave instead of searching all records

Change: the records of a host are looked up by wave; the search through a wave comes after the cheaper conditions; hosts are checked less often the more there are.

--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -193,6 +193,21 @@
   return found == aLog.mMaintenanceRecords.end() ? nullptr : &found->second;
 }
 
+std::vector<const MaintenanceRecord*>
+MaintenanceOf(const FleetLog& aLog, const MachineId& aMachine)
+{
+  std::vector<const MaintenanceRecord*> records;
+  const auto& all = aLog.mMaintenanceRecords;
+  for (auto wave = all.begin(); wave != all.end();) {
+    auto number = wave->first.mWave;
+    if (const auto* record = FindMaintenance(aLog, { number, aMachine })) {
+      records.push_back(record);
+    }
+    wave = all.lower_bound({ number + 1, MachineId() });
+  }
+  return records;
+}
+
 bool
 IsMaintenanceFinished(const FleetLog& aLog, const MaintenanceKey& aKey)
 {
--- a/Libraries/LibSchedule/FleetLog.h
+++ b/Libraries/LibSchedule/FleetLog.h
@@ -95,6 +95,10 @@
 
 const MaintenanceRecord*
 FindMaintenance(const FleetLog& aLog, const MaintenanceKey& aKey);
+// The records of a host in all waves. The time grows with the number of waves, and only with the
+// logarithm of that of records.
+std::vector<const MaintenanceRecord*>
+MaintenanceOf(const FleetLog& aLog, const MachineId& aMachine);
 // Whether the host's maintenance in the wave is finished.
 bool
 IsMaintenanceFinished(const FleetLog& aLog, const MaintenanceKey& aKey);
--- a/Libraries/LibSchedule/HostOrders.cpp
+++ b/Libraries/LibSchedule/HostOrders.cpp
@@ -22,13 +22,10 @@
   if (move != aLog.mMoves.end() && aNow - move->second.mAt < kMaxOrderAge) {
     return true;
   }
-  return std::any_of(
-    aLog.mMaintenanceRecords.begin(), aLog.mMaintenanceRecords.end(), [&](const auto& aEntry) {
-      const auto& [key, record] = aEntry;
-      auto mayBeOrdered =
-        record.mPhase == MaintenancePhase::Begun || aNow - record.mAt < kMaxOrderAge;
-      return key.mMachine == aMachine && mayBeOrdered;
-    });
+  auto records = MaintenanceOf(aLog, aMachine);
+  return std::any_of(records.begin(), records.end(), [&](const auto* aRecord) {
+    return aRecord->mPhase == MaintenancePhase::Begun || aNow - aRecord->mAt < kMaxOrderAge;
+  });
 }
 
 // Whether the last order for the host was the move to its present pool, and the minimum time
@@ -44,12 +41,10 @@
       upSince == aContext.mMachines->mUpSince.end() || machine->mPool != move->second.mTo) {
     return false;
   }
-  auto hasMaintenance =
-    std::any_of(aContext.mLog->mMaintenanceRecords.begin(),
-                aContext.mLog->mMaintenanceRecords.end(),
-                [&](const auto& aEntry) {
-                  return aEntry.first.mMachine == aMachine && aEntry.second.mAt > move->second.mAt;
-                });
+  auto records = MaintenanceOf(*aContext.mLog, aMachine);
+  auto hasMaintenance = std::any_of(records.begin(), records.end(), [&](const auto* aRecord) {
+    return aRecord->mAt > move->second.mAt;
+  });
   auto wait = aContext.mHolderLease + kHolderMargin - aContext.mMoveTime;
   return !hasMaintenance && aNow - upSince->second > wait;
 }
--- a/Libraries/LibSchedule/MovableHosts.cpp
+++ b/Libraries/LibSchedule/MovableHosts.cpp
@@ -21,10 +21,10 @@
 bool
 HasMaintenanceBegun(const FleetLog& aLog, const MachineId& aMachine)
 {
-  return std::any_of(
-    aLog.mMaintenanceRecords.begin(), aLog.mMaintenanceRecords.end(), [&](const auto& aEntry) {
-      return aEntry.first.mMachine == aMachine && aEntry.second.mPhase == MaintenancePhase::Begun;
-    });
+  auto records = MaintenanceOf(aLog, aMachine);
+  return std::any_of(records.begin(), records.end(), [](const auto* aRecord) {
+    return aRecord->mPhase == MaintenancePhase::Begun;
+  });
 }
 
 // Whether the host may leave its pool once nothing runs on it.
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "LibSchedule/CallerRequests.h"
 
+#include <algorithm>
 #include <set>
 
 namespace sesameseam::schedule {
@@ -10,8 +11,10 @@
 
 // A host that has had no answer from the log for this long reports that it is not ready.
 constexpr Duration kReadinessTimeout = 3s;
-// Decisions about hosts examine every host of a wave, so they are not made on every event.
-constexpr Duration kFleetCheckInterval = 40ms;
+// Decisions about hosts examine every host of a wave, so they are not made on every event, and the
+// less often the more hosts there are.
+constexpr Duration kMinFleetCheckInterval = 40ms;
+constexpr Duration kFleetCheckIntervalPerHost = 60us;
 
 std::set<int>
 PartitionsInUse(const Node& aNode)
@@ -301,7 +304,9 @@
   if (aNow.mAt < aNode.mNextFleetCheckAt) {
     return;
   }
-  aNode.mNextFleetCheckAt = aNow.mAt + kFleetCheckInterval;
+  auto hosts = static_cast<std::int64_t>(aNode.mMachines.mMachines.size());
+  aNode.mNextFleetCheckAt =
+    aNow.mAt + std::max(kMinFleetCheckInterval, kFleetCheckIntervalPerHost * hosts);
   auto context = MakeFleetContext(aNode);
   AdvanceMaintenance(aNode.mMaintenance, aNow, context, aActions);
   const auto& services = aNode.mFollower.mManifest->mServices;
--- a/Libraries/LibSchedule/WaveDrain.cpp
+++ b/Libraries/LibSchedule/WaveDrain.cpp
@@ -162,10 +162,11 @@
 {
   return std::any_of(aContext.mWaves->begin(), aContext.mWaves->end(), [&](const auto& aEntry) {
     const auto& [number, wave] = aEntry;
-    auto isDue =
-      std::find(wave.mMachines.begin(), wave.mMachines.end(), aMachine) != wave.mMachines.end();
-    return isDue && !IsMaintenanceFinished(*aContext.mLog, { number, aMachine }) &&
-           aNow - wave.mSeenAt > ShareOf(wave.mTimeLimit, kMoveTimeShare);
+    // The search through the wave comes last, since it takes the longest.
+    return aNow - wave.mSeenAt > ShareOf(wave.mTimeLimit, kMoveTimeShare) &&
+           !IsMaintenanceFinished(*aContext.mLog, { number, aMachine }) &&
+           std::find(wave.mMachines.begin(), wave.mMachines.end(), aMachine) !=
+             wave.mMachines.end();
   });
 }
 
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -671,4 +671,21 @@
   BOOST_TEST(std::holds_alternative<MaintenanceCall>(actions[0]));
 }
 
+BOOST_AUTO_TEST_CASE(the_records_of_a_host_are_found_in_all_waves)
+{
+  FleetLog log;
+  for (std::int64_t wave : { 2, 3, 7 }) {
+    for (const auto* host : { "m1", "m2", "m3" }) {
+      log.mMaintenanceRecords[{ wave, MachineId(host) }] = { MaintenancePhase::Finished,
+                                                             ExecutorId(host) };
+    }
+  }
+  log.mMaintenanceRecords.erase({ 3, MachineId("m2") });
+  BOOST_TEST(MaintenanceOf(log, MachineId("m1")).size() == 3u);
+  auto records = MaintenanceOf(log, MachineId("m2"));
+  BOOST_REQUIRE(records.size() == 2u);
+  BOOST_TEST(records[0]->mFormerExecutor.mValue == "m2");
+  BOOST_TEST(MaintenanceOf(log, MachineId("m4")).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
