--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -1,5 +1,6 @@
 #include "LibHttp/EventHttpClient.h"
 
+#include <algorithm>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -80,6 +81,8 @@
   evhttp_request* mSent = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
   Duration mWaitedForConnection{ 0 };
+  // What had arrived of the answer when the timer was last set.
+  std::size_t mReceivedBytes = 0;
   std::list<std::unique_ptr<Exchange>>::iterator mSelf;
 };
 
@@ -212,10 +215,15 @@
 EventHttpClient::OnTimeout(int /*aDescriptor*/, short /*aWhat*/, void* aExchange)
 {
   auto& exchange = *static_cast<Exchange*>(aExchange);
-  exchange.mLane->mWaiting.remove(&exchange);
   EventHttpResponse response;
   if (exchange.mConnection != nullptr) {
     response.mReceivedBytes = ReceivedBytes(exchange.mConnection, exchange.mSent);
+  }
+  if (exchange.mClient->WaitLonger(exchange, response.mReceivedBytes)) {
+    return;
+  }
+  exchange.mLane->mWaiting.remove(&exchange);
+  if (exchange.mConnection != nullptr) {
     // At once and without a callback: an answer may be there already, and would find no call.
     evhttp_connection_free(exchange.mConnection);
     exchange.mConnection = nullptr;
@@ -224,6 +232,22 @@
   exchange.mClient->Finish(exchange, std::move(response));
 }
 
+bool
+EventHttpClient::WaitLonger(Exchange& aExchange, std::size_t aReceivedBytes)
+{
+  auto elapsed =
+    std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aExchange.mCalledAt);
+  auto left = aExchange.mRequest.mTimeoutWhileReceiving - elapsed;
+  auto isArriving = aReceivedBytes > aExchange.mReceivedBytes;
+  if (!isArriving || left <= Duration(0)) {
+    return false;
+  }
+  aExchange.mReceivedBytes = aReceivedBytes;
+  auto timeout = ToTimeval(std::min(left, aExchange.mRequest.mTimeout));
+  evtimer_add(aExchange.mTimer, &timeout);
+  return true;
+}
+
 void
 EventHttpClient::Finish(Exchange& aExchange, EventHttpResponse aResponse)
 {
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -34,6 +34,9 @@
   std::string mBody;
   // For the whole call, from now to the last byte of the answer.
   Duration mTimeout = 1s;
+  // An answer that is still arriving at the timeout is given up only once nothing has arrived for
+  // that long again, and at this time at the latest. It has no effect if it is less than mTimeout.
+  Duration mTimeoutWhileReceiving{ 0 };
 };
 
 struct EventHttpResponse
@@ -94,6 +97,8 @@
   void Send(Lane& aLane, Exchange& aExchange);
   void Finish(Exchange& aExchange, EventHttpResponse aResponse);
   void SendNext(Lane& aLane);
+  // Sets the timer again if more of the answer has arrived since it was last set.
+  bool WaitLonger(Exchange& aExchange, std::size_t aReceivedBytes);
   evhttp_connection* Connect(const Lane& aLane);
 
   event_base* mBase;
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -105,6 +105,46 @@
   BOOST_TEST(client.Traffic().at("order").mReceivedBytes == 6);
 }
 
+// On a slow link a page of records arrived in pieces for several seconds. Given up at the timeout,
+// and asked for again from its beginning, it never arrived.
+BOOST_AUTO_TEST_CASE(an_answer_that_is_still_arriving_at_the_timeout_is_waited_for)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n");
+    for (int i = 0; i < 6; ++i) {
+      std::this_thread::sleep_for(100ms);
+      SendText(aDescriptor, "x");
+    }
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server), 250ms);
+  BOOST_TEST(!CallInTurn(base.get(), client, order, 1).at(0).mAnswered);
+  order.mTimeoutWhileReceiving = 2s;
+  auto answers = CallInTurn(base.get(), client, order, 1);
+  BOOST_TEST(answers.at(0).mAnswered);
+  BOOST_TEST(answers.at(0).mBody == "xxxxxx");
+  order.mTimeoutWhileReceiving = 400ms;
+  BOOST_TEST(!CallInTurn(base.get(), client, order, 1).at(0).mAnswered);
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_has_stopped_arriving_is_given_up)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nx");
+    std::this_thread::sleep_for(1500ms);
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server), 200ms);
+  order.mTimeoutWhileReceiving = 5s;
+  auto begun = std::chrono::steady_clock::now();
+  BOOST_TEST(!CallInTurn(base.get(), client, order, 1).at(0).mAnswered);
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 1s));
+}
+
 BOOST_AUTO_TEST_CASE(connections_are_kept)
 {
   RawServer server([](int aDescriptor, int) {
