--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -14,6 +14,9 @@
 // In a full pool each pass examines all waiting tasks to place only one or two of them. With this
 // minimum interval, several ends accumulate between passes.
 constexpr Duration kPassIntervalWhenFull = 20ms;
+// A pass examines all jobs, so that passes are spaced in proportion to their number.
+constexpr Duration kPassIntervalPerJob = 10us;
+constexpr Duration kMaxPassInterval = 20ms;
 
 // For each service, the needs of a step that could not be placed in this pass. Free resources only
 // shrink during a pass, so a step with at least the same needs can't be placed either.
@@ -134,6 +137,16 @@
   }
 }
 
+Duration
+MinPassInterval(const Shard& aShard)
+{
+  if (aShard.mHasUnplacedTasks) {
+    return kPassIntervalWhenFull;
+  }
+  auto jobs = static_cast<std::int64_t>(aShard.mJobs.size());
+  return std::min(kMaxPassInterval, kPassIntervalPerJob * jobs);
+}
+
 }
 
 namespace detail {
@@ -141,8 +154,7 @@
 void
 PlaceTasks(Shard& aShard, const Now& aNow, Actions& /*aActions*/)
 {
-  auto isTooSoon =
-    aShard.mHasUnplacedTasks && aNow.mAt - aShard.mLastPlacementPassAt < kPassIntervalWhenFull;
+  auto isTooSoon = aNow.mAt - aShard.mLastPlacementPassAt < MinPassInterval(aShard);
   auto isDue =
     (aShard.mNeedsPlacementPass && !isTooSoon) || aNow.mAt >= aShard.mNextPlacementPassAt;
   if (!isDue || !MayStartTasks(aShard, aNow.mAt)) {
