Tell the stand-in's executors which executor a call is meant for

The daemon was not at fault. Change: the stand-in fills the id in for heartbeats and stops, as for starts.

--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -179,6 +179,7 @@
   Simulation simulation({ .mHosts = kHosts, .mExecutors = 8 });
   simulation.RunFor(kStart);
   std::vector<JobId> jobs;
+  jobs.reserve(kJobs);
   for (int i = 0; i < kJobs; ++i) {
     jobs.push_back(
       simulation.Submit(i % kHosts, { MakeStep(12, 1), After(MakeStep(12, 1), { 0 }) }, "300"));
--- a/Tests/StandIns/job-platform/Executors.cpp
+++ b/Tests/StandIns/job-platform/Executors.cpp
@@ -251,6 +251,7 @@
   platform::ParseObject(aIncoming.mBody, document);
   if (aIncoming.mPath == platform::kHeartbeatPath) {
     schedule::HeartbeatCall call;
+    call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
     call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
     call.mLastSeen = platform::IntegerOr(document, "lastSeen", 0);
     call.mLeaseEnd = std::chrono::milliseconds(platform::IntegerOr(document, "deadlineMs", 0));
@@ -273,6 +274,7 @@
   if (aIncoming.mPath == platform::kStopPath) {
     auto name = platform::DecodeTaskName(platform::StringOr(document, "task", {}));
     schedule::StopCall call;
+    call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
     call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
     if (name.ok()) {
       call.mRun = { *name, static_cast<int>(platform::IntegerOr(document, "run", 0)) };
