--- a/Libraries/LibSchedule/EndedJobs.h
+++ b/Libraries/LibSchedule/EndedJobs.h
@@ -44,7 +44,7 @@
 void
 AddEndedJobRecord(EndedJobs& aJobs, const JobId& aId, const std::string& aKey);
 
-// The state of a job is published, as the records of an append.
+// To be called with the records of an append to the stream of job states that is stored.
 void
 OnStatesPublished(EndedJobs& aJobs, const std::vector<LogRecord>& aRecords);
 
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -36,6 +36,7 @@
   std::chrono::milliseconds mStopTime{ 900 };
 };
 
+// A phase that a job takes on with a progress append, to be published once that is stored.
 struct PhaseChange
 {
   JobId mJob;
