Log by which manifest a caller was refused, and on which connection a call died

A route that can't be read is no longer left out without a line. explain names the manifest that refused a job, with the host's next one as evidence.

No decision changes.

--- a/Libraries/LibExplain/Explain.cpp
+++ b/Libraries/LibExplain/Explain.cpp
@@ -73,10 +73,33 @@
   return lost;
 }
 
+// The host's next manifest shows whether it was behind when it refused.
+Explanation
+ExplainUnknownQueue(const Lines& aAll, const LogLine& aRefused)
+{
+  auto evidence = DependenciesLostAt(aAll, aRefused.mHost, aRefused.mTimeMs);
+  evidence.push_back(aRefused);
+  auto next = std::find_if(aAll.begin(), aAll.end(), [&](const LogLine& aLine) {
+    return aLine.mHost == aRefused.mHost && aLine.mEvent == "manifest-in-force" &&
+           aLine.mTimeMs >= aRefused.mTimeMs;
+  });
+  if (next != aAll.end()) {
+    evidence.push_back(*next);
+  }
+  auto summary = "refused by " + aRefused.mHost + ": version " +
+                 std::to_string(aRefused.mVersion.value_or(0)) + " of the manifest, confirmed " +
+                 std::to_string(aRefused.mAgeMs.value_or(0)) + " ms before, has no queue for it";
+  return MakeExplanation(Cause::RefusedByManifest, std::move(summary), std::move(evidence));
+}
+
 Explanation
 ExplainNotStored(const Lines& aAll, const Lines& aOwn)
 {
   auto refused = SelectEvent(aOwn, "job-refused");
+  auto unknown = SelectEvent(aOwn, "queue-unknown");
+  if (refused.empty() && !unknown.empty()) {
+    return ExplainUnknownQueue(aAll, unknown.back());
+  }
   if (refused.empty()) {
     return MakeExplanation(Cause::Unconfirmed, "no host logged whether it was stored", aOwn);
   }
--- a/Libraries/LibExplain/Explain.h
+++ b/Libraries/LibExplain/Explain.h
@@ -34,6 +34,8 @@
   NotFound,
   // No host stored the job, and its caller got a refusal.
   RefusedByLog,
+  // The manifest in force had no queue for the job.
+  RefusedByManifest,
   // It is unknown whether the job was stored.
   Unconfirmed,
   Cancelled,
--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -81,6 +81,7 @@
   evhttp_request* mSent = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
   Duration mWaitedForConnection{ 0 };
+  std::optional<Duration> mIdleBefore;
   // What had arrived of the answer when the timer was last set.
   std::size_t mReceivedBytes = 0;
   std::list<std::unique_ptr<Exchange>>::iterator mSelf;
@@ -88,8 +89,14 @@
 
 struct EventHttpClient::Lane
 {
+  struct IdleConnection
+  {
+    evhttp_connection* mConnection = nullptr;
+    std::chrono::steady_clock::time_point mAnsweredAt;
+  };
+
   std::string mAddress;
-  std::vector<evhttp_connection*> mIdle;
+  std::vector<IdleConnection> mIdle;
   std::size_t mOpen = 0;
   std::list<std::unique_ptr<Exchange>> mExchanges;
   std::list<Exchange*> mWaiting;
@@ -111,8 +118,8 @@
         evhttp_connection_free(exchange->mConnection);
       }
     }
-    for (auto* connection : lane->mIdle) {
-      evhttp_connection_free(connection);
+    for (const auto& idle : lane->mIdle) {
+      evhttp_connection_free(idle.mConnection);
     }
   }
   OnCleanUp(-1, 0, this);
@@ -158,15 +165,17 @@
 void
 EventHttpClient::Send(Lane& aLane, Exchange& aExchange)
 {
+  auto now = std::chrono::steady_clock::now();
   if (aLane.mIdle.empty()) {
     aExchange.mConnection = Connect(aLane);
     ++aLane.mOpen;
   } else {
-    aExchange.mConnection = aLane.mIdle.back();
+    const auto& idle = aLane.mIdle.back();
+    aExchange.mConnection = idle.mConnection;
+    aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(now - idle.mAnsweredAt);
     aLane.mIdle.pop_back();
   }
-  aExchange.mWaitedForConnection =
-    std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now() - aExchange.mCalledAt);
+  aExchange.mWaitedForConnection = std::chrono::duration_cast<Duration>(now - aExchange.mCalledAt);
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
   aExchange.mSent = request;
   auto* headers = evhttp_request_get_output_headers(request);
@@ -254,9 +263,10 @@
   auto& lane = *aExchange.mLane;
   event_free(aExchange.mTimer);
   aResponse.mWaitedForConnection = aExchange.mWaitedForConnection;
+  aResponse.mIdleBefore = aExchange.mIdleBefore;
   CountTraffic(aExchange.mRequest, aResponse, mTraffic[aExchange.mRequest.mKind]);
   if (aExchange.mConnection != nullptr && aResponse.mAnswered) {
-    lane.mIdle.push_back(aExchange.mConnection);
+    lane.mIdle.push_back({ aExchange.mConnection, std::chrono::steady_clock::now() });
   } else if (aExchange.mConnection != nullptr) {
     --lane.mOpen;
     mBroken.push_back(aExchange.mConnection);
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -8,6 +8,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -49,6 +50,9 @@
   std::size_t mReceivedBytes = 0;
   // How long the call waited for a connection of its lane.
   Duration mWaitedForConnection{ 0 };
+  // How long the connection had been idle when the request was sent; none if it was a new one or
+  // if the request was not sent.
+  std::optional<Duration> mIdleBefore;
 };
 
 // The traffic of one kind of call. Paths and bodies are counted, headers are not.
--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -44,6 +44,37 @@
          });
 }
 
+// Returns the id at the end of a path, if there is one.
+std::string
+JobIdIn(const std::string& aPath)
+{
+  if (aPath.size() < kJobIdLength) {
+    return {};
+  }
+  auto id = aPath.substr(aPath.size() - kJobIdLength);
+  return IsJobId(id) ? id : std::string();
+}
+
+// A caller that is refused by the manifest may be refused by an old one, so the line says which one
+// decided and how current it is.
+void
+LogUnknownQueue(const Follower& aFollower,
+                const Now& aNow,
+                const CallerRequest& aRequest,
+                Actions& aActions)
+{
+  constexpr std::size_t kMaxLoggedPath = 100;
+  LogEntry entry{ LogLevel::Info, "queue-unknown", JobIdIn(aRequest.mPath) };
+  entry.mSubject = aRequest.mHost + aRequest.mPath.substr(0, kMaxLoggedPath);
+  entry.mVersion = aFollower.mManifest->mVersion;
+  entry.mAge = ManifestAge(aFollower, aNow.mAt);
+  if (aFollower.mOperator.mInFlight) {
+    auto waiting = ToMilliseconds(aNow.mAt - aFollower.mOperator.mSentAt).count();
+    entry.mReason = "the read in flight was sent " + std::to_string(waiting) + " ms ago";
+  }
+  aActions.emplace_back(std::move(entry));
+}
+
 Instant
 DeadlineOf(const CallerRequest& aRequest, Instant aNow)
 {
@@ -181,6 +212,7 @@
   const auto* route = FindRoute(*manifest, aRequest.mHost, aRequest.mPath);
   if (route == nullptr) {
     ++aNode.mCounters.mUnknownQueues;
+    LogUnknownQueue(aNode.mFollower, aNow, aRequest, aActions);
     AddReply(aActions, aRequest.mTicket, ReplyKind::NoQueue);
     return;
   }
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -1,5 +1,7 @@
 #include "LibSchedule/Follower.h"
 
+#include <algorithm>
+
 namespace sesameseam::schedule {
 
 namespace {
@@ -21,6 +23,7 @@
 ApplyManifest(Follower& aFollower,
               const Now& aNow,
               const Manifest& aManifest,
+              std::int64_t aOffset,
               FollowerChanges& aChanges,
               Actions& aActions)
 {
@@ -32,7 +35,9 @@
   aChanges.mManifest = true;
   LogEntry entry{ LogLevel::Info, "manifest-in-force" };
   entry.mOutcome = std::to_string(aManifest.mRoutes.size()) + " routes";
+  entry.mReason = "read up to offset " + std::to_string(aOffset);
   entry.mVersion = aManifest.mVersion;
+  entry.mAge = ManifestAge(aFollower, aNow.mAt);
   aActions.emplace_back(std::move(entry));
 }
 
@@ -63,11 +68,12 @@
 ApplyRecords(Follower& aFollower,
              const Now& aNow,
              const ExternalRecords& aRecords,
+             std::int64_t aOffset,
              FollowerChanges& aChanges,
              Actions& aActions)
 {
   for (const auto& manifest : aRecords.mManifests) {
-    ApplyManifest(aFollower, aNow, manifest, aChanges, aActions);
+    ApplyManifest(aFollower, aNow, manifest, aOffset, aChanges, aActions);
   }
   for (const auto& wave : aRecords.mWaves) {
     auto [known, isNew] = aFollower.mWaves.try_emplace(wave.mNumber, wave);
@@ -106,7 +112,11 @@
     return;
   }
   aStream.mInFlight = true;
+  aStream.mSentAt = aNow.mAt;
   if (!aStream.mLoaded) {
+    if (aStream.mPagedEnd < 0) {
+      aStream.mLoadCurrentAsOf = aNow.mAt;
+    }
     ReadNewestCall call;
     call.mStream = aStream.mStream;
     call.mAfterKey = aStream.mPageKey;
@@ -158,10 +168,13 @@
     stream.mNextReadAt = aNow.mAt + kRetryPause;
     return changes;
   }
-  stream.mAnsweredAt = aNow.mAt;
-  ApplyRecords(aFollower, aNow, aAnswer.mExternalRecords, changes, aActions);
-  if (!aAnswer.mRecords.empty()) {
-    stream.mPosition = aAnswer.mRecords.back().mOffset + 1;
+  auto position = aAnswer.mRecords.empty() ? stream.mPosition : aAnswer.mRecords.back().mOffset + 1;
+  ApplyRecords(aFollower, aNow, aAnswer.mExternalRecords, position, changes, aActions);
+  stream.mPosition = position;
+  if (position >= aAnswer.mEnd) {
+    // The store answers without records only after it has waited for some.
+    auto waited = aAnswer.mRecords.empty() ? Duration(aAnswer.mCall.mWait) : 0ms;
+    stream.mCurrentAsOf = std::max(stream.mCurrentAsOf, stream.mSentAt + waited);
   }
   if (stream.mStream == Stream::Executors) {
     stream.mNextReadAt = aNow.mAt + kExecutorListInterval;
@@ -183,11 +196,10 @@
     stream.mNextReadAt = aNow.mAt + kRetryPause;
     return changes;
   }
-  stream.mAnsweredAt = aNow.mAt;
   if (stream.mPagedEnd < 0) {
     stream.mPagedEnd = aAnswer.mEnd;
   }
-  ApplyRecords(aFollower, aNow, aAnswer.mExternalRecords, changes, aActions);
+  ApplyRecords(aFollower, aNow, aAnswer.mExternalRecords, stream.mPagedEnd, changes, aActions);
   for (const auto& entry : aAnswer.mExternalRecords.mExecutors) {
     stream.mListed.insert(entry.mId);
   }
@@ -197,6 +209,7 @@
   }
   stream.mLoaded = true;
   stream.mPosition = stream.mPagedEnd;
+  stream.mCurrentAsOf = std::max(stream.mCurrentAsOf, stream.mLoadCurrentAsOf);
   if (stream.mStream == Stream::Executors) {
     MarkUnlistedGone(aFollower, stream.mListed, changes);
   }
@@ -212,6 +225,15 @@
   }
 }
 
+std::optional<std::chrono::milliseconds>
+ManifestAge(const Follower& aFollower, Instant aNow)
+{
+  if (aFollower.mOperator.mCurrentAsOf == Instant()) {
+    return std::nullopt;
+  }
+  return ToMilliseconds(aNow - aFollower.mOperator.mCurrentAsOf);
+}
+
 const Route*
 FindRoute(const Manifest& aManifest, const std::string& aHost, const std::string& aPath)
 {
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -22,7 +22,12 @@
   std::set<ExecutorId> mListed;
   Dependency mDependency;
   Instant mNextReadAt;
-  Instant mAnsweredAt;
+  // When the read in flight, or the last one, was sent.
+  Instant mSentAt;
+  // All that was stored before this time is known.
+  Instant mCurrentAsOf;
+  // The same, for the load under way.
+  Instant mLoadCurrentAsOf;
 };
 
 struct Follower
@@ -54,6 +59,11 @@
 void
 AdvanceFollower(Follower& aFollower, const Now& aNow, bool aNeedsExecutors, Actions& aActions);
 
+// Returns how long ago the manifest in force was last known to be the newest; nothing before the
+// operator's stream has been loaded.
+std::optional<std::chrono::milliseconds>
+ManifestAge(const Follower& aFollower, Instant aNow);
+
 // Returns the route of the host with the longest prefix that matches the path, or nullptr.
 const Route*
 FindRoute(const Manifest& aManifest, const std::string& aHost, const std::string& aPath);
--- a/Tests/LibExplain/TestExplain.cpp
+++ b/Tests/LibExplain/TestExplain.cpp
@@ -52,6 +52,20 @@
   BOOST_TEST((explanation.mCause == Cause::NotFound));
 }
 
+// A caller was refused since its host had not read a change of the manifest yet.
+BOOST_AUTO_TEST_CASE(job_refused_by_an_old_manifest_names_its_version_and_age)
+{
+  auto refused = Line(3000, "queue-unknown", ",\"version\":111,\"age_ms\":3590");
+  auto inForce = Line(6000, "manifest-in-force", ",\"version\":144", false);
+  auto explanation = ExplainTexts({ Dependency(2000, "dependency-lost"), refused, inForce });
+  BOOST_TEST((explanation.mCause == Cause::RefusedByManifest));
+  BOOST_TEST(explanation.mSummary ==
+             "refused by e1: version 111 of the manifest, confirmed 3590 ms before, has no queue "
+             "for it");
+  BOOST_REQUIRE(explanation.mEvidence.size() == 3u);
+  BOOST_TEST(explanation.mEvidence[2].mVersion.value_or(0) == 144);
+}
+
 BOOST_AUTO_TEST_CASE(refused_job_lists_dependencies_lost_at_that_time)
 {
   auto refused = Line(3000, "job-refused", ",\"reason\":\"the log does not answer\"");
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -1,4 +1,5 @@
 #include "platform/ExecutorWire.h"
+#include "platform/ExternalRecordsWire.h"
 #include "platform/JobWire.h"
 #include "platform/LogEntryFormat.h"
 #include "platform/MachineWire.h"
@@ -210,4 +211,20 @@
   BOOST_TEST(!LoadSettings("/nonexistent/settings.json").ok());
 }
 
+// A route that could not be read was left out without a line in the log.
+BOOST_AUTO_TEST_CASE(route_that_cannot_be_read_is_reported_and_the_others_hold)
+{
+  KeyedRecord record;
+  record.mKey = "config";
+  record.mValue = R"({"version":7,"routes":[{"host":"x","prefix":"/a/","service":"s"},)"
+                  R"({"host":"x","prefix":"/b/"}],"services":[{"name":"s"}]})";
+  ExternalRecords records;
+  DecodeExternalRecords(Stream::Operator, { record }, records);
+  BOOST_REQUIRE(records.mManifests.size() == 1u);
+  BOOST_TEST(records.mManifests[0].mVersion == 7);
+  BOOST_TEST(records.mManifests[0].mRoutes.size() == 1u);
+  BOOST_REQUIRE(records.mUnreadable.size() == 1u);
+  BOOST_TEST(records.mUnreadable[0] == "a route of version 7");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
