--- a/Meta/scheduler-processes.sh
+++ b/Meta/scheduler-processes.sh
@@ -11,6 +11,17 @@
   start job-platform "$build/Tests/standin-job-platform" --store "$store" "${flags[@]}"
 }
 
+# Starts the platform with a proxy in front of its store: `store` is the platform's own address, and
+# `stores` the one of link 0 of the proxy, for scheduler 0.
+start_job_platform_behind_proxy() { # start_job_platform_behind_proxy EXECUTORS
+  start_job_platform "$1"
+  local ports
+  mapfile -t ports < <(free_ports 2)
+  control=127.0.0.1:${ports[0]}
+  stores=("127.0.0.1:${ports[1]}")
+  start proxy "$build/Tests/soak-proxy" --control "$control" --link "${stores[0]}=$store"
+}
+
 # Starts scheduler INDEX, from 0, at the addresses that it had before if it had any.
 start_scheduler() { # start_scheduler INDEX
   local index=$1 ports
--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -1,7 +1,9 @@
 // Stands between the processes of a soak: each link passes connections on from one loopback address
 // to another, and delays, holds back or resets them as it is told to.
 //
-// POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1]
+// POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1]
+//
+// "silence" drops for good what the link's present connections carry, without closing them.
 
 #include "LibHttp/EventHttpServer.h"
 
@@ -59,6 +61,7 @@
 {
   Flow mToTarget;
   Flow mFromTarget;
+  bool mIsSilent = false;
 };
 
 struct Link
@@ -135,10 +138,26 @@
   return aFlow.mEnded && aFlow.mChunks.empty() && isWritten;
 }
 
+// Drops what has arrived. Whether the caller has closed the connection.
+bool
+DropSilently(Connection& aConnection)
+{
+  aConnection.mToTarget.mChunks.clear();
+  aConnection.mFromTarget.mChunks.clear();
+  return aConnection.mToTarget.mEnded;
+}
+
 void
 PumpLink(Link& aLink)
 {
   aLink.mConnections.remove_if([&](auto& aConnection) {
+    if (aConnection->mIsSilent) {
+      auto isClosed = DropSilently(*aConnection);
+      if (isClosed) {
+        Free(*aConnection, false);
+      }
+      return isClosed;
+    }
     auto isOver = Pump(aConnection->mToTarget, aLink.mHoldsTo);
     isOver |= Pump(aConnection->mFromTarget, aLink.mHoldsFrom);
     if (isOver) {
@@ -174,6 +193,10 @@
     aLink.mHoldsTo = aValue == "held";
   } else if (aName == "from") {
     aLink.mHoldsFrom = aValue == "held";
+  } else if (aName == "silence") {
+    for (auto& connection : aLink.mConnections) {
+      connection->mIsSilent = true;
+    }
   } else if (aName == "reset") {
     for (auto& connection : aLink.mConnections) {
       Free(*connection, true);
--- a/Tests/StandIns/job-platform/Executors.cpp
+++ b/Tests/StandIns/job-platform/Executors.cpp
@@ -25,11 +25,26 @@
 constexpr std::int64_t kMemoryMb = 64000;
 constexpr double kSlowClock = 0.98;
 
-// A configuration with one queue. Its host is the Host header of the tests' requests.
-constexpr char kConfig[] =
-  R"({"version":1,"routes":[{"name":"previews","host":"x","prefix":"/previews/",)"
-  R"("targetRuntimeMs":600,"priority":0,"service":"previews","attempts":3,"stretch":1.6}],)"
-  R"("services":[{"name":"previews","standby":false}]})";
+// A queue at the Host header of the tests' requests.
+std::string
+RouteOf(const std::string& aName)
+{
+  return R"({"name":")" + aName + R"(","host":"x","prefix":"/)" + aName +
+         R"(/","targetRuntimeMs":600,"priority":0,"service":"previews","attempts":3,"stretch":1.6})";
+}
+
+// The configuration of a version: the queue "previews", and "added-N" for each version N after the
+// first.
+std::string
+ConfigOf(std::int64_t aVersion)
+{
+  auto routes = RouteOf("previews");
+  for (std::int64_t added = 2; added <= aVersion; ++added) {
+    routes += "," + RouteOf("added-" + std::to_string(added));
+  }
+  return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" + routes +
+         R"(],"services":[{"name":"previews","standby":false}]})";
+}
 
 std::string
 EntryOf(const FakeExecutor& aExecutor)
@@ -76,7 +91,7 @@
   store.mAddress = aStore;
   mStoreServer = std::make_unique<EventHttpServer>(
     aBase, store, [this](const EventHttpIncoming& aIncoming) { OnStoreRequest(aIncoming); });
-  Append(mStore, { Stream::Operator, 0, { { "config", kConfig } } });
+  WriteConfig(1);
   auto now = platform::CurrentTime();
   for (std::size_t i = 0; i < aExecutors.size(); ++i) {
     FakeExecutor executor;
@@ -93,6 +108,12 @@
   }
 }
 
+void
+Platform::WriteConfig(std::int64_t aVersion)
+{
+  Append(mStore, { Stream::Operator, 0, { { "config", ConfigOf(aVersion) } } });
+}
+
 void
 Platform::MakeServer(std::size_t aIndex)
 {
--- a/Tests/StandIns/job-platform/JobPlatform.h
+++ b/Tests/StandIns/job-platform/JobPlatform.h
@@ -71,6 +71,8 @@
   // Injects faults into the store, or restarts an executor.
   EventHttpReply Control(const StoreQuery& aQuery);
   bool Chance(double aShare);
+  // Writes a version of the operator's configuration, which adds a queue for each version.
+  void WriteConfig(std::int64_t aVersion);
   // Simulates the end of an executor's process, which closes all connections, and the start of
   // another one at the same address.
   void RestartExecutor(std::size_t aIndex);
--- a/Tests/StandIns/job-platform/Store.cpp
+++ b/Tests/StandIns/job-platform/Store.cpp
@@ -207,6 +207,8 @@
       TrimHistory(mStore);
     } else if (name == "deal") {
       ReassignPartitions(mStore);
+    } else if (name == "config") {
+      WriteConfig(std::atoll(value.c_str()));
     } else if (name == "restart") {
       RestartExecutor(static_cast<std::size_t>(std::atoi(value.c_str())));
     } else {
