Close the idle connections to an address when a call to it is not answered

Cause: a call that timed out closed its own connection, and its repetition took an idle one of the same lane, dead too. Each cost a whole timeout.

Ruled out: the operator's read waiting for another (no call-delayed line, and the host's other reads were answered); a slow store (the same calls on new connections are answered in 4 ms).

Change: a timeout on a connection closes those to the same address that have had no answer since that call was sent. A connection that has answered meanwhile is kept, so that one lost answer costs nothing.

The first new test failed before (1 of 4 calls answered).

--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -80,6 +80,7 @@
   // Owned by the connection, which frees it along with itself.
   evhttp_request* mSent = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
+  std::chrono::steady_clock::time_point mSentAt;
   Duration mWaitedForConnection{ 0 };
   std::optional<Duration> mIdleBefore;
   // What had arrived of the answer when the timer was last set.
@@ -175,6 +176,7 @@
     aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(now - idle.mAnsweredAt);
     aLane.mIdle.pop_back();
   }
+  aExchange.mSentAt = now;
   aExchange.mWaitedForConnection = std::chrono::duration_cast<Duration>(now - aExchange.mCalledAt);
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
   aExchange.mSent = request;
@@ -237,10 +239,30 @@
     evhttp_connection_free(exchange.mConnection);
     exchange.mConnection = nullptr;
     --exchange.mLane->mOpen;
+    exchange.mClient->CloseIdle(exchange.mRequest.mAddress, exchange.mSentAt);
   }
   exchange.mClient->Finish(exchange, std::move(response));
 }
 
+void
+EventHttpClient::CloseIdle(const std::string& aAddress,
+                           std::chrono::steady_clock::time_point aUnansweredSince)
+{
+  for (auto entry = mLanes.lower_bound({ aAddress, {} });
+       entry != mLanes.end() && entry->first.first == aAddress;
+       ++entry) {
+    auto& lane = *entry->second;
+    std::erase_if(lane.mIdle, [&](const Lane::IdleConnection& aIdle) {
+      if (aIdle.mAnsweredAt > aUnansweredSince) {
+        return false;
+      }
+      evhttp_connection_free(aIdle.mConnection);
+      --lane.mOpen;
+      return true;
+    });
+  }
+}
+
 bool
 EventHttpClient::WaitLonger(Exchange& aExchange, std::size_t aReceivedBytes)
 {
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -3,6 +3,7 @@
 #include "LibBase/Time.h"
 #include "LibHttp/EventHttpMethod.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -71,7 +72,8 @@
 };
 
 // An HTTP client on a libevent loop. It keeps connections open, sends each request once, and never
-// sends one again by itself. A call that is not answered in time closes its connection.
+// sends one again by itself. A call that is not answered in time closes its connection, and those
+// to the same address that were idle all the while.
 class EventHttpClient
 {
 public:
@@ -101,6 +103,11 @@
   void Send(Lane& aLane, Exchange& aExchange);
   void Finish(Exchange& aExchange, EventHttpResponse aResponse);
   void SendNext(Lane& aLane);
+  // Closes the idle connections to an address that have had no answer since the given time, in all
+  // lanes. Connections can fall silent together without being closed, and each would cost a
+  // timeout.
+  void CloseIdle(const std::string& aAddress,
+                 std::chrono::steady_clock::time_point aUnansweredSince);
   // Sets the timer again if more of the answer has arrived since it was last set.
   bool WaitLonger(Exchange& aExchange, std::size_t aReceivedBytes);
   evhttp_connection* Connect(const Lane& aLane);
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -3,11 +3,14 @@
 #include "RawServer.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <event2/event.h>
 #include <memory>
+#include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 
 using namespace sesameseam;
@@ -64,6 +67,26 @@
   return answers;
 }
 
+// Makes the calls at the same time and gives the number of those that were answered.
+int
+CallAtOnce(event_base* aBase,
+           EventHttpClient& aClient,
+           const std::vector<EventHttpRequest>& aRequests)
+{
+  int answered = 0;
+  std::size_t ended = 0;
+  for (const auto& request : aRequests) {
+    aClient.Call(request, [&](const EventHttpResponse& aResponse) {
+      answered += aResponse.mAnswered ? 1 : 0;
+      if (++ended == aRequests.size()) {
+        event_base_loopbreak(aBase);
+      }
+    });
+  }
+  event_base_dispatch(aBase);
+  return answered;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(TestEventHttp)
@@ -162,6 +185,75 @@
   BOOST_TEST(client.Opened() == 1);
 }
 
+// Connections that had fallen silent together cost one timeout each, one after the other, so that a
+// caller with six of them was without answers for six timeouts.
+BOOST_AUTO_TEST_CASE(a_call_without_an_answer_takes_the_connections_along_that_were_idle_meanwhile)
+{
+  std::atomic<bool> isSilent{ false };
+  std::mutex mutex;
+  // Each connection has a thread of the server.
+  std::set<std::thread::id> silent;
+  RawServer server([&](int aDescriptor, int) {
+    std::lock_guard lock(mutex);
+    if (!isSilent) {
+      silent.insert(std::this_thread::get_id());
+    }
+    if (isSilent && silent.contains(std::this_thread::get_id())) {
+      return true;
+    }
+    std::this_thread::sleep_for(30ms);
+    SendText(aDescriptor, kWholeAnswer);
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server), 400ms);
+  auto otherLane = order;
+  otherLane.mLane = "waits";
+  BOOST_TEST(CallAtOnce(base.get(), client, { order, order, order, otherLane }) == 4);
+  BOOST_TEST(client.Opened() == 4);
+  isSilent = true;
+  BOOST_TEST(CallAtOnce(base.get(), client, { order }) == 0);
+  BOOST_TEST(CallAtOnce(base.get(), client, { order, order, order, otherLane }) == 4);
+}
+
+BOOST_AUTO_TEST_CASE(a_connection_that_has_answered_since_a_lost_call_was_sent_is_kept)
+{
+  RawServer server([&](int aDescriptor, int aRequest) {
+    if (aRequest > 1) {
+      SendText(aDescriptor, kWholeAnswer);
+    }
+    return true;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto lost = Order(AddressOf(server), 300ms);
+  auto answered = lost;
+  answered.mLane = "other";
+  client.Call(lost, [&](const EventHttpResponse& aResponse) {
+    BOOST_TEST(!aResponse.mAnswered);
+    event_base_loopbreak(base.get());
+  });
+  timeval soon{ 0, 50'000 };
+  int answers = 0;
+  std::function<void()> begin = [&] {
+    client.Call(answered, [&](const EventHttpResponse& aResponse) {
+      answers += aResponse.mAnswered ? 1 : 0;
+    });
+  };
+  event_base_once(
+    base.get(),
+    -1,
+    EV_TIMEOUT,
+    [](int, short, void* aBegin) { (*static_cast<std::function<void()>*>(aBegin))(); },
+    &begin,
+    &soon);
+  event_base_dispatch(base.get());
+  BOOST_TEST(answers == 1);
+  BOOST_TEST(CallAtOnce(base.get(), client, { answered }) == 1);
+  BOOST_TEST(client.Opened() == 2);
+}
+
 // The server reads the second request and closes without an answer.
 BOOST_AUTO_TEST_CASE(a_request_is_never_sent_again)
 {
