Find a silent connection of the operator's stream within half of the deadline

Cause: a read waited 1.5 s for news and 1.5 s more for its answer, and was repeated 150 ms later: 3.15 s for one dead connection. If the history had been dropped too, the load that follows took another dead connection. The class: a belief with a deadline, refreshed by a call that may take longer than the deadline.

Change: the follower plans each read by the deadline of what it follows (manifest_deadline and drain_deadline, from the platform's bounds): a quarter for the wait, a quarter for the answer; a repetition asks for its answer at once. The limit doubles with each read that is lost, so that a slow store is still read. A manifest that has not been confirmed within its deadline is logged once.

--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -152,6 +152,8 @@
   Reader mReader = Reader::Follower;
   std::int64_t mFrom = 0;
   std::chrono::milliseconds mWait{ 0 };
+  // How long the answer may take beyond the wait; 0 for the sender's default.
+  std::chrono::milliseconds mAnswerTimeout{ 0 };
   // The maximum size of the answer; 0 for the store's own limit.
   int mMaxKilobytes = 0;
   std::int64_t mTicket = 0;
@@ -188,6 +190,8 @@
   int mPartition = 0;
   Reader mReader = Reader::Follower;
   std::string mAfterKey;
+  // How long the answer may take; 0 for the sender's default.
+  std::chrono::milliseconds mAnswerTimeout{ 0 };
   std::int64_t mTicket = 0;
 };
 
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -1,5 +1,7 @@
 #include "LibSchedule/Follower.h"
 
+#include "LibSchedule/ReadTimes.h"
+
 #include <algorithm>
 
 namespace sesameseam::schedule {
@@ -7,8 +9,6 @@
 namespace {
 
 constexpr Duration kRetryPause = 150ms;
-// The operator's changes are rare, but must take effect within two seconds.
-constexpr std::chrono::milliseconds kOperatorLongPoll = 1500ms;
 // Executors update their entries every one to two seconds. A draining executor must receive no work
 // after two seconds.
 constexpr Duration kExecutorListInterval = 400ms;
@@ -106,13 +106,17 @@
 }
 
 void
-SendRead(FollowedStream& aStream, const Now& aNow, Actions& aActions)
+SendRead(FollowedStream& aStream,
+         const Now& aNow,
+         std::chrono::milliseconds aDeadline,
+         Actions& aActions)
 {
   if (aStream.mInFlight || aNow.mAt < aStream.mNextReadAt) {
     return;
   }
   aStream.mInFlight = true;
   aStream.mSentAt = aNow.mAt;
+  auto times = PlanRead(aDeadline, aStream.mUnanswered);
   if (!aStream.mLoaded) {
     if (aStream.mPagedEnd < 0) {
       aStream.mLoadCurrentAsOf = aNow.mAt;
@@ -120,19 +124,22 @@
     ReadNewestCall call;
     call.mStream = aStream.mStream;
     call.mAfterKey = aStream.mPageKey;
+    call.mAnswerTimeout = times.mAnswerTimeout;
     aActions.emplace_back(std::move(call));
     return;
   }
   ReadCall call;
   call.mStream = aStream.mStream;
   call.mFrom = aStream.mPosition;
-  call.mWait = aStream.mStream == Stream::Operator ? kOperatorLongPoll : 0ms;
+  call.mWait = aStream.mStream == Stream::Operator ? times.mWait : 0ms;
+  call.mAnswerTimeout = times.mAnswerTimeout;
   aActions.emplace_back(call);
 }
 
 void
 RecordCallResult(FollowedStream& aStream, CallResult aResult, const Now& aNow, Actions& aActions)
 {
+  aStream.mUnanswered = aResult == CallResult::Unanswered ? aStream.mUnanswered + 1 : 0;
   auto isOperator = aStream.mStream == Stream::Operator;
   UpdateDependency(aStream.mDependency,
                    isOperator ? "the operator's stream" : "the list of executors",
@@ -141,6 +148,26 @@
                    aActions);
 }
 
+// Logs that the manifest in force may be too old, and when it is known to be the newest again.
+void
+ReportManifestAge(Follower& aFollower,
+                  const Now& aNow,
+                  const FollowerSettings& aSettings,
+                  Actions& aActions)
+{
+  auto age = ManifestAge(aFollower, aNow.mAt);
+  auto isUnconfirmed = age && *age > aSettings.mManifestDeadline;
+  if (!aFollower.mManifest || isUnconfirmed == aFollower.mIsManifestUnconfirmed) {
+    return;
+  }
+  aFollower.mIsManifestUnconfirmed = isUnconfirmed;
+  LogEntry entry{ LogLevel::Warning,
+                  isUnconfirmed ? "manifest-unconfirmed" : "manifest-confirmed" };
+  entry.mVersion = aFollower.mManifest->mVersion;
+  entry.mAge = age;
+  aActions.emplace_back(std::move(entry));
+}
+
 // Discards the read position, so that the newest record of every key is read again.
 void
 RestartLoad(FollowedStream& aStream)
@@ -217,11 +244,16 @@
 }
 
 void
-AdvanceFollower(Follower& aFollower, const Now& aNow, bool aNeedsExecutors, Actions& aActions)
+AdvanceFollower(Follower& aFollower,
+                const Now& aNow,
+                const FollowerSettings& aSettings,
+                bool aNeedsExecutors,
+                Actions& aActions)
 {
-  SendRead(aFollower.mOperator, aNow, aActions);
+  ReportManifestAge(aFollower, aNow, aSettings, aActions);
+  SendRead(aFollower.mOperator, aNow, aSettings.mManifestDeadline, aActions);
   if (aNeedsExecutors) {
-    SendRead(aFollower.mExecutorList, aNow, aActions);
+    SendRead(aFollower.mExecutorList, aNow, aSettings.mDrainDeadline, aActions);
   }
 }
 
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -10,6 +10,14 @@
 // and the list of executors.
 namespace sesameseam::schedule {
 
+struct FollowerSettings
+{
+  // A change of the manifest must be in force this long after it was stored.
+  std::chrono::milliseconds mManifestDeadline{ 2000 };
+  // An executor that is draining must get no work this long after it has said so.
+  std::chrono::milliseconds mDrainDeadline{ 2000 };
+};
+
 struct FollowedStream
 {
   Stream mStream = Stream::Operator;
@@ -20,6 +28,8 @@
   std::string mPageKey;
   std::int64_t mPagedEnd = -1;
   std::set<ExecutorId> mListed;
+  // Reads in a row that were not answered.
+  int mUnanswered = 0;
   Dependency mDependency;
   Instant mNextReadAt;
   // When the read in flight, or the last one, was sent.
@@ -36,6 +46,8 @@
   FollowedStream mExecutorList{ Stream::Executors };
   std::optional<Manifest> mManifest;
   Instant mManifestAt;
+  // The manifest in force may be older than its deadline allows, and the log says so.
+  bool mIsManifestUnconfirmed = false;
   std::map<std::int64_t, Wave> mWaves;
   std::map<ExecutorId, ExecutorEntry> mExecutors;
 };
@@ -57,7 +69,11 @@
 
 // Sends the reads that are due. The list of executors is read only if aNeedsExecutors is set.
 void
-AdvanceFollower(Follower& aFollower, const Now& aNow, bool aNeedsExecutors, Actions& aActions);
+AdvanceFollower(Follower& aFollower,
+                const Now& aNow,
+                const FollowerSettings& aSettings,
+                bool aNeedsExecutors,
+                Actions& aActions);
 
 // Returns how long ago the manifest in force was last known to be the newest; nothing before the
 // operator's stream has been loaded.
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -318,7 +318,8 @@
 AdvanceAll(Node& aNode, const Now& aNow, Actions& aActions)
 {
   AdvanceGroup(aNode.mGroup, aNow, aActions);
-  AdvanceFollower(aNode.mFollower, aNow, !aNode.mShards.empty(), aActions);
+  AdvanceFollower(
+    aNode.mFollower, aNow, aNode.mSettings.mFollower, !aNode.mShards.empty(), aActions);
   AnswerQueries(aNode, aNow, aActions);
   AdvanceIntake(aNode.mIntake, aNow, aActions);
   for (auto& [partition, shard] : aNode.mShards) {
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -21,6 +21,7 @@
   int mCapacityMillicores = 1000;
   // The number of partitions of each stream. Each service maps to one of them, its shard.
   int mPartitions = 24;
+  FollowerSettings mFollower;
   LeaseLimits mLease;
   std::chrono::milliseconds mStopTime{ 900 };
   std::chrono::milliseconds mHolderLease{ 3000 };
