Give up an answer that has stopped arriving after the answer's own limit

Cause: once an answer had begun to arrive, its next limit was that of the whole call, the wait for news included (3 s for the operator's stream).

Change: a limit of its own for an answer that has stalled, without the wait.

--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -274,7 +274,9 @@
     return false;
   }
   aExchange.mReceivedBytes = aReceivedBytes;
-  auto timeout = ToTimeval(std::min(left, aExchange.mRequest.mTimeout));
+  const auto& request = aExchange.mRequest;
+  auto stall = request.mStallTimeout > Duration(0) ? request.mStallTimeout : request.mTimeout;
+  auto timeout = ToTimeval(std::min(left, stall));
   evtimer_add(aExchange.mTimer, &timeout);
   return true;
 }
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -37,8 +37,10 @@
   // For the whole call, from now to the last byte of the answer.
   Duration mTimeout = 1s;
   // An answer that is still arriving at the timeout is given up only once nothing has arrived for
-  // that long again, and at this time at the latest. It has no effect if it is less than mTimeout.
+  // mStallTimeout, and at this time at the latest. It has no effect if it is less than mTimeout.
   Duration mTimeoutWhileReceiving{ 0 };
+  // 0 for mTimeout.
+  Duration mStallTimeout{ 0 };
 };
 
 struct EventHttpResponse
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -152,6 +152,26 @@
   BOOST_TEST(!CallInTurn(base.get(), client, order, 1).at(0).mAnswered);
 }
 
+// A read that may wait for news for long was given up, once its answer had begun to arrive, only
+// after that long without a byte.
+BOOST_AUTO_TEST_CASE(an_answer_that_stops_arriving_is_given_up_after_the_stall_limit)
+{
+  RawServer server([](int aDescriptor, int) {
+    std::this_thread::sleep_for(300ms);
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nx");
+    std::this_thread::sleep_for(2500ms);
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto order = Order(AddressOf(server), 700ms);
+  order.mTimeoutWhileReceiving = 5s;
+  order.mStallTimeout = 200ms;
+  auto begun = std::chrono::steady_clock::now();
+  BOOST_TEST(!CallInTurn(base.get(), client, order, 1).at(0).mAnswered);
+  BOOST_TEST((std::chrono::steady_clock::now() - begun < 1100ms));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_has_stopped_arriving_is_given_up)
 {
   RawServer server([](int aDescriptor, int) {
