Find a lost join of the group before the membership expires

Cause: a join every 450 ms, 1 s for its answer and a pause of 150 ms: the next one reached the log 1.6 s after the last, when the member's time to live of 1.5 s was over.

Change: the interval and the limit follow member_time_to_live, by the same plan as the operator's reads (PlanCall, now named for calls): a quarter for the answer, more after each join without one.

The new test failed before, with a limit of 1 s: the group reassigned its partitions.

--- a/Libraries/LibSchedule/ReadTimes.cpp
+++ b/Libraries/LibSchedule/CallTimes.cpp
@@ -1,4 +1,4 @@
-#include "LibSchedule/ReadTimes.h"
+#include "LibSchedule/CallTimes.h"
 
 #include <algorithm>
 
@@ -14,8 +14,8 @@
 
 }
 
-ReadTimes
-PlanRead(std::chrono::milliseconds aDeadline, int aFailures)
+CallTimes
+PlanCall(std::chrono::milliseconds aDeadline, int aFailures)
 {
   auto part = std::min(aDeadline / kDeadlineParts, kMaxAnswerTimeout);
   if (aFailures == 0) {
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -209,6 +209,8 @@
 struct JoinCall
 {
   std::int64_t mGeneration = 0;
+  // How long the answer may take.
+  std::chrono::milliseconds mAnswerTimeout{ 1000 };
 };
 
 struct JoinAnswer
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -1,6 +1,6 @@
 #include "LibSchedule/Follower.h"
 
-#include "LibSchedule/ReadTimes.h"
+#include "LibSchedule/CallTimes.h"
 
 #include <algorithm>
 
@@ -116,7 +116,7 @@
   }
   aStream.mInFlight = true;
   aStream.mSentAt = aNow.mAt;
-  auto times = PlanRead(aDeadline, aStream.mUnanswered);
+  auto times = PlanCall(aDeadline, aStream.mUnanswered);
   if (!aStream.mLoaded) {
     if (aStream.mPagedEnd < 0) {
       aStream.mLoadCurrentAsOf = aNow.mAt;
--- a/Libraries/LibSchedule/GroupMembership.cpp
+++ b/Libraries/LibSchedule/GroupMembership.cpp
@@ -1,13 +1,16 @@
 #include "LibSchedule/GroupMembership.h"
 
+#include "LibSchedule/CallTimes.h"
+
 #include <algorithm>
 
 namespace sesameseam::schedule {
 
 namespace {
 
-// One third of the timeout after which an unresponsive member loses its partitions.
-constexpr Duration kJoinInterval = 450ms;
+// The interval between two joins, in percent of the time to live: one join may be lost.
+constexpr int kJoinIntervalPercent = 30;
+constexpr int kPercent = 100;
 constexpr Duration kRetryPause = 150ms;
 // A host outside of the group must notice within about a second that no larger host is left.
 constexpr Duration kOwnersPollInterval = 700ms;
@@ -15,6 +18,12 @@
 // After the loss of all hosts, the former owners have this long to return before others may join.
 constexpr Duration kFormerOwnersGracePeriod = 700ms;
 
+Duration
+JoinInterval(const GroupMembership& aGroup)
+{
+  return Duration(aGroup.mTimeToLive) * kJoinIntervalPercent / kPercent;
+}
+
 // The newest record of each partition names the host that owned it last.
 void
 RequestFormerOwners(GroupMembership& aGroup, Actions& aActions)
@@ -34,6 +43,8 @@
 OnJoinAnswer(GroupMembership& aGroup, const Now& aNow, const JoinAnswer& aAnswer, Actions& aActions)
 {
   aGroup.mInFlight = false;
+  auto isLost = aAnswer.mResult == CallResult::Unanswered;
+  aGroup.mUnansweredJoins = isLost ? aGroup.mUnansweredJoins + 1 : 0;
   UpdateDependency(
     aGroup.mDependency, "the group of entry hosts", aAnswer.mResult, aNow.mAt, aActions);
   if (aGroup.mLeft || aGroup.mIsOutranked) {
@@ -48,7 +59,7 @@
   aGroup.mPartitions = std::move(partitions);
   aGroup.mGeneration = aAnswer.mGeneration;
   aGroup.mConfirmedAt = aAnswer.mSentAt;
-  aGroup.mNextJoinAt = changed ? aNow.mAt : aNow.mAt + kJoinInterval;
+  aGroup.mNextJoinAt = changed ? aNow.mAt : aNow.mAt + JoinInterval(aGroup);
   return true;
 }
 
@@ -121,7 +132,9 @@
     return;
   }
   aGroup.mInFlight = true;
-  aActions.emplace_back(JoinCall{ aGroup.mGeneration });
+  // A lost join has to be found, and repeated, before the time to live is over.
+  auto times = PlanCall(aGroup.mTimeToLive, aGroup.mUnansweredJoins);
+  aActions.emplace_back(JoinCall{ aGroup.mGeneration, times.mAnswerTimeout });
 }
 
 void
--- a/Libraries/LibSchedule/GroupMembership.h
+++ b/Libraries/LibSchedule/GroupMembership.h
@@ -16,6 +16,8 @@
 {
   std::string mHost;
   int mCapacityMillicores = 0;
+  // The log deals a member's partitions to others if it has not joined again for this long.
+  std::chrono::milliseconds mTimeToLive{ 1500 };
   bool mKnowsOwners = false;
   // Whether a host with more capacity owns partitions.
   bool mIsOutranked = false;
@@ -28,6 +30,8 @@
   std::set<int> mPartitions;
   Dependency mDependency;
   bool mInFlight = false;
+  // Joins in a row that were not answered.
+  int mUnansweredJoins = 0;
   // Set for good by LeaveGroup().
   bool mLeft = false;
   Instant mNextJoinAt;
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -337,6 +337,7 @@
   node.mSettings = aSettings;
   node.mGroup.mHost = aSettings.mName;
   node.mGroup.mCapacityMillicores = aSettings.mCapacityMillicores;
+  node.mGroup.mTimeToLive = aSettings.mMemberTimeToLive;
   return node;
 }
 
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -19,6 +19,7 @@
 {
   std::string mName;
   int mCapacityMillicores = 1000;
+  std::chrono::milliseconds mMemberTimeToLive{ 1500 };
   // The number of partitions of each stream. Each service maps to one of them, its shard.
   int mPartitions = 24;
   FollowerSettings mFollower;
--- a/Tests/LibSchedule/TestFollower.cpp
+++ b/Tests/LibSchedule/TestFollower.cpp
@@ -1,5 +1,5 @@
+#include "LibSchedule/CallTimes.h"
 #include "LibSchedule/Follower.h"
-#include "LibSchedule/ReadTimes.h"
 #include "LibStandIn/FakeStore.h"
 
 #include <boost/test/unit_test.hpp>
@@ -264,11 +264,11 @@
 BOOST_AUTO_TEST_CASE(a_lost_read_and_its_repetition_fit_into_the_deadline)
 {
   for (auto deadline : { 500ms, 1000ms, 2000ms, 4000ms, 8000ms }) {
-    auto first = PlanRead(deadline, 0);
+    auto first = PlanCall(deadline, 0);
     BOOST_TEST((first.mWait + first.mAnswerTimeout <= deadline / 2));
     BOOST_TEST((first.mAnswerTimeout > 0ms));
-    BOOST_TEST((PlanRead(deadline, 1).mWait == 0ms));
-    BOOST_TEST((PlanRead(deadline, 100).mAnswerTimeout >= first.mAnswerTimeout));
+    BOOST_TEST((PlanCall(deadline, 1).mWait == 0ms));
+    BOOST_TEST((PlanCall(deadline, 100).mAnswerTimeout >= first.mAnswerTimeout));
   }
 }
 
--- a/Tests/LibSchedule/TestGroup.cpp
+++ b/Tests/LibSchedule/TestGroup.cpp
@@ -1,4 +1,6 @@
+#include "Actions.h"
 #include "LibSchedule/GroupMembership.h"
+#include "LibStandIn/FakeStore.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -131,4 +133,44 @@
   BOOST_TEST(member.mGroup.mPartitions.empty());
 }
 
+// One join that was lost on a connection that had gone silent was given up so late that the group
+// had dealt the member's partitions to others.
+BOOST_AUTO_TEST_CASE(a_member_whose_join_is_lost_keeps_its_partitions)
+{
+  constexpr Duration kTick = 10ms;
+  standin::FakeStore store;
+  store.mGroup.mPartitions = 2;
+  Member member(100);
+  OnFormerOwnersAnswer(member.mGroup, kNow, FormerOwners({}));
+  member.Learn(OwnersOf({}));
+  auto lostAt = kNow.mAt + 3s;
+  std::optional<Instant> lostSince;
+  std::chrono::milliseconds limit{ 0 };
+  std::int64_t generation = 0;
+  for (auto now = kNow.mAt; now < kNow.mAt + 8s; now += kTick) {
+    Now when{ now, kNow.mWall };
+    if (lostSince && now - *lostSince >= limit) {
+      lostSince.reset();
+      OnJoinAnswer(member.mGroup, when, {}, member.mActions);
+    }
+    AdvanceGroup(member.mGroup, when, member.mActions);
+    for (const auto& call : Select<JoinCall>(member.mActions)) {
+      if (now >= lostAt) {
+        lostAt = Instant::max();
+        lostSince = now;
+        limit = call.mAnswerTimeout;
+        continue;
+      }
+      auto answer = standin::Join(store, "e", call, now);
+      answer.mSentAt = now;
+      OnJoinAnswer(member.mGroup, when, answer, member.mActions);
+      BOOST_TEST((generation == 0 || answer.mGeneration == generation));
+      generation = answer.mGeneration;
+    }
+    member.mActions.clear();
+    // Another member's call lets the group notice that this one is silent.
+    BOOST_TEST((generation == 0 || standin::Owners(store, now).size() == 2u));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
