Let three properties fail the tests that run them

Cause: rc::check returns whether the property holds and does not fail a Boost.Test case by itself; the results of three calls were dropped, so that a falsified property would only have been printed.

Change: the results are checked.

--- a/Tests/LibSchedule/TestJobRecords.cpp
+++ b/Tests/LibSchedule/TestJobRecords.cpp
@@ -38,7 +38,7 @@
 
 BOOST_AUTO_TEST_CASE(a_job_is_read_as_it_was_written)
 {
-  rc::check([] {
+  auto holds = rc::check([] {
     JobDefinition job;
     job.mQueue = QueueName(*rc::gen::string<std::string>());
     job.mService = ServiceName(*rc::gen::string<std::string>());
@@ -56,11 +56,12 @@
     RC_ASSERT(again->mSteps.size() == job.mSteps.size());
     RC_ASSERT(EncodeJob(*again) == EncodeJob(job));
   });
+  BOOST_TEST(holds);
 }
 
 BOOST_AUTO_TEST_CASE(bytes_that_are_no_record_are_refused)
 {
-  rc::check([] {
+  auto holds = rc::check([] {
     auto bytes = *rc::gen::string<std::string>();
     // Decoding terminates for any bytes, and whatever it accepts can be encoded again.
     auto job = DecodeJob(bytes);
@@ -75,6 +76,7 @@
     }
     ApplyFleetRecord(log, bytes, bytes).IgnoreError();
   });
+  BOOST_TEST(holds);
 }
 
 BOOST_AUTO_TEST_CASE(cancellations_sort_after_all_jobs)
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -168,7 +168,7 @@
 
 BOOST_AUTO_TEST_CASE(decoders_accept_any_bytes_without_crashing)
 {
-  rc::check([] {
+  auto holds = rc::check([] {
     auto bytes = *rc::gen::string<std::string>();
     auto status = *rc::gen::element(200, 409, 410, 412, 500);
     HeartbeatAnswer hold;
@@ -187,6 +187,7 @@
     DecodeMachines(status, bytes, machines);
     DecodeSubmission(bytes).IgnoreError();
   });
+  BOOST_TEST(holds);
 }
 
 BOOST_AUTO_TEST_CASE(log_entry_is_formatted_as_one_json_object)
