--- /dev/null
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -0,0 +1,438 @@
+#include "LibStandIn/Simulation.h"
+
+#include <algorithm>
+
+// The calls that a simulation's hosts make: to the store, to executors and about machines.
+namespace sesameseam::standin {
+
+namespace {
+
+using schedule::CallResult;
+using schedule::Event;
+using schedule::Instant;
+using schedule::Stream;
+
+constexpr Duration kNetworkLatency = 1ms;
+constexpr Duration kStoreLatency = 4ms;
+constexpr Duration kCallTimeout = 900ms;
+constexpr Duration kLongPollInterval = 5ms;
+
+// Keeps only the newest entry of each executor, and none of executors that are no longer listed.
+void
+DropUnlisted(std::vector<schedule::ExecutorEntry>& aEntries)
+{
+  std::map<schedule::ExecutorId, schedule::ExecutorEntry> newest;
+  for (const auto& entry : aEntries) {
+    newest[entry.mId] = entry;
+  }
+  aEntries.clear();
+  for (const auto& [id, entry] : newest) {
+    if (entry.mState != schedule::ExecutorState::Gone) {
+      aEntries.push_back(entry);
+    }
+  }
+}
+
+}
+
+void
+Simulation::CallStore(int aHost, const Event& aWithoutAnswer, const std::function<Event()>& aWork)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
+                Chance(mSettings.mRequestLoss);
+  if (isLost) {
+    ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
+    return;
+  }
+  ScheduleAfter(kNetworkLatency + kStoreLatency, [=, this] {
+    auto answer = aWork();
+    if (Chance(mSettings.mAnswerLoss)) {
+      ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
+      return;
+    }
+    ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, incarnation, answer); });
+  });
+}
+
+FakeExecutor*
+Simulation::FindExecutor(const schedule::ExecutorAddress& aTo)
+{
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    auto isCut = mCutExecutors.contains(static_cast<int>(i));
+    if (mExecutors[i].mEntry.mAddress == aTo.mAddress && mExecutors[i].mIsUp && !isCut) {
+      return &mExecutors[i];
+    }
+  }
+  return nullptr;
+}
+
+void
+Simulation::CallExecutor(int aHost,
+                         const schedule::ExecutorAddress& aTo,
+                         bool aIsOrder,
+                         const Event& aWithoutAnswer,
+                         const std::function<Event(FakeExecutor&)>& aWork)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  auto isLate = aIsOrder && Chance(mSettings.mLateOrders);
+  auto isLost = Chance(mSettings.mRequestLoss);
+  if (isLate) {
+    auto delay = std::chrono::seconds(2) + std::chrono::milliseconds(mRandom() % 6000);
+    // A late order was already received by the process, so that it is lost if the process ends
+    // before it is executed.
+    const auto* receiver = FindExecutor(aTo);
+    auto receiverIncarnation = receiver == nullptr ? 0 : receiver->mEntry.mIncarnation;
+    ScheduleAfter(delay, [=, this] {
+      auto* executor = FindExecutor(aTo);
+      if (executor != nullptr && executor->mEntry.mIncarnation == receiverIncarnation) {
+        mIsOrderLate = true;
+        aWork(*executor);
+        mIsOrderLate = false;
+      }
+    });
+  }
+  if (isLate || isLost || FindExecutor(aTo) == nullptr) {
+    ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
+    return;
+  }
+  ScheduleAfter(kNetworkLatency, [=, this] {
+    auto* executor = FindExecutor(aTo);
+    if (executor == nullptr) {
+      ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
+      return;
+    }
+    auto answer = aWork(*executor);
+    auto isAnswerLost = Chance(mSettings.mAnswerLoss);
+    ScheduleAfter(isAnswerLost ? Duration(kCallTimeout) : Duration(kNetworkLatency), [=, this] {
+      Deliver(aHost, incarnation, isAnswerLost ? aWithoutAnswer : answer);
+    });
+  });
+}
+
+void
+Simulation::FillExternalRecords(Stream aStream, std::int64_t aFrom, schedule::ExternalRecords& aOut)
+{
+  const auto& source = aStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+  for (auto i = static_cast<std::size_t>(aFrom); i < source.size(); ++i) {
+    const auto& records = source[i];
+    aOut.mManifests.insert(
+      aOut.mManifests.end(), records.mManifests.begin(), records.mManifests.end());
+    aOut.mWaves.insert(aOut.mWaves.end(), records.mWaves.begin(), records.mWaves.end());
+    aOut.mExecutors.insert(
+      aOut.mExecutors.end(), records.mExecutors.begin(), records.mExecutors.end());
+  }
+}
+
+void
+Simulation::AnswerRead(int aHost, int aIncarnation, const schedule::ReadCall& aCall, Instant aUntil)
+{
+  auto isForeign = aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors;
+  schedule::ReadAnswer answer;
+  if (isForeign) {
+    const auto& source = aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+    answer.mCall = aCall;
+    answer.mResult = CallResult::Done;
+    FillExternalRecords(aCall.mStream, aCall.mFrom, answer.mExternalRecords);
+    answer.mEnd = static_cast<std::int64_t>(source.size());
+    for (auto offset = aCall.mFrom; offset < answer.mEnd; ++offset) {
+      answer.mRecords.push_back({ {}, {}, offset });
+    }
+  } else {
+    answer = Read(mStore, aCall);
+  }
+  answer.mSentAt = aUntil - aCall.mWait;
+  if (answer.mRecords.empty() && !answer.mTrimmed && mNow < aUntil) {
+    ScheduleAfter(kLongPollInterval, [=, this] { AnswerRead(aHost, aIncarnation, aCall, aUntil); });
+    return;
+  }
+  CountQueryBytes(aCall.mReader, answer.mRecords);
+  ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, aIncarnation, answer); });
+}
+
+void
+Simulation::AnswerHeartbeat(int aHost,
+                            int aIncarnation,
+                            const schedule::HeartbeatCall& aCall,
+                            Instant aUntil)
+{
+  auto* executor = FindExecutor(aCall.mTo);
+  schedule::HeartbeatAnswer lost;
+  lost.mCall = aCall;
+  lost.mSentAt = aUntil - aCall.mWait;
+  if (executor == nullptr) {
+    ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, aIncarnation, lost); });
+    return;
+  }
+  Advance(*executor, mNow);
+  auto mayWait = executor->mEnds.empty() || executor->mEnds.back().mNumber <= aCall.mLastSeen;
+  if (mayWait && mNow < aUntil && aCall.mTo.mEpoch >= executor->mFence) {
+    ScheduleAfter(kLongPollInterval,
+                  [=, this] { AnswerHeartbeat(aHost, aIncarnation, aCall, aUntil); });
+    return;
+  }
+  auto answer = Heartbeat(*executor, aCall, mNow);
+  answer.mSentAt = lost.mSentAt;
+  ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, aIncarnation, answer); });
+}
+
+void
+Simulation::Perform(int /*aHost*/, const schedule::LogEntry& /*aEntry*/)
+{
+}
+
+void
+Simulation::Perform(int /*aHost*/, const schedule::Reply& aCall)
+{
+  RecordReply(aCall);
+}
+
+void
+Simulation::Perform(int aHost, const schedule::AppendCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::AppendAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Append(mStore, aCall);
+    answer.mSentAt = sentAt;
+    answer.mCall = aCall;
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::ReadCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  schedule::ReadAnswer lost;
+  lost.mCall = aCall;
+  auto isLost = mStoreDown || !mHosts[static_cast<std::size_t>(aHost)].mReachesStore ||
+                Chance(mSettings.mAnswerLoss);
+  if (isLost) {
+    ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, lost); });
+  } else {
+    auto until = mNow + aCall.mWait;
+    ScheduleAfter(kStoreLatency, [=, this] { AnswerRead(aHost, incarnation, aCall, until); });
+  }
+}
+
+void
+Simulation::Perform(int aHost, const schedule::ReadNewestCall& aCall)
+{
+  schedule::ReadNewestAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Newest(mStore, aCall);
+    answer.mCall = aCall;
+    CountQueryBytes(aCall.mReader, answer.mRecords);
+    FillExternalRecords(aCall.mStream, 0, answer.mExternalRecords);
+    DropUnlisted(answer.mExternalRecords.mExecutors);
+    if (aCall.mStream == Stream::Operator || aCall.mStream == Stream::Executors) {
+      const auto& source = aCall.mStream == Stream::Operator ? mOperatorRecords : mExecutorRecords;
+      answer.mEnd = static_cast<std::int64_t>(source.size());
+    } else {
+      answer.mExternalRecords = {};
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::JoinCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::JoinAnswer lost;
+  lost.mCall = aCall;
+  CallStore(aHost, lost, [=, this]() -> Event {
+    auto answer = Join(mStore, mHosts[static_cast<std::size_t>(aHost)].mName, aCall, mNow);
+    answer.mSentAt = sentAt;
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::OwnersCall& /*aCall*/)
+{
+  CallStore(aHost, schedule::OwnersAnswer{}, [=, this]() -> Event {
+    schedule::OwnersAnswer answer;
+    answer.mResult = CallResult::Done;
+    for (const auto& [partition, name] : Owners(mStore, mNow)) {
+      answer.mOwners.push_back({ name, mCapacities[name] });
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::LeaveCall& /*aCall*/)
+{
+  Leave(mStore, mHosts[static_cast<std::size_t>(aHost)].mName);
+}
+
+void
+Simulation::Perform(int aHost, const schedule::HeartbeatCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  auto sentAt = mNow;
+  schedule::HeartbeatAnswer lost;
+  lost.mCall = aCall;
+  lost.mSentAt = sentAt;
+  if (FindExecutor(aCall.mTo) == nullptr || Chance(mSettings.mAnswerLoss)) {
+    ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, lost); });
+    return;
+  }
+  ScheduleAfter(kNetworkLatency, [=, this] {
+    if (auto* executor = FindExecutor(aCall.mTo)) {
+      Advance(*executor, mNow);
+      auto isForIt = aCall.mTo.mExecutor == executor->mEntry.mId;
+      if (isForIt && aCall.mTo.mEpoch >= executor->mFence) {
+        RecordAcknowledged(*executor, aCall.mLastSeen);
+        // The lease is renewed and the fence raised on arrival of the call, before its wait.
+        Heartbeat(*executor, aCall, mNow);
+      }
+    }
+    AnswerHeartbeat(aHost, incarnation, aCall, sentAt + aCall.mWait);
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::StartCall& aCall)
+{
+  auto sentAt = mNow;
+  schedule::StartAnswer lost;
+  lost.mCall = aCall;
+  CallExecutor(aHost, aCall.mTo, true, lost, [=, this](FakeExecutor& aExecutor) -> Event {
+    auto isNew = !aExecutor.mRuns.contains(aCall.mRun);
+    auto answer = Start(aExecutor, aCall, mNow);
+    answer.mSentAt = sentAt;
+    if (answer.mResult == CallResult::Done && isNew) {
+      CheckStart(aExecutor, aCall);
+    }
+    return answer;
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::StopCall& aCall)
+{
+  CallExecutor(
+    aHost,
+    aCall.mTo,
+    true,
+    schedule::StopAnswer{ aCall },
+    [=, this](FakeExecutor& aExecutor) -> Event { return Stop(aExecutor, aCall, mNow); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::ThrottleCall& aCall)
+{
+  CallExecutor(
+    aHost, aCall.mTo, true, schedule::ThrottleAnswer{ aCall }, [=](FakeExecutor&) -> Event {
+      return schedule::ThrottleAnswer{ aCall, CallResult::Done };
+    });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::MachinesCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  schedule::MachinesAnswer answer;
+  answer.mCall = aCall;
+  answer.mResult = CallResult::Done;
+  for (const auto& [id, machine] : mMachines) {
+    answer.mMachines.push_back(machine);
+  }
+  ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, incarnation, answer); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::MaintenanceCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  mUpkeeps.push_back(aCall);
+  TakeMachineDown(aCall.mMachine, aCall.mFence, 2s, mMachines[aCall.mMachine].mPool);
+  schedule::MaintenanceAnswer answer{ aCall, CallResult::Done };
+  ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, incarnation, answer); });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::MoveCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  auto isTaken = TakeMachineDown(aCall.mMachine, aCall.mFence, 1500ms, aCall.mTo);
+  auto result = isTaken ? CallResult::Done : CallResult::Refused;
+  ScheduleAfter(kNetworkLatency, [=, this] {
+    Deliver(aHost, incarnation, schedule::MoveAnswer{ aCall, result });
+  });
+}
+
+void
+Simulation::Perform(int aHost, const schedule::WaveStatusCall& aCall)
+{
+  auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
+  mWaveReports.push_back(aCall);
+  ScheduleAfter(kNetworkLatency, [=, this] {
+    Deliver(aHost, incarnation, schedule::WaveStatusAnswer{ aCall, CallResult::Done });
+  });
+}
+
+void
+Simulation::Execute(int aHost, const schedule::Action& aAction)
+{
+  std::visit([&](const auto& aCall) { Perform(aHost, aCall); }, aAction);
+}
+
+bool
+Simulation::TakeMachineDown(const schedule::MachineId& aMachine,
+                            std::int64_t aFence,
+                            Duration aTime,
+                            const schedule::ServiceName& aTo)
+{
+  auto& highest = mMachineFences[aMachine];
+  if (aFence < highest) {
+    mViolations.push_back("machine " + aMachine.mValue +
+                          " got an order with a stale fencing token");
+  }
+  highest = std::max(highest, aFence);
+  auto& machine = mMachines[aMachine];
+  if (machine.mState != schedule::MachineState::Up) {
+    return true;
+  }
+  machine.mState = schedule::MachineState::Maintenance;
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    if (mExecutors[i].mEntry.mId != machine.mExecutor) {
+      continue;
+    }
+    auto gone = mExecutors[i].mEntry;
+    gone.mState = schedule::ExecutorState::Gone;
+    schedule::ExternalRecords records;
+    records.mExecutors.push_back(gone);
+    mExecutorRecords.push_back(records);
+    mExecutors[i].mIsUp = false;
+    mExecutors[i].mRuns.clear();
+  }
+  ScheduleAfter(aTime, [=, this] { ReturnMachine(aMachine, aTo); });
+  return true;
+}
+
+void
+Simulation::ReturnMachine(const schedule::MachineId& aMachine, const schedule::ServiceName& aTo)
+{
+  auto& machine = mMachines[aMachine];
+  machine.mState = schedule::MachineState::Up;
+  machine.mPool = aTo;
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    if (mExecutors[i].mEntry.mId == machine.mExecutor) {
+      Restart(mExecutors[i], mNow);
+      mExecutors[i].mIsUp = true;
+      mExecutors[i].mEntry.mId.mValue += "'";
+      mExecutors[i].mEntry.mService = aTo;
+      machine.mExecutor = mExecutors[i].mEntry.mId;
+      ListExecutor(static_cast<int>(i));
+      return;
+    }
+  }
+}
+
+}
