--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -212,6 +212,20 @@
   BOOST_TEST(!LoadSettings("/nonexistent/settings.json").ok());
 }
 
+// A deadline of 1 ms would have the reads repeated without a pause.
+BOOST_AUTO_TEST_CASE(deadlines_that_would_flood_the_store_are_refused)
+{
+  Settings settings;
+  settings.mManifestDeadline = 1ms;
+  settings.mDrainDeadline = 1ms;
+  settings.mMemberTimeToLive = 1ms;
+  auto status = CheckSettings(settings);
+  BOOST_REQUIRE(!status.ok());
+  for (const auto* name : { "manifest_deadline", "drain_deadline", "member_time_to_live" }) {
+    BOOST_TEST(status.message().find(name) != std::string::npos);
+  }
+}
+
 // A route that could not be read was left out without a line in the log.
 BOOST_AUTO_TEST_CASE(route_that_cannot_be_read_is_reported_and_the_others_hold)
 {
