--- a/Tests/Soak/soak.sh
+++ b/Tests/Soak/soak.sh
@@ -16,6 +16,16 @@
 
 RANDOM=$seed
 links_count=$((schedulers_count + executors_count))
+# Seeds below this one play the faults that there were when they were recorded, so that a seed that
+# failed keeps its meaning.
+first_seed_with_all_faults=1000
+link_fault_kinds=5
+platform_fault_kinds=5
+if [ "$seed" -ge "$first_seed_with_all_faults" ]; then
+  link_fault_kinds=6
+  platform_fault_kinds=6
+fi
+manifest_version=1
 
 start_links() {
   local ports targets flags=()
@@ -75,7 +85,7 @@
 
 link_fault() {
   local index=$1 kind
-  pick 5
+  pick "$link_fault_kinds"
   kind=$picked
   pick 30
   local time
@@ -86,6 +96,7 @@
     2) set_link "link=$index&from=held" ;;
     3) set_link "link=$index&to=held&from=held" ;;
     4) set_link "link=$index&reset=1" ;;
+    5) set_link "link=$index&silence=1" ;;
   esac
   note "link $index fault $kind for $time s"
   later "$time" set_link "link=$index&delay=0&to=open&from=open"
@@ -115,7 +126,7 @@
 
 platform_fault() {
   local kind
-  pick 5
+  pick "$platform_fault_kinds"
   kind=$picked
   note "platform fault $kind"
   case $kind in
@@ -124,6 +135,10 @@
     2) set_platform "forget=1" ;;
     3) set_platform "deal=1" ;;
     4) set_platform "restart=$((RANDOM % executors_count))" ;;
+    5)
+      manifest_version=$((manifest_version + 1))
+      set_platform "config=$manifest_version"
+      ;;
   esac
 }
 
