Log what the tasks of a shard wait for, and how late an owner's timers are

Change: a line shard-load once a second for each shard with waiting tasks, three gauges, and the longest delay of a timer in the traffic line and as a gauge. Lines that are written once an interval don't count against the budget.

--- a/Libraries/LibBase/LineLog.cpp
+++ b/Libraries/LibBase/LineLog.cpp
@@ -23,13 +23,13 @@
 }
 
 void
-LineLog::Write(TimePoint aNow, std::string_view aLine, bool aIsRoutine)
+LineLog::Write(TimePoint aNow, std::string_view aLine, LineKind aKind)
 {
-  if (!HasBudget(aNow, aIsRoutine) || mBuffer.size() + aLine.size() > mSettings.mBufferBytes) {
+  if (!HasBudget(aNow, aKind) || mBuffer.size() + aLine.size() > mSettings.mBufferBytes) {
     ++mDropped;
     return;
   }
-  ++mLinesInSecond;
+  mLinesInSecond += aKind == LineKind::Periodic ? 0 : 1;
   if (mDropped > mReportedDropped) {
     auto count = mDropped - mReportedDropped;
     mReportedDropped = mDropped;
@@ -51,13 +51,17 @@
 }
 
 bool
-LineLog::HasBudget(TimePoint aNow, bool aIsRoutine)
+LineLog::HasBudget(TimePoint aNow, LineKind aKind)
 {
   if (aNow - mSecondBegan >= 1s || aNow < mSecondBegan) {
     mSecondBegan = aNow;
     mLinesInSecond = 0;
   }
-  auto limit = static_cast<double>(mSettings.mLinesPerSecond) * (aIsRoutine ? kRoutineShare : 1.0);
+  if (aKind == LineKind::Periodic) {
+    return true;
+  }
+  auto share = aKind == LineKind::Routine ? kRoutineShare : 1.0;
+  auto limit = static_cast<double>(mSettings.mLinesPerSecond) * share;
   return static_cast<double>(mLinesInSecond) < limit;
 }
 
--- a/Libraries/LibBase/LineLog.h
+++ b/Libraries/LibBase/LineLog.h
@@ -15,6 +15,17 @@
   std::size_t mBufferBytes = 128 * 1024;
 };
 
+enum class LineKind
+{
+  // Written for each unit of work. Left out first.
+  Routine,
+  // Says how a request ended.
+  Result,
+  // Written once an interval, however busy the process is. Does not count against the budget, so
+  // that a busy second is not the one that nobody can explain.
+  Periodic,
+};
+
 // Writes lines to a descriptor and never waits for its reader: what the reader doesn't take is kept
 // up to a limit, and lines beyond it are counted. The count is written once there is room again.
 class LineLog
@@ -22,14 +33,14 @@
 public:
   LineLog(int aDescriptor, const LineLogSettings& aSettings);
 
-  // Routine lines are left out first: they get no more than a part of the budget.
-  void Write(TimePoint aNow, std::string_view aLine, bool aIsRoutine);
+  // Routine lines get no more than a part of the budget.
+  void Write(TimePoint aNow, std::string_view aLine, LineKind aKind);
   void Flush();
 
   [[nodiscard]] std::int64_t Dropped() const { return mDropped; }
 
 private:
-  [[nodiscard]] bool HasBudget(TimePoint aNow, bool aIsRoutine);
+  [[nodiscard]] bool HasBudget(TimePoint aNow, LineKind aKind);
   void Append(std::string_view aLine);
 
   int mDescriptor;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -116,6 +116,7 @@
   StateCoverage coverage{ aShard.mNextJobsOffset, aShard.mProgressEnd };
   AdvancePublisher(aShard.mStates, aNow, coverage, aActions);
   AdvanceRemoval(aShard.mEnded, aNow.mAt, aShard.mPartition, aShard.mEpoch, aActions);
+  ReportLoad(aShard, aNow, aActions);
 }
 
 namespace detail {
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -4,6 +4,7 @@
 #include "LibSchedule/EndedJobs.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
+#include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
 
 #include <map>
@@ -117,6 +118,8 @@
   // The last placement pass could not place all ready tasks.
   bool mHasUnplacedTasks = false;
   Instant mLastPlacementPassAt;
+  ShardLoad mLoad;
+  Instant mNextLoadReportAt;
   ShardCounters mCounters;
 };
 
--- a/Tests/LibBase/TestLineLog.cpp
+++ b/Tests/LibBase/TestLineLog.cpp
@@ -36,14 +36,14 @@
   Pipe pipe;
   LineLog log(pipe.mEnds[1], { 10, 4096 });
   for (int i = 0; i < 20; ++i) {
-    log.Write(TimePoint(1s), "routine", true);
+    log.Write(TimePoint(1s), "routine", LineKind::Routine);
   }
   BOOST_TEST(log.Dropped() == 13);
   for (int i = 0; i < 5; ++i) {
-    log.Write(TimePoint(1s), "end", false);
+    log.Write(TimePoint(1s), "end", LineKind::Result);
   }
   BOOST_TEST(log.Dropped() == 15);
-  log.Write(TimePoint(2s), "next", false);
+  log.Write(TimePoint(2s), "next", LineKind::Result);
   log.Flush();
   auto text = pipe.Read();
   BOOST_TEST(text.find("{\"event\":\"log-lines-dropped\",\"count\":13}") != std::string::npos);
@@ -51,13 +51,28 @@
              std::string::npos);
 }
 
+// In a peak, the lines of ended jobs used up the budget, and the load of the busiest shard was
+// missing for just that time.
+BOOST_AUTO_TEST_CASE(periodic_lines_are_written_when_the_budget_is_used_up)
+{
+  Pipe pipe;
+  LineLog log(pipe.mEnds[1], { 10, 4096 });
+  for (int i = 0; i < 20; ++i) {
+    log.Write(TimePoint(1s), "end", LineKind::Result);
+  }
+  log.Write(TimePoint(1s), "load", LineKind::Periodic);
+  log.Flush();
+  BOOST_TEST(log.Dropped() == 10);
+  BOOST_TEST(pipe.Read().find("load\n") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(a_reader_that_takes_nothing_does_not_hold_the_writer_up)
 {
   Pipe pipe;
   LineLog log(pipe.mEnds[1], { 1'000'000, 4096 });
   std::string line(1000, 'x');
   for (int i = 0; i < 1000; ++i) {
-    log.Write(TimePoint(1s), line, false);
+    log.Write(TimePoint(1s), line, LineKind::Result);
     log.Flush();
   }
   BOOST_TEST(log.Dropped() > 0);
