--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -128,6 +128,11 @@
       [this, aHost, aIncarnation, aEvent] { Deliver(aHost, aIncarnation, aEvent); });
     return;
   }
+  if (mNow < host.mBusyUntil) {
+    ScheduleAfter(host.mBusyUntil - mNow, [=, this] { Deliver(aHost, aIncarnation, aEvent); });
+    return;
+  }
+  host.mBusyUntil = mNow + mSettings.mEventCost;
   HandleEvent(aHost, aEvent);
 }
 
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -32,6 +32,8 @@
   double mAnswerLoss = 0;
   // Probability that an order to an executor is not answered and is executed 2 to 8 s late.
   double mLateOrders = 0;
+  // The processor time that a host takes for each event. It handles one event after the other.
+  Duration mEventCost{ 0 };
 };
 
 struct SimulatedHost
@@ -44,6 +46,8 @@
   // Distinguishes this process from former ones, so that answers to those are dropped.
   int mIncarnation = 0;
   std::vector<std::function<void()>> mDeferredEvents;
+  // The processor is occupied until then.
+  schedule::Instant mBusyUntil;
 };
 
 struct SubmittedJob
@@ -88,6 +92,8 @@
   void AddWave(const schedule::Wave& aWave);
   void PublishManifest(const schedule::Manifest& aManifest);
 
+  // Whether the job's newest progress record has a final phase.
+  [[nodiscard]] bool HasEnded(const JobId& aJob) const;
   // Whether every accepted job has ended.
   [[nodiscard]] bool AllEnded() const;
   // The invariants that were violated so far.
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -141,28 +141,17 @@
   }
 }
 
+bool
+Simulation::HasEnded(const JobId& aJob) const
+{
+  return schedule::IsFinal(StoredPhase(aJob));
+}
+
 bool
 Simulation::AllEnded() const
 {
-  // A job has ended if its newest progress record has a final phase.
-  std::set<JobId> ended;
-  for (const auto& [key, partition] : mStore.mPartitions) {
-    if (key.mStream != Stream::Progress) {
-      continue;
-    }
-    for (const auto& [id, offset] : partition.mNewest) {
-      const auto& record = partition.mRecords[static_cast<std::size_t>(offset)];
-      if (schedule::IsLeaseExpiryKey(id)) {
-        continue;
-      }
-      auto progress = schedule::DecodeProgress(record.mValue);
-      if (progress.ok() && schedule::IsFinal(progress->mPhase)) {
-        ended.insert(JobId(id));
-      }
-    }
-  }
   return std::all_of(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
-    return !aEntry.second.mAccepted || ended.contains(aEntry.first);
+    return !aEntry.second.mAccepted || HasEnded(aEntry.first);
   });
 }
 
