Do not send a start that no longer fits its executor

Cause: a start is decided on the room as last read and sent once its placement is stored; with a slow store that is seconds later, and the room may have shrunk meanwhile.

Change: before a start is sent, all that is placed on its executor has to fit the executor's present room; a gang's members are sent all or none. What doesn't fit waits again.

Evidence: a_start_that_no_longer_fits_a_shrunk_executor_is_not_sent failed on the code before (two starts instead of one).

--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -203,6 +203,32 @@
   }
 }
 
+// Whether the executor of each attempt of the task has room for all that is placed there. It may
+// have shrunk since the placement.
+bool
+FitsItsExecutors(const Shard& aShard, const Task& aTask)
+{
+  return !aTask.mAttempts.empty() &&
+         std::all_of(aTask.mAttempts.begin(), aTask.mAttempts.end(), [&](const Attempt& aAttempt) {
+           const auto& executor = aShard.mExecutors.at(aAttempt.mExecutor);
+           return Covers(executor.mEntry.mCapacity, ReservedResources(executor));
+         });
+}
+
+// The tasks of a gang are started all or none.
+bool
+FitsItsExecutors(const Shard& aShard, const Job& aJob, const TaskId& aName)
+{
+  const auto& tasks = aJob.mOccurrences[static_cast<std::size_t>(aName.mOccurrence)]
+                        .mSteps[static_cast<std::size_t>(aName.mStep)]
+                        .mTasks;
+  if (!detail::StepOf(aJob, aName).mGang) {
+    return FitsItsExecutors(aShard, tasks[static_cast<std::size_t>(aName.mIndex)]);
+  }
+  return std::all_of(
+    tasks.begin(), tasks.end(), [&](const Task& aTask) { return FitsItsExecutors(aShard, aTask); });
+}
+
 void
 AdvanceExecutor(Shard& aShard, Executor& aExecutor, const Now& aNow, Actions& aActions)
 {
@@ -403,7 +429,8 @@
   }
   auto isStillValid =
     !IsFinal(job->mPhase) && !found->second.mStopRequested && MayStartTasks(aShard, aNow.mAt) &&
-    aNow.mAt - aShard.mConfirmedAt < kMaxUnconfirmedToStart && IsSchedulable(executor, aNow.mAt);
+    aNow.mAt - aShard.mConfirmedAt < kMaxUnconfirmedToStart && IsSchedulable(executor, aNow.mAt) &&
+    FitsItsExecutors(aShard, *job, aRun.mTask);
   if (!isStillValid) {
     DropRun(aShard, executor, aRun);
     return;
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -211,6 +211,33 @@
   }
 }
 
+// Guards against a start that brings an executor over its room (LIMIT): it was placed before the
+// room shrank, and sent once the placement was stored.
+BOOST_AUTO_TEST_CASE(a_start_that_no_longer_fits_a_shrunk_executor_is_not_sent)
+{
+  for (auto cores : { 1, 2 }) {
+    Owner owner;
+    owner.AddJob(Later(10ms));
+    owner.AddJob(Later(10ms), "0000000000000002");
+    owner.Advance(Later(10ms));
+    AppendAnswer answer;
+    for (const auto& call : Select<AppendCall>(owner.mActions)) {
+      if (call.mStream == Stream::Progress) {
+        answer.mCall = call;
+      }
+    }
+    auto entry = owner.TheExecutor().mEntry;
+    entry.mCapacity.mCpuMillicores = cores * 1000;
+    UpdateExecutor(owner.mShard, Later(20ms), entry);
+    answer.mResult = CallResult::Done;
+    answer.mSentAt = Later(10ms).mAt;
+    owner.mActions.clear();
+    OnAppendAnswer(owner.mShard, Later(20ms), answer, owner.mActions);
+    BOOST_TEST(Select<StartCall>(owner.mActions).size() == static_cast<std::size_t>(cores));
+    BOOST_TEST(owner.TheExecutor().mRuns.size() == static_cast<std::size_t>(cores));
+  }
+}
+
 // Records that do not reach the end of the stream leave out later cancellations.
 BOOST_AUTO_TEST_CASE(news_of_the_jobs_counts_only_once_the_end_of_the_stream_is_reached)
 {
