--- a/Tests/LibSchedule/TestCrashes.cpp
+++ b/Tests/LibSchedule/TestCrashes.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr Duration kStart = 1s;
+constexpr int kOthers = 6;
 
 void
 CheckInvariants(const Simulation& aSimulation)
@@ -39,7 +40,8 @@
   simulation.RunFor(kStart);
   auto deadly = simulation.Submit(0, { MakeStep(3, 1) }, "crashes");
   std::vector<JobId> others;
-  for (int i = 0; i < 6; ++i) {
+  others.reserve(kOthers);
+  for (int i = 0; i < kOthers; ++i) {
     others.push_back(simulation.Submit(0, { MakeStep(4, 1) }, "800"));
   }
   simulation.RunFor(60s);
@@ -59,7 +61,8 @@
   simulation.RunFor(kStart);
   auto deadly = simulation.Submit(0, { MakeStep(1, 1) }, "crashes");
   std::vector<JobId> others;
-  for (int i = 0; i < 5; ++i) {
+  others.reserve(kOthers);
+  for (int i = 0; i < kOthers; ++i) {
     others.push_back(simulation.Submit(0, { MakeStep(2, 1) }, "1500"));
   }
   simulation.RunFor(80s);
