Ask for hosts for tasks that have to run apart

Change: what isolated tasks keep from others counts as needed, those that wait within ten seconds. Groups of suspects have four tasks instead of eight, so that half as many have to run alone after a second crash.

Evidence: tasks_that_run_alone_ask_for_hosts_of_their_own failed with the former demand.

--- a/Libraries/LibSchedule/CrashIsolation.cpp
+++ b/Libraries/LibSchedule/CrashIsolation.cpp
@@ -12,7 +12,7 @@
 constexpr int kCrashesToRunAlone = 2;
 // Fewer need more executors to clear all suspects of one crash, more make a second crash take more
 // of them along.
-constexpr int kMaxSuspectsTogether = 8;
+constexpr int kMaxSuspectsTogether = 4;
 // A run that lasts and has been at work for this long is no longer suspected.
 constexpr Duration kTimeToProve = 3s;
 // The part of a pool that is reserved for suspects at most.
@@ -79,6 +79,20 @@
   return aTask.mCrashes == 0 || aStep.mLongRunning ? Isolation::None : Isolation::AmongSuspects;
 }
 
+double
+OccupiedShare(Isolation aIsolation)
+{
+  switch (aIsolation) {
+    case Isolation::None:
+      return 0;
+    case Isolation::AmongSuspects:
+      return 1.0 / kMaxSuspectsTogether;
+    case Isolation::Alone:
+      return 1;
+  }
+  return 0;
+}
+
 bool
 HasProvenHarmless(const PlacedRun& aRun, Instant aNow)
 {
--- a/Libraries/LibSchedule/CrashIsolation.h
+++ b/Libraries/LibSchedule/CrashIsolation.h
@@ -28,6 +28,11 @@
 bool
 HasProvenHarmless(const PlacedRun& aRun, Instant aNow);
 
+// The part of an executor that a run keeps from others by its isolation; 0 for one that is not
+// isolated.
+double
+OccupiedShare(Isolation aIsolation);
+
 // The runs on an executor by how they are kept apart.
 struct Occupants
 {
--- a/Libraries/LibSchedule/Demand.cpp
+++ b/Libraries/LibSchedule/Demand.cpp
@@ -1,5 +1,7 @@
 #include "LibSchedule/Demand.h"
 
+#include "LibSchedule/CrashIsolation.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -15,6 +17,9 @@
 // Late work is to be completed within this time. It asks for few hosts, so that it holds none that
 // other pools need for work that can still be in time.
 constexpr double kBacklogSeconds = 3.0;
+// Suspects are to be cleared within this time. They are late already, and hosts that wait for them
+// are kept from pools whose work can still be in time.
+constexpr double kIsolationSeconds = 10.0;
 // Jobs that arrived within this window give the rate of arriving work; the window before it gives
 // the growth of that rate.
 constexpr Duration kArrivalWindow = 500ms;
@@ -27,6 +32,8 @@
 
 struct PoolWorkload
 {
+  // Cores of a host of the pool; 0 while it has none.
+  double mHostCores = 0;
   // Cores taken by running and placed tasks, and by waiting long-running tasks once they are
   // placed.
   double mRunning = 0;
@@ -34,6 +41,8 @@
   double mWaiting = 0;
   // CPU time of waiting tasks of late jobs, in core-seconds.
   double mLate = 0;
+  // CPU time that waiting tasks will keep from others since they are isolated, in core-seconds.
+  double mIsolated = 0;
   // CPU time of the jobs that arrived in the last window and in the one before, in core-seconds.
   double mArrived = 0;
   double mArrivedBefore = 0;
@@ -56,6 +65,19 @@
   return static_cast<double>(aStep.mEstimate.count()) / kMilliseconds;
 }
 
+// Cores that the tasks of a step in the given state keep from others beyond what they need, since
+// they are isolated.
+double
+IsolatedCores(const Step& aStep, const StepState& aState, TaskState aTasks, double aHostCores)
+{
+  double sum = 0;
+  for (const auto& task : aState.mTasks) {
+    auto occupied = OccupiedShare(IsolationOf(aStep, task)) * aHostCores;
+    sum += task.mState == aTasks ? std::max(0.0, occupied - CoresOf(aStep)) : 0;
+  }
+  return sum;
+}
+
 void
 AddStep(const Job& aJob, int aOccurrence, int aStep, const Now& aNow, PoolWorkload& aSums)
 {
@@ -64,6 +86,11 @@
                         .mSteps[static_cast<std::size_t>(aStep)];
   auto open = static_cast<int>(state.mTasks.size()) - state.mDone;
   aSums.mRunning += (open - state.mWaiting) * CoresOf(step);
+  if (state.mSuspects > 0) {
+    aSums.mRunning += IsolatedCores(step, state, TaskState::Placed, aSums.mHostCores);
+    aSums.mIsolated +=
+      IsolatedCores(step, state, TaskState::Waiting, aSums.mHostCores) * SecondsOf(step);
+  }
   aSums.mLongRunning += step.mLongRunning ? open : 0;
   if (step.mMaxPerExecutor > 0) {
     aSums.mMinHosts =
@@ -116,14 +143,14 @@
 }
 
 // Cores needed to keep up with arriving work and to start waiting work in time, plus those for late
-// work.
+// work and for the isolation of suspects.
 double
 CoresNeeded(const PoolWorkload& aSums)
 {
   auto inTime = std::max({ aSums.mRunning,
                            CoresForArrivals(aSums),
                            aSums.mWaiting + kStillRunningShare * aSums.mRunning });
-  return inTime + aSums.mLate / kBacklogSeconds;
+  return inTime + aSums.mLate / kBacklogSeconds + aSums.mIsolated / kIsolationSeconds;
 }
 
 }
@@ -143,6 +170,7 @@
     }
   }
   PoolWorkload sums;
+  sums.mHostCores = demand.mPresent == 0 ? 0 : cores / demand.mPresent;
   for (const auto& [id, job] : aShard.mJobs) {
     if (job.mDefinition.mService == aPool && !IsFinal(job.mPhase)) {
       AddJob(job, aNow, sums);
--- a/Tests/LibSchedule/TestCrashIsolation.cpp
+++ b/Tests/LibSchedule/TestCrashIsolation.cpp
@@ -106,7 +106,7 @@
     AddExecutor(executors, "x" + std::to_string(i), 9 - i);
   }
   executors.at(ExecutorId("x7")).mRuns.begin()->second.mIsLongRunning = true;
-  ReserveForSuspects(executors, kPool, { 5, 0 }, kNow);
+  ReserveForSuspects(executors, kPool, { 4, 0 }, kNow);
   BOOST_TEST(CountReserved(executors) == 1);
   // The least work, without a run that lasts.
   BOOST_TEST(executors.at(ExecutorId("x6")).mIsReservedForSuspects);
--- a/Tests/LibSchedule/TestDemand.cpp
+++ b/Tests/LibSchedule/TestDemand.cpp
@@ -125,4 +125,21 @@
   BOOST_TEST(pool.Wanted() == 2);
 }
 
+// Guards against suspects that still wait at the end of the day (LOST): tasks that had to run alone
+// asked for a few cores, so that their pool kept a few hosts.
+BOOST_AUTO_TEST_CASE(tasks_that_run_alone_ask_for_hosts_of_their_own)
+{
+  Pool pool;
+  for (int i = 0; i < 6; ++i) {
+    auto& job = pool.AddJob(0ms);
+    job.mDefinition.mSteps[0].mNeeds.mCpuMillicores = 1000;
+  }
+  auto wanted = pool.Wanted();
+  for (auto& [id, job] : pool.mShard.mJobs) {
+    AddCrash(job, { id, 0, 0, 0 });
+    AddCrash(job, { id, 0, 0, 0 });
+  }
+  BOOST_TEST(pool.Wanted() > wanted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/Soak/soak.sh
+++ b/Tests/Soak/soak.sh
@@ -25,6 +25,8 @@
   link_fault_kinds=6
   platform_fault_kinds=6
 fi
+# From this seed on, signals, restarts and changes also come in series that overlap.
+first_seed_with_series=3000
 manifest_version=1
 
 start_links() {
@@ -135,13 +137,31 @@
     2) set_platform "forget=1" ;;
     3) set_platform "deal=1" ;;
     4) set_platform "restart=$((RANDOM % executors_count))" ;;
-    5)
-      manifest_version=$((manifest_version + 1))
-      set_platform "config=$manifest_version"
-      ;;
+    5) change_manifest ;;
   esac
 }
 
+change_manifest() {
+  manifest_version=$((manifest_version + 1))
+  set_platform "config=$manifest_version"
+}
+
+# Several signals, restarts and changes within a few tenths of a second, to any schedulers and often
+# to one more than once.
+fault_series() {
+  local length=$((3 + RANDOM % 5))
+  note "series of $length"
+  for _ in $(seq "$length"); do
+    pick 4
+    case $picked in
+      0) change_manifest ;;
+      1) pick "$links_count" && link_fault "$picked" ;;
+      *) scheduler_fault ;;
+    esac
+    sleep "0.0$((RANDOM % 10))"
+  done
+}
+
 heal() {
   for i in $(seq 0 $((links_count - 1))); do
     set_link "link=$i&delay=0&to=open&from=open"
@@ -186,7 +206,9 @@
 while [ "$SECONDS" -lt "$end" ]; do
   sleep "0.$((RANDOM % 8 + 1))"
   pick 10
-  if [ "$picked" -lt 5 ]; then
+  if [ "$seed" -ge "$first_seed_with_series" ] && [ "$picked" -eq 0 ]; then
+    fault_series
+  elif [ "$picked" -lt 5 ]; then
     pick "$links_count"
     link_fault "$picked"
   elif [ "$picked" -lt 8 ]; then
