--- a/Libraries/LibSchedule/CrashIsolation.cpp
+++ b/Libraries/LibSchedule/CrashIsolation.cpp
@@ -26,6 +26,18 @@
   return std::min(limit, groups + aWaiting.mAlone);
 }
 
+int&
+CountOf(Occupants& aOccupants, Isolation aIsolation, bool aIsLongRunning)
+{
+  if (aIsolation == Isolation::Alone) {
+    return aOccupants.mAlone;
+  }
+  if (aIsolation == Isolation::AmongSuspects) {
+    return aOccupants.mSuspects;
+  }
+  return aIsLongRunning ? aOccupants.mLongRunning : aOccupants.mOrdinary;
+}
+
 // An executor that may be reserved. Those that are reserved already stay so as long as they are
 // needed; then executors go first on which no run that lasts would have to stop, then those with
 // the least work.
@@ -103,29 +115,13 @@
 void
 AddOccupant(Occupants& aOccupants, Isolation aIsolation, bool aIsLongRunning)
 {
-  if (aIsolation == Isolation::Alone) {
-    ++aOccupants.mAlone;
-  } else if (aIsolation == Isolation::AmongSuspects) {
-    ++aOccupants.mSuspects;
-  } else if (aIsLongRunning) {
-    ++aOccupants.mLongRunning;
-  } else {
-    ++aOccupants.mOrdinary;
-  }
+  ++CountOf(aOccupants, aIsolation, aIsLongRunning);
 }
 
 void
 RemoveOccupant(Occupants& aOccupants, Isolation aIsolation, bool aIsLongRunning)
 {
-  if (aIsolation == Isolation::Alone) {
-    --aOccupants.mAlone;
-  } else if (aIsolation == Isolation::AmongSuspects) {
-    --aOccupants.mSuspects;
-  } else if (aIsLongRunning) {
-    --aOccupants.mLongRunning;
-  } else {
-    --aOccupants.mOrdinary;
-  }
+  --CountOf(aOccupants, aIsolation, aIsLongRunning);
 }
 
 bool
