Decide the isolation of a task once a placement, not once an executor

Cause: a placement examines every executor of the pool, 450 to 750 in a large one's peak, and each time worked out how the task has to be kept apart.

--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -42,16 +42,16 @@
 bool
 IsAllowed(const Candidate& aCandidate,
           const ServiceName& aService,
-          const PlacementRequest& aRequest)
+          const PlacementRequest& aRequest,
+          Isolation aIsolation)
 {
   const auto& executor = *aCandidate.mExecutor;
   const auto& step = *aRequest.mStep;
   if (executor.mEntry.mService != aService || !HasLabel(executor, step.mRequiredLabel)) {
     return false;
   }
-  auto isolation = IsolationOf(step, *aRequest.mTask);
-  if ((executor.mIsReservedForSuspects && isolation == Isolation::None) ||
-      !MayJoin(aCandidate.mOccupants, isolation, step.mLongRunning)) {
+  if ((executor.mIsReservedForSuspects && aIsolation == Isolation::None) ||
+      !MayJoin(aCandidate.mOccupants, aIsolation, step.mLongRunning)) {
     return false;
   }
   return step.mMaxPerExecutor == 0 ||
@@ -66,7 +66,7 @@
 }
 
 std::int64_t
-CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest)
+CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest, Isolation aIsolation)
 {
   const auto& step = *aRequest.mStep;
   const auto& failedOn = aRequest.mTask->mFailedOn;
@@ -81,7 +81,7 @@
   if (step.mLongRunning && aCandidate.mExecutor->mIsDueForMaintenance) {
     cost += kDueForMaintenanceCost;
   }
-  if (IsolationOf(step, *aRequest.mTask) != Isolation::None) {
+  if (aIsolation != Isolation::None) {
     cost += kSuspectBesideLongRunningCost * aCandidate.mOccupants.mLongRunning;
   } else if (step.mLongRunning) {
     cost += kSuspectBesideLongRunningCost * aCandidate.mOccupants.mSuspects;
@@ -125,13 +125,14 @@
                 const PlacementRequest& aRequest)
 {
   auto needs = NeedsOf(*aRequest.mStep);
+  auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
   Candidate* best = nullptr;
   std::int64_t bestCost = 0;
   for (auto& candidate : aCandidates) {
-    if (!Covers(candidate.mFree, needs) || !IsAllowed(candidate, aService, aRequest)) {
+    if (!Covers(candidate.mFree, needs) || !IsAllowed(candidate, aService, aRequest, isolation)) {
       continue;
     }
-    auto cost = CostOf(candidate, aRequest);
+    auto cost = CostOf(candidate, aRequest, isolation);
     if (best == nullptr || cost < bestCost) {
       best = &candidate;
       bestCost = cost;
