Explain a job that was given up for the executors that crashed under it

Cause: sesameseam explain said "0 runs failed on 0 executors" of such a job, since it read the ends that executors report only.

Change: without such ends, the executor-crashed lines are the cause.

--- a/Libraries/LibExplain/Explain.cpp
+++ b/Libraries/LibExplain/Explain.cpp
@@ -114,6 +114,11 @@
 ExplainFailed(const Lines& aAll, const Lines& aOwn)
 {
   auto failures = SelectEvent(aOwn, "task-failed");
+  auto crashes = SelectEvent(aOwn, "executor-crashed");
+  if (failures.empty() && !crashes.empty()) {
+    return MakeExplanation(
+      Cause::JobFaulty, crashes.back().mReason + ", last " + crashes.back().mSubject, crashes);
+  }
   std::set<std::string> executors;
   for (const auto& line : failures) {
     executors.insert(line.mSubject);
--- a/Tests/LibExplain/TestExplain.cpp
+++ b/Tests/LibExplain/TestExplain.cpp
@@ -102,6 +102,18 @@
     (ExplainTexts({ kStored, on("x1"), other, third, end }).mCause == Cause::ExecutorFaulty));
 }
 
+// Guards against a job that was given up for its crashes and is explained by no failed run at all.
+BOOST_AUTO_TEST_CASE(a_job_that_crashed_its_executors_is_faulty)
+{
+  auto end = Line(9000, "job-finished", ",\"outcome\":\"failed\"");
+  auto crash = Line(5000,
+                    "executor-crashed",
+                    R"(,"subject":"x1","reason":"3 executors have crashed under the task")");
+  auto explanation = ExplainTexts({ kStored, crash, end });
+  BOOST_TEST((explanation.mCause == Cause::JobFaulty));
+  BOOST_TEST(explanation.mSummary == "3 executors have crashed under the task, last x1");
+}
+
 BOOST_AUTO_TEST_CASE(invalid_log_line_is_an_error)
 {
   BOOST_TEST(!ParseLogLine("not json").ok());
