--- a/Libraries/LibSchedule/CrashIsolation.h
+++ b/Libraries/LibSchedule/CrashIsolation.h
@@ -11,7 +11,7 @@
 namespace sesameseam::schedule {
 
 // A task under which this many executors have crashed is given up. Its last run was alone on its
-// executor, so that no other task can be the cause.
+// executor, but for runs that last.
 inline constexpr int kCrashesToGiveUp = 3;
 
 // Whether the process of the executor ended while the run may have been there. A plain end of its
