--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -1,5 +1,6 @@
 #include "LibStandIn/Simulation.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace sesameseam::standin {
@@ -128,12 +129,31 @@
       [this, aHost, aIncarnation, aEvent] { Deliver(aHost, aIncarnation, aEvent); });
     return;
   }
-  if (mNow < host.mBusyUntil) {
-    ScheduleAfter(host.mBusyUntil - mNow, [=, this] { Deliver(aHost, aIncarnation, aEvent); });
+  if (mSettings.mEventCost == Duration(0)) {
+    HandleEvent(aHost, aEvent);
     return;
   }
+  host.mInbox.push_back(aEvent);
+  if (host.mInbox.size() == 1) {
+    ScheduleAfter(std::max(Duration(0), host.mBusyUntil - mNow),
+                  [=, this] { HandleInbox(aHost, aIncarnation); });
+  }
+}
+
+void
+Simulation::HandleInbox(int aHost, int aIncarnation)
+{
+  auto& host = mHosts[static_cast<std::size_t>(aHost)];
+  if (!host.mIsUp || host.mIncarnation != aIncarnation) {
+    return;
+  }
+  auto event = host.mInbox.front();
   host.mBusyUntil = mNow + mSettings.mEventCost;
-  HandleEvent(aHost, aEvent);
+  HandleEvent(aHost, event);
+  host.mInbox.pop_front();
+  if (!host.mInbox.empty()) {
+    ScheduleAfter(host.mBusyUntil - mNow, [=, this] { HandleInbox(aHost, aIncarnation); });
+  }
 }
 
 void
@@ -156,6 +176,7 @@
   host.mIsUp = false;
   host.mIsFrozen = false;
   host.mDeferredEvents.clear();
+  host.mInbox.clear();
 }
 
 void
@@ -169,7 +190,8 @@
   host.mIsUp = true;
   schedule::NodeSettings settings;
   settings.mName = host.mName;
-  settings.mCapacityMillicores = aHost < mSettings.mSmallHosts ? 100 : 1000;
+  settings.mCapacityMillicores =
+    aHost < mSettings.mSmallHosts ? mSettings.mHostMillicores / 10 : mSettings.mHostMillicores;
   mCapacities[host.mName] = settings.mCapacityMillicores;
   settings.mPartitions = mStore.mGroup.mPartitions;
   host.mNode = schedule::MakeNode(settings);
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -4,6 +4,7 @@
 #include "LibStandIn/FakeExecutor.h"
 #include "LibStandIn/FakeStore.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <queue>
@@ -36,6 +37,8 @@
   int mDeadlyJobs = 0;
   // The processor time that a host takes for each event. It handles one event after the other.
   Duration mEventCost{ 0 };
+  // The processor capacity of a host.
+  int mHostMillicores = 1000;
 };
 
 struct SimulatedHost
@@ -48,6 +51,9 @@
   // Distinguishes this process from former ones, so that answers to those are dropped.
   int mIncarnation = 0;
   std::vector<std::function<void()>> mDeferredEvents;
+  // Events that wait for the processor, in the order of their arrival. Empty if events cost
+  // nothing.
+  std::deque<schedule::Event> mInbox;
   // The processor is occupied until then.
   schedule::Instant mBusyUntil;
 };
@@ -146,6 +152,7 @@
   void ScheduleAfter(Duration aTime, std::function<void()> aWork);
   bool Chance(double aShare);
   void Deliver(int aHost, int aIncarnation, const schedule::Event& aEvent);
+  void HandleInbox(int aHost, int aIncarnation);
   void HandleEvent(int aHost, const schedule::Event& aEvent);
   void Tick(int aHost, int aIncarnation);
   void Execute(int aHost, const schedule::Action& aAction);
--- a/Tests/LibSchedule/TestOwnerLoad.cpp
+++ b/Tests/LibSchedule/TestOwnerLoad.cpp
@@ -21,8 +21,11 @@
 double
 ShareInTime(Duration aEventCost)
 {
-  Simulation simulation(
-    { .mHosts = kHosts, .mExecutors = kExecutors, .mExecutorCores = 32, .mEventCost = aEventCost });
+  Simulation simulation({ .mHosts = kHosts,
+                          .mExecutors = kExecutors,
+                          .mExecutorCores = 32,
+                          .mEventCost = aEventCost,
+                          .mHostMillicores = 500 });
   simulation.RunFor(3s);
   std::vector<JobId> jobs;
   for (Duration elapsed{ 0 }; elapsed < kPeak; elapsed += kBetweenJobs) {
@@ -47,4 +50,11 @@
   BOOST_TEST(ShareInTime(170us) >= 0.99);
 }
 
+// Guards against too little served (SHORT) because the calls for a pool in its peak are the load of
+// one processor, while those of all other hosts are idle.
+BOOST_AUTO_TEST_CASE(its_jobs_end_in_time_on_slow_processors, *boost::unit_test::disabled())
+{
+  BOOST_TEST(ShareInTime(600us) >= 0.99);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
