Renew the reading of a relay's clock before it is too old

Once in ten seconds all calls of a relay came back to the owner, and the executors were dealt anew.

A reading is now replaced after half of that time. The test failed before: the owner made 300 of 300 calls itself at one moment, 50 are allowed.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -255,12 +255,14 @@
   return answers;
 }
 
-// A reading is older than its receipt by an unknown time, so that the greatest one is the closest.
+// A reading is older than its receipt by an unknown time, so that the greatest one is the closest. It
+// is replaced before it is too old to be used.
 void
 ReadClock(Relay& aRelay, Instant aClock, Instant aNow)
 {
   auto lead = aClock - aNow;
-  if (!HasClock(aRelay, aNow) || lead >= aRelay.mClockLead) {
+  auto isRecent = aRelay.mClockReadAt && aNow - *aRelay.mClockReadAt < kMaxClockAge / 2;
+  if (!isRecent || lead >= aRelay.mClockLead) {
     aRelay.mClockLead = lead;
     aRelay.mClockReadAt = aNow;
   }
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -69,7 +69,7 @@
   RelayAnswer Answer(const RelayCall& aExchange, Duration aTime)
   {
     auto now = At(aTime);
-    now.mAt += kClockLead;
+    now.mAt += kClockLead - mDelay;
     Actions actions;
     OnRelayIncoming(mServices[aExchange.mRelay], now, { 1, aExchange.mRequest }, false, actions);
     for (const auto& call : Select<HeartbeatCall>(actions)) {
@@ -92,6 +92,8 @@
   }
 
   static constexpr Duration kClockLead = 50s;
+  // How old a reading of a relay's clock is.
+  Duration mDelay{ 0 };
   RelayedCalls mCalls;
   std::map<std::string, RelayService> mServices;
   std::vector<HeartbeatCall> mMade;
@@ -141,6 +143,22 @@
   }
 }
 
+// Guards against calls that all come back to the owner each time a reading of a relay's clock gets
+// old.
+BOOST_AUTO_TEST_CASE(a_relay_that_is_in_use_keeps_its_executors)
+{
+  ReadClocks();
+  std::size_t own = 0;
+  for (auto time = Duration(100ms); time < 25s; time += 100ms) {
+    // Each answer is a little later than the one before, so that the first reading is the closest.
+    mDelay += 10us;
+    auto actions = HeartbeatsTo(kManyExecutors);
+    Exchange(time, actions);
+    own = std::max(own, Select<HeartbeatCall>(actions).size());
+  }
+  BOOST_TEST(own <= 50u);
+}
+
 BOOST_AUTO_TEST_CASE(calls_that_reach_a_relay_late_are_not_made)
 {
   ReadClocks();
