Let an owner make all calls itself up to 400 executors a core

Cause: an owner with more than 100 executors on half a core handed calls over although its processor bore them, and a relay adds some ten milliseconds each way.

The limit is now 400 executors a core. A number of executors is a poor measure of a processor that has no time left: on a slower one an owner of 200 executors is still alone.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -9,7 +9,7 @@
 
 // An owner with no more executors than this, for each core of its processor, makes all calls
 // itself: a relay makes them later, and is one more host that can fail.
-constexpr int kExecutorsAlonePerCore = 200;
+constexpr int kExecutorsAlonePerCore = 400;
 // With more executors, the owner makes the calls to some of them only, since it decides on all.
 constexpr int kOwnExecutorsPerCore = 50;
 // Relays are filled up to this before another one is used.
