Make no relayed call that waited for the end of a suspension

What callers would see: a task that runs twice at once, or again after it was done.

Change: a host notices that it was suspended by 250 ms without an event, and makes no call that was decided on before it resumed. The time limit of calls is 500 ms. Checked where the same could happen: an owner's own starts have such a guard (kMaxUnconfirmedToStart).

The test calls_that_waited_for_the_end_of_a_suspension_are_not_made does not compile on the code before; the property is what failed there.

--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -3577,6 +3577,10 @@
   this->received = val;
 __isset.received = true;
 }
+
+void RelayRequest::__set_decided_at_us(const int64_t val) {
+  this->decided_at_us = val;
+}
 std::ostream& operator<<(std::ostream& out, const RelayRequest& obj)
 {
   obj.printTo(out);
@@ -3599,6 +3603,7 @@
   bool isset_owner = false;
   bool isset_session = false;
   bool isset_expires_at_us = false;
+  bool isset_decided_at_us = false;
 
   while (true)
   {
@@ -3660,6 +3665,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->decided_at_us);
+          isset_decided_at_us = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3675,6 +3688,8 @@
     throw TProtocolException(TProtocolException::INVALID_DATA);
   if (!isset_expires_at_us)
     throw TProtocolException(TProtocolException::INVALID_DATA);
+  if (!isset_decided_at_us)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
   return xfer;
 }
 
@@ -3713,6 +3728,10 @@
     xfer += oprot->writeI64(this->received);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("decided_at_us", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->decided_at_us);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3725,6 +3744,7 @@
   swap(a.expires_at_us, b.expires_at_us);
   swap(a.calls, b.calls);
   swap(a.received, b.received);
+  swap(a.decided_at_us, b.decided_at_us);
   swap(a.__isset, b.__isset);
 }
 
@@ -3734,6 +3754,7 @@
   expires_at_us = other94.expires_at_us;
   calls = other94.calls;
   received = other94.received;
+  decided_at_us = other94.decided_at_us;
   __isset = other94.__isset;
 }
 RelayRequest& RelayRequest::operator=(const RelayRequest& other95) {
@@ -3742,6 +3763,7 @@
   expires_at_us = other95.expires_at_us;
   calls = other95.calls;
   received = other95.received;
+  decided_at_us = other95.decided_at_us;
   __isset = other95.__isset;
   return *this;
 }
@@ -3753,6 +3775,7 @@
   out << ", " << "expires_at_us=" << to_string(expires_at_us);
   out << ", " << "calls="; (__isset.calls ? (out << to_string(calls)) : (out << "<null>"));
   out << ", " << "received="; (__isset.received ? (out << to_string(received)) : (out << "<null>"));
+  out << ", " << "decided_at_us=" << to_string(decided_at_us);
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -1402,7 +1402,8 @@
                : owner(),
                  session(0),
                  expires_at_us(0),
-                 received(0) {
+                 received(0),
+                 decided_at_us(0) {
   }
 
   virtual ~RelayRequest() noexcept;
@@ -1411,6 +1412,7 @@
   int64_t expires_at_us;
   std::vector<ExecutorCall>  calls;
   int64_t received;
+  int64_t decided_at_us;
 
   _RelayRequest__isset __isset;
 
@@ -1424,6 +1426,8 @@
 
   void __set_received(const int64_t val);
 
+  void __set_decided_at_us(const int64_t val);
+
   bool operator == (const RelayRequest & rhs) const
   {
     if (!(owner == rhs.owner))
@@ -1440,6 +1444,8 @@
       return false;
     else if (__isset.received && !(received == rhs.received))
       return false;
+    if (!(decided_at_us == rhs.decided_at_us))
+      return false;
     return true;
   }
   bool operator != (const RelayRequest &rhs) const {
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -379,6 +379,7 @@
 Handle(Node& aNode, const Now& aNow, const Event& aEvent)
 {
   Actions actions;
+  NoticeSuspension(aNode.mRelayService, aNow.mAt);
   std::visit([&](const auto& aValue) { HandleEvent(aNode, aNow, aValue, actions); }, aEvent);
   AdvanceAll(aNode, aNow, actions);
   return actions;
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -266,6 +266,7 @@
   record::RelayRequest out;
   out.owner = aRequest.mOwner;
   out.session = aRequest.mSession;
+  out.decided_at_us = ToMicroseconds(aRequest.mDecidedAt);
   out.expires_at_us = ToMicroseconds(aRequest.mExpiresAt);
   for (const auto& call : aRequest.mCalls) {
     out.calls.push_back(ToRecord(call));
@@ -282,6 +283,7 @@
   RelayRequest request;
   request.mOwner = record.owner;
   request.mSession = record.session;
+  request.mDecidedAt = FromMicroseconds(record.decided_at_us);
   request.mExpiresAt = FromMicroseconds(record.expires_at_us);
   request.mReceived = record.received;
   for (const auto& call : record.calls) {
--- a/Libraries/LibSchedule/RelayMessages.h
+++ b/Libraries/LibSchedule/RelayMessages.h
@@ -45,7 +45,9 @@
   std::string mOwner;
   // A new session forgets all calls of the former ones of the same host.
   std::int64_t mSession = 0;
-  // The calls are not made from this time on, by the relay's clock.
+  // When the owner decided on the first of the calls, and from when on none of them is made, by the
+  // relay's clock. Both may be earlier than meant, but not later.
+  Instant mDecidedAt;
   Instant mExpiresAt;
   std::vector<NumberedCall> mCalls;
   // How many results of the session the owner has received.
--- a/Libraries/LibSchedule/RelayService.cpp
+++ b/Libraries/LibSchedule/RelayService.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+// A host has an event at each of its ticks, so that one without events for this long was suspended.
+constexpr Duration kMaxTimeWithoutEvents = 250ms;
 // An owner asks several times a second while calls are under way.
 constexpr Duration kSessionLifetime = 5s;
 
@@ -49,7 +51,9 @@
           RelaySession& aSession,
           Actions& aActions)
 {
-  auto isExpired = aNow.mAt >= aRequest.mExpiresAt;
+  // A call that has waited for the end of a suspension may be one of a former owner, and reach an
+  // executor that has restarted and knows no fencing token.
+  auto isExpired = aNow.mAt >= aRequest.mExpiresAt || aRequest.mDecidedAt < aService.mResumedAt;
   std::int64_t expired = 0;
   for (const auto& call : aRequest.mCalls) {
     if (call.mNumber <= aSession.mLastCall) {
@@ -69,7 +73,7 @@
     aService.mExpiredCalls += expired;
     LogEntry entry{ LogLevel::Info, "relayed-calls-expired", {}, aRequest.mOwner };
     entry.mOutcome = std::to_string(expired) + " calls not made";
-    entry.mAge = ToMilliseconds(aNow.mAt - aRequest.mExpiresAt);
+    entry.mAge = ToMilliseconds(aNow.mAt - aRequest.mDecidedAt);
     aActions.emplace_back(std::move(entry));
   }
 }
@@ -90,6 +94,15 @@
 
 }
 
+void
+NoticeSuspension(RelayService& aService, Instant aNow)
+{
+  if (aNow - aService.mLastEventAt > kMaxTimeWithoutEvents) {
+    aService.mResumedAt = aNow;
+  }
+  aService.mLastEventAt = aNow;
+}
+
 void
 OnRelayIncoming(RelayService& aService,
                 const Now& aNow,
--- a/Libraries/LibSchedule/RelayService.h
+++ b/Libraries/LibSchedule/RelayService.h
@@ -46,12 +46,19 @@
   // The calls that are not answered yet, by ExecutorAddress::mRelayTicket.
   std::map<std::int64_t, RelayedCallOrigin> mOrigins;
   std::int64_t mNextTicket = 1;
+  // When this host last handled an event, and when it last resumed after it had been suspended.
+  Instant mLastEventAt;
+  Instant mResumedAt;
   std::int64_t mCalls = 0;
   // Calls that arrived too late and were not made.
   std::int64_t mExpiredCalls = 0;
 };
 
-// Makes the calls of a request unless they have expired, and answers it with the results so far.
+// Takes note of an event, before it is handled, so that a suspension of this host is noticed.
+void
+NoticeSuspension(RelayService& aService, Instant aNow);
+
+// Makes the calls of a request unless they come too late, and answers it with the results so far.
 void
 OnRelayIncoming(RelayService& aService,
                 const Now& aNow,
--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -15,10 +15,10 @@
 // Relays are filled up to this before another one is used.
 constexpr int kRelayedExecutorsPerCore = 100;
 constexpr int kMillicoresPerCore = 1000;
-// A relay that gets calls later than this does not make them. A call that the owner makes itself
-// may take as long; an executor does not restart and end a run within this time, so that a call
-// never reaches a later life than the one that it was meant for.
-constexpr Duration kCallLifetime = 900ms;
+// A relay that gets calls later than this does not make them: an executor that has restarted in the
+// meantime knows no fencing token. An owner that is held up for some hundred milliseconds still
+// gets its calls through.
+constexpr Duration kCallLifetime = 500ms;
 // Clocks of hosts run at the same rate, but not exactly.
 constexpr Duration kMaxClockAge = 10s;
 constexpr Duration kMinExchangeInterval = 10ms;
@@ -224,7 +224,8 @@
   if (HasClock(aRelay, aNow.mAt)) {
     auto decidedAt =
       aRelay.mQueue.empty() ? aNow.mAt : aRelay.mPending.at(aRelay.mQueue.front()).mSentAt;
-    call.mRequest.mExpiresAt = decidedAt + aRelay.mClockLead + kCallLifetime;
+    call.mRequest.mDecidedAt = decidedAt + aRelay.mClockLead;
+    call.mRequest.mExpiresAt = call.mRequest.mDecidedAt + kCallLifetime;
     AddCalls(aRelay, call.mRequest.mCalls);
   }
   return call;
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -174,6 +174,8 @@
   4: optional list<ExecutorCall> calls,
   // How many answers of the session the owner has received.
   5: optional i64 received,
+  // When the owner decided on the first of the calls, by the relay's clock.
+  6: required i64 decided_at_us,
 }
 
 struct RelayReply {
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -183,13 +183,31 @@
   BOOST_TEST(Select<HeartbeatCall>(soon).size() <= 50u);
 }
 
+// Guards against two runs of a task at once: the relay was suspended with calls of an owner that
+// has lost its shard since, and their executor has restarted, so that it knows no fencing token.
+BOOST_AUTO_TEST_CASE(calls_that_waited_for_the_end_of_a_suspension_are_not_made)
+{
+  auto& service = mServices["e1"];
+  auto ask = [&](std::int64_t aNumber, Duration aDecidedAt) {
+    RelayRequest request{ "e0", 5, At(aDecidedAt).mAt, At(3600s).mAt };
+    request.mCalls.push_back({ aNumber, HeartbeatTo(1) });
+    Actions actions;
+    OnRelayIncoming(service, At(700ms), { 1, request }, false, actions);
+    return Select<HeartbeatCall>(actions).size();
+  };
+  NoticeSuspension(service, At(100ms).mAt);
+  NoticeSuspension(service, At(600ms).mAt);
+  BOOST_TEST(ask(1, 550ms) == 0u);
+  BOOST_TEST(ask(2, 650ms) == 1u);
+}
+
 // Guards against starts that wait for news of a call of which it is known that it was not made.
 BOOST_AUTO_TEST_CASE(a_start_that_was_not_made_is_told_apart_from_one_without_an_answer)
 {
   StartCall call;
   call.mTo = HeartbeatTo(1).mTo;
   Actions actions;
-  RelayRequest request{ "e0", 5, Instant(1s), { { 1, call } } };
+  RelayRequest request{ "e0", 5, Instant(1s), Instant(1s), { { 1, call } } };
   OnRelayIncoming(mServices["e1"], At(0ms), { 1, request }, false, actions);
   BOOST_TEST(Select<StartCall>(actions).empty());
   auto result = Select<RelayReply>(actions).at(0).mResponse.mResults.at(0);
@@ -326,7 +344,7 @@
 {
   auto to = HeartbeatTo(1).mTo;
   TaskRun run{ { JobId("00000000000000aa"), 1, 2, 3 }, 4 };
-  RelayRequest request{ "e0", 5, Instant(7s) };
+  RelayRequest request{ "e0", 5, Instant(6s), Instant(7s) };
   request.mCalls.push_back({ 1, HeartbeatCall{ to, 8, 9ms, 10ms } });
   request.mCalls.push_back({ 2, StartCall{ to, run, "spec", "saved", 11ms } });
   request.mCalls.push_back({ 3, StopCall{ to, run } });
@@ -334,6 +352,7 @@
   auto received = DecodeRelayRequest(EncodeRelayRequest(request)).value();
   BOOST_TEST(received.mOwner == "e0");
   BOOST_TEST(received.mSession == 5);
+  BOOST_TEST((received.mDecidedAt == Instant(6s)));
   BOOST_TEST((received.mExpiresAt == Instant(7s)));
   BOOST_TEST(received.mCalls.size() == 4u);
   const auto& heartbeat = std::get<HeartbeatCall>(received.mCalls[0].mCall);
@@ -373,7 +392,7 @@
 
 BOOST_AUTO_TEST_CASE(a_truncated_message_is_a_typed_error)
 {
-  RelayRequest request{ "e0", 5, Instant(7s) };
+  RelayRequest request{ "e0", 5, Instant(6s), Instant(7s) };
   request.mCalls.push_back({ 1, HeartbeatTo(1) });
   auto bytes = EncodeRelayRequest(request);
   BOOST_TEST(!DecodeRelayRequest(bytes.substr(0, bytes.size() / 2)).ok());
