Carry tenants in manifests and job records

A manifest holds tenants with keys, a weight and a quota, a route may be public, and a job's record names its tenant in an optional field, so that records of versions before are read as without one. Two replies more: 401 for a key that is not known, 429 where there is too little room. Nothing reads them yet.

Tests: the tenants of a manifest are decoded, a job is read as it was written with its tenant.

--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -307,10 +307,14 @@
   // The job does not exist.
   Gone,
   NoQueue,
+  // The request names no key of the manifest in force.
+  Unauthorized,
   BadRequest,
   TooLarge,
   // The request was not accepted and never will be; the caller may retry after mRetryAfter.
   Refused,
+  // As Refused, because there is too little room for what the caller asks.
+  Overloaded,
   // It is unknown whether the job was stored.
   Unknown,
 };
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -561,6 +561,11 @@
   this->interval_ms = val;
 __isset.interval_ms = true;
 }
+
+void Job::__set_tenant(const std::string& val) {
+  this->tenant = val;
+__isset.tenant = true;
+}
 std::ostream& operator<<(std::ostream& out, const Job& obj)
 {
   obj.printTo(out);
@@ -702,6 +707,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->tenant);
+          this->__isset.tenant = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -792,6 +805,11 @@
     xfer += oprot->writeI64(this->interval_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenant) {
+    xfer += oprot->writeFieldBegin("tenant", ::apache::thrift::protocol::T_STRING, 13);
+    xfer += oprot->writeString(this->tenant);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -811,6 +829,7 @@
   swap(a.run_count, b.run_count);
   swap(a.start_time_ms, b.start_time_ms);
   swap(a.interval_ms, b.interval_ms);
+  swap(a.tenant, b.tenant);
   swap(a.__isset, b.__isset);
 }
 
@@ -827,6 +846,7 @@
   run_count = other14.run_count;
   start_time_ms = other14.start_time_ms;
   interval_ms = other14.interval_ms;
+  tenant = other14.tenant;
   __isset = other14.__isset;
 }
 Job& Job::operator=(const Job& other15) {
@@ -842,6 +862,7 @@
   run_count = other15.run_count;
   start_time_ms = other15.start_time_ms;
   interval_ms = other15.interval_ms;
+  tenant = other15.tenant;
   __isset = other15.__isset;
   return *this;
 }
@@ -860,6 +881,7 @@
   out << ", " << "run_count="; (__isset.run_count ? (out << to_string(run_count)) : (out << "<null>"));
   out << ", " << "start_time_ms="; (__isset.start_time_ms ? (out << to_string(start_time_ms)) : (out << "<null>"));
   out << ", " << "interval_ms="; (__isset.interval_ms ? (out << to_string(interval_ms)) : (out << "<null>"));
+  out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -254,7 +254,7 @@
 std::ostream& operator<<(std::ostream& out, const Step& obj);
 
 typedef struct _Job__isset {
-  _Job__isset() : attempts(false), priority(false), stretch_percent(false), response_goal_ms(false), run_count(false), start_time_ms(false), interval_ms(false) {}
+  _Job__isset() : attempts(false), priority(false), stretch_percent(false), response_goal_ms(false), run_count(false), start_time_ms(false), interval_ms(false), tenant(false) {}
   bool attempts :1;
   bool priority :1;
   bool stretch_percent :1;
@@ -262,6 +262,7 @@
   bool run_count :1;
   bool start_time_ms :1;
   bool interval_ms :1;
+  bool tenant :1;
 } _Job__isset;
 
 class Job : public virtual ::apache::thrift::TBase {
@@ -280,7 +281,8 @@
         response_goal_ms(0),
         run_count(0),
         start_time_ms(0),
-        interval_ms(0) {
+        interval_ms(0),
+        tenant() {
   }
 
   virtual ~Job() noexcept;
@@ -296,6 +298,7 @@
   int32_t run_count;
   int64_t start_time_ms;
   int64_t interval_ms;
+  std::string tenant;
 
   _Job__isset __isset;
 
@@ -323,6 +326,8 @@
 
   void __set_interval_ms(const int64_t val);
 
+  void __set_tenant(const std::string& val);
+
   bool operator == (const Job & rhs) const
   {
     if (!(queue == rhs.queue))
@@ -363,6 +368,10 @@
       return false;
     else if (__isset.interval_ms && !(interval_ms == rhs.interval_ms))
       return false;
+    if (__isset.tenant != rhs.__isset.tenant)
+      return false;
+    else if (__isset.tenant && !(tenant == rhs.tenant))
+      return false;
     return true;
   }
   bool operator != (const Job &rhs) const {
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -127,6 +127,9 @@
   out.__set_priority(aJob.mPriority);
   out.__set_stretch_percent(aJob.mStretchPercent);
   out.__set_response_goal_ms(static_cast<std::int32_t>(aJob.mResponseGoal.count()));
+  if (!aJob.mTenant.IsEmpty()) {
+    out.__set_tenant(aJob.mTenant.mValue);
+  }
   if (aJob.mRunCount > 0) {
     out.__set_run_count(aJob.mRunCount);
     out.__set_start_time_ms(UnixMilliseconds(aJob.mStartTime));
@@ -142,6 +145,7 @@
   JobDefinition job;
   job.mQueue = QueueName(record.queue);
   job.mService = ServiceName(record.service_name);
+  job.mTenant = TenantName(record.tenant);
   job.mSpec = std::move(record.spec);
   for (const auto& step : record.steps) {
     job.mSteps.push_back(FromRecord(step));
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -16,6 +16,7 @@
 using MachineId = Id<struct MachineTag>;
 using ServiceName = Id<struct ServiceTag>;
 using QueueName = Id<struct QueueTag>;
+using TenantName = Id<struct TenantTag>;
 
 // Amounts of the resources that an executor offers and a task needs.
 struct Resources
@@ -96,6 +97,8 @@
 {
   QueueName mQueue;
   ServiceName mService;
+  // The organisation that the job counts against. Empty where calls need no key.
+  TenantName mTenant;
   std::string mSpec;
   std::vector<Step> mSteps;
   TimePoint mAcceptedAt;
@@ -156,6 +159,20 @@
   int mAttempts = 1;
   int mPriority = 0;
   int mStretchPercent = 100;
+  // Calls need no key.
+  bool mIsPublic = false;
+};
+
+// An organisation whose callers share keys, a share of a full fleet and a quota.
+struct Tenant
+{
+  TenantName mName;
+  // Secrets; never to be logged.
+  std::vector<std::string> mKeys;
+  // The share when there is not room for all: jobs per second that are owed to the tenant.
+  double mWeight = 0;
+  // What the tenant may have running on all executors together; 0 means no limit.
+  Resources mQuota;
 };
 
 struct Service
@@ -171,6 +188,7 @@
   std::int64_t mVersion = 0;
   std::vector<Route> mRoutes;
   std::vector<Service> mServices;
+  std::vector<Tenant> mTenants;
 };
 
 // A set of hosts that the operator wants maintained.
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -35,6 +35,8 @@
   10: optional i32 run_count,
   11: optional i64 start_time_ms,
   12: optional i64 interval_ms,
+  // Absent where calls need no key, and in records of versions without tenants.
+  13: optional string tenant,
 }
 
 // A request to cancel a job, stored in the same stream as the job under a separate key.
--- a/Tests/LibSchedule/TestJobRecords.cpp
+++ b/Tests/LibSchedule/TestJobRecords.cpp
@@ -43,6 +43,7 @@
     job.mQueue = QueueName(*rc::gen::string<std::string>());
     job.mService = ServiceName(*rc::gen::string<std::string>());
     job.mSpec = *rc::gen::string<std::string>();
+    job.mTenant = TenantName(*rc::gen::string<std::string>());
     auto count = *rc::gen::inRange(1, 5);
     for (int i = 0; i < count; ++i) {
       job.mSteps.push_back(AnyStep());
@@ -52,6 +53,7 @@
     auto again = DecodeJob(EncodeJob(job));
     RC_ASSERT(again.ok());
     RC_ASSERT(again->mSpec == job.mSpec);
+    RC_ASSERT(again->mTenant == job.mTenant);
     RC_ASSERT(again->mAcceptedAt == job.mAcceptedAt);
     RC_ASSERT(again->mSteps.size() == job.mSteps.size());
     RC_ASSERT(EncodeJob(*again) == EncodeJob(job));
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -227,6 +227,30 @@
 }
 
 // A route that could not be read was left out without a line in the log.
+BOOST_AUTO_TEST_CASE(tenants_of_a_manifest_are_decoded)
+{
+  ExternalRecords records;
+  DecodeExternalRecords(
+    Stream::Operator,
+    { { "config",
+        R"({"version":7,"routes":[{"host":"a.example","prefix":"/a/","service":"s","public":true}],)"
+        R"("tenants":[{"name":"t1","apiKeys":["k1","k2"],"weight":2.5,"maxCount":{"cpu":4000}},)"
+        R"({"name":"t2"},{"apiKeys":["k3"]}]})",
+        4 } },
+    records);
+  BOOST_REQUIRE(records.mManifests.size() == 1u);
+  const auto& manifest = records.mManifests.front();
+  BOOST_TEST(manifest.mRoutes.at(0).mIsPublic);
+  BOOST_REQUIRE(manifest.mTenants.size() == 2u);
+  const auto& first = manifest.mTenants.front();
+  BOOST_TEST(first.mName.mValue == "t1");
+  BOOST_TEST((first.mKeys == std::vector<std::string>{ "k1", "k2" }));
+  BOOST_TEST(first.mWeight == 2.5);
+  BOOST_TEST((first.mQuota == Resources{ 4000, 0, 0 }));
+  BOOST_TEST(manifest.mTenants.back().mKeys.empty());
+  BOOST_TEST((records.mUnreadable == std::vector<std::string>{ "a tenant of version 7" }));
+}
+
 BOOST_AUTO_TEST_CASE(route_that_cannot_be_read_is_reported_and_the_others_hold)
 {
   KeyedRecord record;
