Split the state machine of a pool by what it decides

How a request ends (PoolOutcomes) and how it leaves the queue (PoolDispatch) stand in files of their own now; no line of a function has changed.

--- a/Libraries/LibServe/PoolServer.cpp
+++ b/Libraries/LibServe/PoolServer.cpp
@@ -3,6 +3,8 @@
 #include "LibBase/Hash.h"
 #include "LibServe/Admission.h"
 #include "LibServe/Placement.h"
+#include "LibServe/PoolDispatch.h"
+#include "LibServe/PoolOutcomes.h"
 
 #include <algorithm>
 
@@ -10,9 +12,16 @@
 
 namespace {
 
-// Lower bound of the expected run time when deciding whether an attempt is slow; shorter estimates
-// are too unreliable for that.
-constexpr Duration kMinExpectedRunTime = 20ms;
+using detail::Enqueue;
+using detail::FailureOutcome;
+using detail::Finish;
+using detail::IsUndecided;
+using detail::IsViewStale;
+using detail::NotRun;
+using detail::OutcomeAfterAttempts;
+using detail::OutcomeWithoutDecision;
+using detail::StartQueuedRequests;
+using detail::Unknown;
 
 // The slot of a failed attempt is not used for this long, so that the retry goes to another slot.
 constexpr Duration kSlotHoldAfterFailure = 100ms;
@@ -21,227 +30,6 @@
 // this.
 constexpr int kMaxDeclines = 3;
 
-bool
-IsViewStale(const PoolServer& aServer, TimePoint aNow)
-{
-  return aNow - aServer.mViewConfirmed > aServer.mSettings.mViewStaleAfter;
-}
-
-void
-CountOutcome(ServeCounters& aCounters, OutcomeKind aKind)
-{
-  switch (aKind) {
-    case OutcomeKind::Answered:
-      aCounters.mAnswered += 1;
-      break;
-    case OutcomeKind::NotRun:
-      aCounters.mNotRun += 1;
-      break;
-    case OutcomeKind::Unknown:
-      aCounters.mUnknown += 1;
-      break;
-  }
-}
-
-Outcome
-NotRun(const PoolServer& aServer, const Request& aRequest, OutcomeReason aReason, Duration aWait)
-{
-  Outcome outcome;
-  outcome.mKind = OutcomeKind::NotRun;
-  outcome.mReason = aReason;
-  outcome.mRetryAfter =
-    JitteredRetryAfter(aRequest, std::max(aWait, aServer.mSettings.mMinRetryAfter));
-  return outcome;
-}
-
-Outcome
-Unknown(const PoolServer& aServer, const Request& aRequest, OutcomeReason aReason)
-{
-  auto outcome = NotRun(aServer, aRequest, aReason, aServer.mSettings.mMinRetryAfter);
-  outcome.mKind = OutcomeKind::Unknown;
-  return outcome;
-}
-
-// A request that may have run in an earlier attempt must not be reported as not run.
-Outcome
-OutcomeAfterAttempts(const PendingRequest& aPending, Outcome aOutcome)
-{
-  if (aPending.mMayHaveRun) {
-    aOutcome.mKind = OutcomeKind::Unknown;
-  }
-  return aOutcome;
-}
-
-// True until the log has decided whether this try may run.
-bool
-IsUndecided(const PendingRequest& aPending)
-{
-  return aPending.mPhase == RequestPhase::Claiming || aPending.mPhase == RequestPhase::Waiting;
-}
-
-// The outcome of a request that ends before the log has decided on its claim.
-Outcome
-OutcomeWithoutDecision(const PoolServer& aServer,
-                       const PendingRequest& aPending,
-                       OutcomeReason aReason)
-{
-  const auto& request = *aPending.mRequest;
-  auto outcome = NotRun(aServer, request, aReason, 1s);
-  outcome.mKind = aPending.mPhase == RequestPhase::Waiting && request.mTry != 1
-                    ? OutcomeKind::Unknown
-                    : OutcomeKindWithoutDecision(request);
-  return outcome;
-}
-
-// Finishes the request with its only outcome, and ends its claim.
-void
-Finish(PoolServer& aServer, const RequestId& aRequest, Outcome aOutcome, PoolActions& aActions)
-{
-  auto found = aServer.mPending.find(aRequest);
-  if (found == aServer.mPending.end()) {
-    return;
-  }
-  auto pending = std::move(found->second);
-  aServer.mPending.erase(found);
-  CountOutcome(aServer.mCounters, aOutcome.mKind);
-  if (pending.mClaimed) {
-    aActions.push_back(EndClaim{ pending.mRequest, aOutcome });
-  } else if (IsUndecided(pending)) {
-    // A claim that was sent may still reach the log, so it must be ended too. This try did not run,
-    // no matter what its caller must be told about earlier tries.
-    auto end = aOutcome;
-    end.mKind = OutcomeKind::NotRun;
-    aActions.push_back(EndClaim{ pending.mRequest, std::move(end) });
-  }
-  aActions.push_back(Answer{ aRequest, std::move(aOutcome) });
-}
-
-void
-DispatchToSlot(PoolServer& aServer,
-               TimePoint aNow,
-               const QueuedRequest& aNext,
-               const SlotId& aSlot,
-               PoolActions& aActions)
-{
-  const auto& request = *aNext.mRequest;
-  auto attempt = aServer.mNextAttempt++;
-  AcquireSlot(aServer.mSlots, aSlot, attempt);
-  RunningAttempt running;
-  running.mRequest = request.mId;
-  running.mSlot = aSlot;
-  running.mClass = request.mClass;
-  running.mStarted = aNow;
-  running.mSlowAt = aNow + std::max(aNext.mExpectedRunTime, kMinExpectedRunTime) * kSlowFactor;
-  aServer.mSlowAt.emplace(running.mSlowAt, attempt);
-  aServer.mAttempts.emplace(attempt, std::move(running));
-  aServer.mRunningLong += request.mClass == RequestClass::Long ? 1 : 0;
-  RecordStarted(aServer.mStarted, request.mClass, aNext.mExpectedRunTime, aNow);
-  aServer.mCounters.mDispatched += 1;
-  auto timeout = std::min(request.mDeadline - aNow, aServer.mView.mAttemptTimeout);
-  const auto& target = aServer.mSlots.mOwned.at(aSlot).mTarget;
-  aActions.push_back(Dispatch{ attempt, aNext.mRequest, target, timeout });
-}
-
-void
-ForwardToPeer(PoolServer& aServer,
-              TimePoint aNow,
-              const RequestPointer& aRequest,
-              const PeerChoice& aChoice,
-              PoolActions& aActions)
-{
-  auto attempt = aServer.mNextAttempt++;
-  aServer.mPeers[aChoice.mMember].mSentSince += 1;
-  RunningAttempt running;
-  running.mRequest = aRequest->mId;
-  running.mPeer = aChoice.mMember;
-  running.mClass = aRequest->mClass;
-  running.mStarted = aNow;
-  aServer.mAttempts.emplace(attempt, std::move(running));
-  aServer.mCounters.mForwarded += 1;
-  aActions.push_back(
-    Forward{ attempt, aRequest, aChoice.mMember, aChoice.mMayQueue, aRequest->mDeadline - aNow });
-}
-
-// Starts the next queued request of the class, on a slot or at a peer. Returns false if there is
-// none, or no capacity for it.
-bool
-StartNext(PoolServer& aServer, TimePoint aNow, RequestClass aClass, PoolActions& aActions)
-{
-  const auto* head = Peek(aServer.mQueue, aClass);
-  if (head == nullptr) {
-    return false;
-  }
-  auto slot = ChooseSlot(aServer, aClass);
-  std::optional<PeerChoice> peer;
-  // A request is forwarded at most once.
-  if (!slot && !head->mRequest->mForwarded) {
-    peer = ChoosePeer(aServer, aNow, aClass);
-    if (!peer) {
-      peer = ChooseShorterQueue(aServer, aNow, aClass);
-    }
-  }
-  if (!slot && !peer) {
-    return false;
-  }
-  auto next = Pop(aServer.mQueue, aClass, aServer.mView.mQuotas);
-  auto& pending = aServer.mPending.at(next->mRequest->mId);
-  pending.mPhase = RequestPhase::Running;
-  pending.mAttempts += 1;
-  if (slot) {
-    DispatchToSlot(aServer, aNow, *next, *slot, aActions);
-  } else {
-    ForwardToPeer(aServer, aNow, next->mRequest, *peer, aActions);
-  }
-  return true;
-}
-
-void
-RefuseExpired(PoolServer& aServer, TimePoint aNow, PoolActions& aActions)
-{
-  for (const auto& expired : TakeExpired(aServer.mQueue, aNow)) {
-    const auto& request = *expired.mRequest;
-    auto wait = PredictWait(aServer, aNow, request);
-    auto reason =
-      aNow >= request.mDeadline ? OutcomeReason::DeadlinePassed : OutcomeReason::Overloaded;
-    auto& pending = aServer.mPending.at(request.mId);
-    auto outcome = OutcomeAfterAttempts(pending, NotRun(aServer, request, reason, wait));
-    Finish(aServer, request.mId, outcome, aActions);
-  }
-}
-
-// Starts queued requests until no capacity is left.
-void
-StartQueuedRequests(PoolServer& aServer, TimePoint aNow, PoolActions& aActions)
-{
-  RefuseExpired(aServer, aNow, aActions);
-  if (IsViewStale(aServer, aNow)) {
-    return;
-  }
-  bool started = true;
-  while (started) {
-    started = false;
-    for (auto next : ClassOrder(aServer)) {
-      if (StartNext(aServer, aNow, next, aActions)) {
-        started = true;
-        break;
-      }
-    }
-  }
-}
-
-void
-Enqueue(PoolServer& aServer, TimePoint aNow, const RequestPointer& aRequest)
-{
-  auto& pending = aServer.mPending.at(aRequest->mId);
-  pending.mPhase = RequestPhase::Queued;
-  QueuedRequest queued;
-  queued.mRequest = aRequest;
-  queued.mExpectedRunTime =
-    std::min(ExpectedRunTime(aServer.mRunTimes, *aRequest), aServer.mView.mAttemptTimeout);
-  queued.mLatestStart = LatestStart(aServer, aNow, *aRequest);
-  Push(aServer.mQueue, std::move(queued));
-}
-
 std::optional<Outcome>
 RefusalOf(const PoolServer& aServer, TimePoint aNow, const Request& aRequest)
 {
@@ -367,23 +155,6 @@
   }
 }
 
-// The final outcome of a request whose last attempt failed.
-Outcome
-FailureOutcome(const PoolServer& aServer,
-               const PendingRequest& aPending,
-               const AttemptResult& aResult)
-{
-  const auto& request = *aPending.mRequest;
-  if (aResult.mEnd == AttemptEnd::NotSent) {
-    auto reason =
-      aResult.mReason == OutcomeReason::None ? OutcomeReason::NoTarget : aResult.mReason;
-    return OutcomeAfterAttempts(aPending, NotRun(aServer, request, reason, 1s));
-  }
-  auto reason =
-    aResult.mEnd == AttemptEnd::Failed ? OutcomeReason::TargetFailed : OutcomeReason::AttemptLost;
-  return Unknown(aServer, request, reason);
-}
-
 bool
 MayRetry(PoolServer& aServer,
          TimePoint aNow,
