Ask callers for a key, and decide only by a manifest that is recent enough

The Authorization headers become a typed credential; the manifest's keys are indexed once; the tenant goes into the job's record. Past the deadline for withdrawals, counted from the begin of the read that proved the manifest, calls with a key get 503; an unknown key gets 401 only by a manifest within the deadline for changes.

--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -8,6 +8,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/util.h>
 
 namespace sesameseam {
 
@@ -35,6 +36,20 @@
   return value == nullptr ? std::string() : std::string(value);
 }
 
+// A header that is repeated is kept as often as it was sent, so that the receiver can refuse it.
+std::vector<std::string>
+HeadersOf(evhttp_request* aRequest, const char* aName)
+{
+  std::vector<std::string> values;
+  const auto* headers = evhttp_request_get_input_headers(aRequest);
+  for (const auto* each = headers->tqh_first; each != nullptr; each = each->next.tqe_next) {
+    if (evutil_ascii_strcasecmp(each->key, aName) == 0) {
+      values.emplace_back(each->value);
+    }
+  }
+  return values;
+}
+
 std::chrono::milliseconds
 ParseMilliseconds(const std::string& aText)
 {
@@ -99,6 +114,7 @@
   if (!server.mSettings.mTimeoutHeader.empty()) {
     incoming.mTimeout = ParseMilliseconds(HeaderOf(aRequest, server.mSettings.mTimeoutHeader));
   }
+  incoming.mAuthorizations = HeadersOf(aRequest, "Authorization");
   auto* buffer = evhttp_request_get_input_buffer(aRequest);
   incoming.mBody.resize(evbuffer_get_length(buffer));
   evbuffer_remove(buffer, incoming.mBody.data(), incoming.mBody.size());
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 struct event_base;
 struct evhttp;
@@ -26,6 +27,8 @@
   std::string mBody;
   // How long the caller waits, from its header; 0 where it says nothing.
   std::chrono::milliseconds mTimeout{ 0 };
+  // The values of all Authorization headers, in their order. Secrets; never to be logged.
+  std::vector<std::string> mAuthorizations;
 };
 
 struct EventHttpReply
--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -82,11 +82,45 @@
   return aNow + std::max(timeout - kAnswerMargin, timeout / 2);
 }
 
+// Names on whose behalf the caller calls, or refuses the call; it has done nothing then.
+std::optional<TenantName>
+TenantOf(Node& aNode,
+         const Now& aNow,
+         const CallerRequest& aRequest,
+         const Route& aRoute,
+         Actions& aActions)
+{
+  const auto& follower = aNode.mFollower;
+  auto age = ProvenAge(follower, aNow.mAt);
+  auto result = Authenticate(
+    follower.mKeys, LimitsOf(aNode.mSettings.mFollower), age, aRoute, aRequest.mCredential);
+  if (result.mVerdict == Verdict::Granted) {
+    return std::move(result.mTenant);
+  }
+  auto isUnknown = result.mVerdict == Verdict::Unknown;
+  ++(isUnknown ? aNode.mCounters.mUnauthorized : aNode.mCounters.mUndecidedKeys);
+  LogEntry entry{ LogLevel::Info,
+                  isUnknown ? "call-unauthorized" : "call-undecided",
+                  JobIdIn(aRequest.mPath) };
+  entry.mSubject = aRoute.mQueue.mValue;
+  entry.mTenant = result.mTenant.mValue;
+  entry.mReason = result.mReason;
+  entry.mVersion = follower.mManifest->mVersion;
+  if (age) {
+    entry.mAge = ToMilliseconds(*age);
+  }
+  aActions.emplace_back(std::move(entry));
+  auto kind = isUnknown ? ReplyKind::Unauthorized : ReplyKind::Refused;
+  AddReply(aActions, aRequest.mTicket, kind, std::move(result.mReason));
+  return std::nullopt;
+}
+
 void
 Submit(Node& aNode,
        const Now& aNow,
        const CallerRequest& aRequest,
        const Route& aRoute,
+       const TenantName& aTenant,
        const JobId& aId,
        Actions& aActions)
 {
@@ -108,6 +142,7 @@
   }
   job.mQueue = aRoute.mQueue;
   job.mService = aRoute.mService;
+  job.mTenant = aTenant;
   job.mAcceptedAt = aNow.mWall;
   job.mAttempts = aRoute.mAttempts;
   job.mPriority = aRoute.mPriority;
@@ -216,6 +251,11 @@
     AddReply(aActions, aRequest.mTicket, ReplyKind::NoQueue);
     return;
   }
+  // Queues are no secret, so that a caller is told that there is none whatever key it shows.
+  auto tenant = TenantOf(aNode, aNow, aRequest, *route, aActions);
+  if (!tenant) {
+    return;
+  }
   auto name = aRequest.mPath.substr(route->mPrefix.size());
   auto isCountQuery = name.empty() && aRequest.mKind == RequestKind::State;
   if (!isCountQuery && !IsJobId(name)) {
@@ -225,7 +265,7 @@
   }
   JobId id(name);
   if (aRequest.mKind == RequestKind::Submit) {
-    Submit(aNode, aNow, aRequest, *route, id, aActions);
+    Submit(aNode, aNow, aRequest, *route, *tenant, id, aActions);
   } else {
     QueryView(aNode, aNow, aRequest, *route, id);
   }
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -2,6 +2,7 @@
 
 #include "LibSchedule/CallResult.h"
 #include "LibSchedule/Clock.h"
+#include "LibSchedule/Credential.h"
 #include "LibSchedule/ExecutorCalls.h"
 #include "LibSchedule/Model.h"
 #include "LibSchedule/RelayMessages.h"
@@ -349,6 +350,7 @@
   std::optional<JobDefinition> mJob;
   std::string mProblem;
   std::chrono::milliseconds mTimeout{ 0 };
+  Credential mCredential;
 };
 
 enum class LogLevel
@@ -369,6 +371,8 @@
   std::string mReason;
   std::optional<std::int64_t> mVersion;
   std::optional<std::chrono::milliseconds> mAge;
+  // The name of the tenant whose call or job it is.
+  std::string mTenant;
 };
 
 using Action = std::variant<AppendCall,
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -19,6 +19,20 @@
   return aStream == Stream::Operator ? aFollower.mOperator : aFollower.mExecutorList;
 }
 
+void
+LogKeyProblems(const Follower& aFollower, Actions& aActions)
+{
+  constexpr std::size_t kMaxLogged = 10;
+  const auto& problems = aFollower.mKeys.mProblems;
+  for (std::size_t i = 0; i < std::min(problems.size(), kMaxLogged); ++i) {
+    LogEntry entry{ LogLevel::Warning, "key-unusable", {}, problems[i].mTenant.mValue };
+    entry.mOutcome = std::to_string(problems.size()) + " in all";
+    entry.mReason = problems[i].mReason;
+    entry.mVersion = aFollower.mManifest->mVersion;
+    aActions.emplace_back(std::move(entry));
+  }
+}
+
 void
 ApplyManifest(Follower& aFollower,
               const Now& aNow,
@@ -32,6 +46,7 @@
   }
   aFollower.mManifest = aManifest;
   aFollower.mManifestAt = aNow.mAt;
+  aFollower.mKeys = MakeKeyIndex(aManifest);
   aChanges.mManifest = true;
   LogEntry entry{ LogLevel::Info, "manifest-in-force" };
   entry.mOutcome = std::to_string(aManifest.mRoutes.size()) + " routes";
@@ -39,6 +54,7 @@
   entry.mVersion = aManifest.mVersion;
   entry.mAge = ManifestAge(aFollower, aNow.mAt);
   aActions.emplace_back(std::move(entry));
+  LogKeyProblems(aFollower, aActions);
 }
 
 bool
@@ -202,6 +218,7 @@
     // The store answers without records only after it has waited for some.
     auto waited = aAnswer.mRecords.empty() ? Duration(aAnswer.mCall.mWait) : 0ms;
     stream.mCurrentAsOf = std::max(stream.mCurrentAsOf, stream.mSentAt + waited);
+    stream.mProvenAt = std::max(stream.mProvenAt, stream.mSentAt);
   }
   if (stream.mStream == Stream::Executors) {
     stream.mNextReadAt = aNow.mAt + kExecutorListInterval;
@@ -237,6 +254,7 @@
   stream.mLoaded = true;
   stream.mPosition = stream.mPagedEnd;
   stream.mCurrentAsOf = std::max(stream.mCurrentAsOf, stream.mLoadCurrentAsOf);
+  stream.mProvenAt = std::max(stream.mProvenAt, stream.mLoadCurrentAsOf);
   if (stream.mStream == Stream::Executors) {
     MarkUnlistedGone(aFollower, stream.mListed, changes);
   }
@@ -266,6 +284,21 @@
   return ToMilliseconds(aNow - aFollower.mOperator.mCurrentAsOf);
 }
 
+std::optional<Duration>
+ProvenAge(const Follower& aFollower, Instant aNow)
+{
+  if (aFollower.mOperator.mProvenAt == Instant()) {
+    return std::nullopt;
+  }
+  return aNow - aFollower.mOperator.mProvenAt;
+}
+
+ManifestLimits
+LimitsOf(const FollowerSettings& aSettings)
+{
+  return { aSettings.mManifestDeadline, aSettings.mRevocationDeadline };
+}
+
 const Route*
 FindRoute(const Manifest& aManifest, const std::string& aHost, const std::string& aPath)
 {
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibSchedule/Authentication.h"
 #include "LibSchedule/Dependency.h"
 
 #include <map>
@@ -14,6 +15,9 @@
 {
   // A change of the manifest must be in force this long after it was stored.
   std::chrono::milliseconds mManifestDeadline{ 2000 };
+  // No call may be served this long after its key was withdrawn; empty if a host that cannot read
+  // the manifest serves on by the one that it has.
+  std::optional<std::chrono::milliseconds> mRevocationDeadline;
   // An executor that is draining must get no work this long after it has said so.
   std::chrono::milliseconds mDrainDeadline{ 2000 };
 };
@@ -36,6 +40,9 @@
   Instant mSentAt;
   // All that was stored before this time is known.
   Instant mCurrentAsOf;
+  // When the last read was sent that found nothing unread; never later than mCurrentAsOf, which
+  // also counts the time that the log waited for records.
+  Instant mProvenAt;
   // The same, for the load under way.
   Instant mLoadCurrentAsOf;
 };
@@ -46,6 +53,7 @@
   FollowedStream mExecutorList{ Stream::Executors };
   std::optional<Manifest> mManifest;
   Instant mManifestAt;
+  KeyIndex mKeys;
   // The manifest in force may be older than its deadline allows, and the log says so.
   bool mIsManifestUnconfirmed = false;
   std::map<std::int64_t, Wave> mWaves;
@@ -80,6 +88,14 @@
 std::optional<std::chrono::milliseconds>
 ManifestAge(const Follower& aFollower, Instant aNow);
 
+// Returns how long ago the read was sent that proved the manifest in force to be the newest. Every
+// change that was stored before is in force.
+std::optional<Duration>
+ProvenAge(const Follower& aFollower, Instant aNow);
+
+ManifestLimits
+LimitsOf(const FollowerSettings& aSettings);
+
 // Returns the route of the host with the longest prefix that matches the path, or nullptr.
 const Route*
 FindRoute(const Manifest& aManifest, const std::string& aHost, const std::string& aPath);
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -189,6 +189,8 @@
   std::vector<Route> mRoutes;
   std::vector<Service> mServices;
   std::vector<Tenant> mTenants;
+  // Some of the tenants could not be read. Calls need keys then, also if no tenant is left.
+  bool mHasUnreadableTenants = false;
 };
 
 // A set of hosts that the operator wants maintained.
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -36,6 +36,9 @@
   std::int64_t mRequests = 0;
   std::int64_t mBadRequests = 0;
   std::int64_t mUnknownQueues = 0;
+  // Calls that showed no known key, and calls that the manifest may have been too old to decide on.
+  std::int64_t mUnauthorized = 0;
+  std::int64_t mUndecidedKeys = 0;
   std::int64_t mTakeOvers = 0;
 };
 
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -446,4 +446,45 @@
   BOOST_TEST(bodies[1] == "second");
 }
 
+// The heads are sent as they are; a connection that the server closes is made anew.
+BOOST_AUTO_TEST_CASE(all_authorization_headers_are_handed_on_whatever_their_bytes)
+{
+  Base base(event_base_new());
+  std::unique_ptr<EventHttpServer> server;
+  std::vector<EventHttpIncoming> incoming;
+  std::string address;
+  for (int port = 20100; port < 20200 && address.empty(); ++port) {
+    EventHttpServerSettings settings;
+    settings.mAddress = "127.0.0.1:" + std::to_string(port);
+    server =
+      std::make_unique<EventHttpServer>(base.get(), settings, [&](EventHttpIncoming aIncoming) {
+        incoming.push_back(std::move(aIncoming));
+        server->Reply(incoming.back().mTicket, { 200, "text/plain", "done" });
+      });
+    address = server->Start().ok() ? settings.mAddress : "";
+  }
+  BOOST_REQUIRE(!address.empty());
+  EventHttpClient client(base.get(), {});
+  auto request = Order(address);
+  request.mHeaders = { { "Authorization", "Bearer k1" }, { "authorization", "Basic k2" } };
+  CallInTurn(base.get(), client, request, 1);
+  BOOST_REQUIRE(incoming.size() == 1u);
+  BOOST_TEST((incoming[0].mAuthorizations == std::vector<std::string>{ "Bearer k1", "Basic k2" }));
+  std::mt19937 random(7);
+  for (int i = 0; i < 200; ++i) {
+    std::string value(random() % 40, 'x');
+    for (auto& byte : value) {
+      // A line end begins another header, which the client does not send.
+      byte = static_cast<char>(random() % 256);
+      byte = byte == '\r' || byte == '\n' || byte == '\0' ? ' ' : byte;
+    }
+    request.mHeaders = { { "Authorization", value } };
+    CallInTurn(base.get(), client, request, 1);
+  }
+  request.mHeaders = {};
+  auto last = CallInTurn(base.get(), client, request, 1);
+  BOOST_TEST(last.front().mAnswered);
+  BOOST_TEST(incoming.back().mAuthorizations.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
