--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -36,6 +36,8 @@
   Owners,
   // Records that shard owners exchange about hosts: maintenance, moves and demand.
   Fleet,
+  // What each shard holds of the tenants' quotas, written by shard owners.
+  Quotas,
   // Status reports for the operator.
   Status,
 };
@@ -58,6 +60,8 @@
       return "owners";
     case Stream::Fleet:
       return "fleet";
+    case Stream::Quotas:
+      return "quotas";
     case Stream::Status:
       return "status";
   }
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -35,6 +35,9 @@
 struct PlacedRun
 {
   Resources mReserved;
+  // Whose quota it counts against, and how much. Empty for a run that counts against none.
+  TenantName mTenant;
+  Resources mCounted;
   RunState mState = RunState::Recording;
   bool mIsLongRunning = false;
   bool mIsLatencySensitive = false;
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -2391,6 +2391,324 @@
 }
 
 
+QuotaClaim::~QuotaClaim() noexcept {
+}
+
+
+void QuotaClaim::__set_epoch(const int64_t val) {
+  this->epoch = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuotaClaim& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuotaClaim::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+  bool isset_epoch = false;
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->epoch);
+          isset_epoch = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  if (!isset_epoch)
+    throw TProtocolException(TProtocolException::INVALID_DATA);
+  return xfer;
+}
+
+uint32_t QuotaClaim::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuotaClaim");
+
+  xfer += oprot->writeFieldBegin("epoch", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->epoch);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuotaClaim &a, QuotaClaim &b) {
+  using ::std::swap;
+  swap(a.epoch, b.epoch);
+}
+
+QuotaClaim::QuotaClaim(const QuotaClaim& other66) noexcept {
+  epoch = other66.epoch;
+}
+QuotaClaim& QuotaClaim::operator=(const QuotaClaim& other67) noexcept {
+  epoch = other67.epoch;
+  return *this;
+}
+void QuotaClaim::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuotaClaim(";
+  out << "epoch=" << to_string(epoch);
+  out << ")";
+}
+
+
+Allotment::~Allotment() noexcept {
+}
+
+
+void Allotment::__set_held_millicores(const int64_t val) {
+  this->held_millicores = val;
+__isset.held_millicores = true;
+}
+
+void Allotment::__set_held_memory_mb(const int64_t val) {
+  this->held_memory_mb = val;
+__isset.held_memory_mb = true;
+}
+
+void Allotment::__set_held_gpus(const int64_t val) {
+  this->held_gpus = val;
+__isset.held_gpus = true;
+}
+
+void Allotment::__set_wanted_millicores(const int64_t val) {
+  this->wanted_millicores = val;
+__isset.wanted_millicores = true;
+}
+
+void Allotment::__set_wanted_memory_mb(const int64_t val) {
+  this->wanted_memory_mb = val;
+__isset.wanted_memory_mb = true;
+}
+
+void Allotment::__set_wanted_gpus(const int64_t val) {
+  this->wanted_gpus = val;
+__isset.wanted_gpus = true;
+}
+
+void Allotment::__set_wanted_since(const int64_t val) {
+  this->wanted_since = val;
+__isset.wanted_since = true;
+}
+std::ostream& operator<<(std::ostream& out, const Allotment& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t Allotment::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_millicores);
+          this->__isset.held_millicores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_memory_mb);
+          this->__isset.held_memory_mb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->held_gpus);
+          this->__isset.held_gpus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_millicores);
+          this->__isset.wanted_millicores = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_memory_mb);
+          this->__isset.wanted_memory_mb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_gpus);
+          this->__isset.wanted_gpus = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->wanted_since);
+          this->__isset.wanted_since = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t Allotment::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("Allotment");
+
+  if (this->__isset.held_millicores) {
+    xfer += oprot->writeFieldBegin("held_millicores", ::apache::thrift::protocol::T_I64, 1);
+    xfer += oprot->writeI64(this->held_millicores);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.held_memory_mb) {
+    xfer += oprot->writeFieldBegin("held_memory_mb", ::apache::thrift::protocol::T_I64, 2);
+    xfer += oprot->writeI64(this->held_memory_mb);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.held_gpus) {
+    xfer += oprot->writeFieldBegin("held_gpus", ::apache::thrift::protocol::T_I64, 3);
+    xfer += oprot->writeI64(this->held_gpus);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_millicores) {
+    xfer += oprot->writeFieldBegin("wanted_millicores", ::apache::thrift::protocol::T_I64, 4);
+    xfer += oprot->writeI64(this->wanted_millicores);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_memory_mb) {
+    xfer += oprot->writeFieldBegin("wanted_memory_mb", ::apache::thrift::protocol::T_I64, 5);
+    xfer += oprot->writeI64(this->wanted_memory_mb);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_gpus) {
+    xfer += oprot->writeFieldBegin("wanted_gpus", ::apache::thrift::protocol::T_I64, 6);
+    xfer += oprot->writeI64(this->wanted_gpus);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.wanted_since) {
+    xfer += oprot->writeFieldBegin("wanted_since", ::apache::thrift::protocol::T_I64, 7);
+    xfer += oprot->writeI64(this->wanted_since);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(Allotment &a, Allotment &b) {
+  using ::std::swap;
+  swap(a.held_millicores, b.held_millicores);
+  swap(a.held_memory_mb, b.held_memory_mb);
+  swap(a.held_gpus, b.held_gpus);
+  swap(a.wanted_millicores, b.wanted_millicores);
+  swap(a.wanted_memory_mb, b.wanted_memory_mb);
+  swap(a.wanted_gpus, b.wanted_gpus);
+  swap(a.wanted_since, b.wanted_since);
+  swap(a.__isset, b.__isset);
+}
+
+Allotment::Allotment(const Allotment& other68) noexcept {
+  held_millicores = other68.held_millicores;
+  held_memory_mb = other68.held_memory_mb;
+  held_gpus = other68.held_gpus;
+  wanted_millicores = other68.wanted_millicores;
+  wanted_memory_mb = other68.wanted_memory_mb;
+  wanted_gpus = other68.wanted_gpus;
+  wanted_since = other68.wanted_since;
+  __isset = other68.__isset;
+}
+Allotment& Allotment::operator=(const Allotment& other69) noexcept {
+  held_millicores = other69.held_millicores;
+  held_memory_mb = other69.held_memory_mb;
+  held_gpus = other69.held_gpus;
+  wanted_millicores = other69.wanted_millicores;
+  wanted_memory_mb = other69.wanted_memory_mb;
+  wanted_gpus = other69.wanted_gpus;
+  wanted_since = other69.wanted_since;
+  __isset = other69.__isset;
+  return *this;
+}
+void Allotment::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "Allotment(";
+  out << "held_millicores="; (__isset.held_millicores ? (out << to_string(held_millicores)) : (out << "<null>"));
+  out << ", " << "held_memory_mb="; (__isset.held_memory_mb ? (out << to_string(held_memory_mb)) : (out << "<null>"));
+  out << ", " << "held_gpus="; (__isset.held_gpus ? (out << to_string(held_gpus)) : (out << "<null>"));
+  out << ", " << "wanted_millicores="; (__isset.wanted_millicores ? (out << to_string(wanted_millicores)) : (out << "<null>"));
+  out << ", " << "wanted_memory_mb="; (__isset.wanted_memory_mb ? (out << to_string(wanted_memory_mb)) : (out << "<null>"));
+  out << ", " << "wanted_gpus="; (__isset.wanted_gpus ? (out << to_string(wanted_gpus)) : (out << "<null>"));
+  out << ", " << "wanted_since="; (__isset.wanted_since ? (out << to_string(wanted_since)) : (out << "<null>"));
+  out << ")";
+}
+
+
 RunName::~RunName() noexcept {
 }
 
@@ -2546,21 +2864,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RunName::RunName(const RunName& other66) {
-  job = other66.job;
-  occurrence = other66.occurrence;
-  step = other66.step;
-  index = other66.index;
-  run = other66.run;
-  __isset = other66.__isset;
-}
-RunName& RunName::operator=(const RunName& other67) {
-  job = other67.job;
-  occurrence = other67.occurrence;
-  step = other67.step;
-  index = other67.index;
-  run = other67.run;
-  __isset = other67.__isset;
+RunName::RunName(const RunName& other70) {
+  job = other70.job;
+  occurrence = other70.occurrence;
+  step = other70.step;
+  index = other70.index;
+  run = other70.run;
+  __isset = other70.__isset;
+}
+RunName& RunName::operator=(const RunName& other71) {
+  job = other71.job;
+  occurrence = other71.occurrence;
+  step = other71.step;
+  index = other71.index;
+  run = other71.run;
+  __isset = other71.__isset;
   return *this;
 }
 void RunName::printTo(std::ostream& out) const {
@@ -2866,35 +3184,35 @@
   swap(a.__isset, b.__isset);
 }
 
-ExecutorCall::ExecutorCall(const ExecutorCall& other68) {
-  number = other68.number;
-  kind = other68.kind;
-  executor = other68.executor;
-  address = other68.address;
-  epoch = other68.epoch;
-  run = other68.run;
-  spec = other68.spec;
-  checkpoint = other68.checkpoint;
-  lease_end_ms = other68.lease_end_ms;
-  wait_ms = other68.wait_ms;
-  last_seen = other68.last_seen;
-  percent = other68.percent;
-  __isset = other68.__isset;
+ExecutorCall::ExecutorCall(const ExecutorCall& other72) {
+  number = other72.number;
+  kind = other72.kind;
+  executor = other72.executor;
+  address = other72.address;
+  epoch = other72.epoch;
+  run = other72.run;
+  spec = other72.spec;
+  checkpoint = other72.checkpoint;
+  lease_end_ms = other72.lease_end_ms;
+  wait_ms = other72.wait_ms;
+  last_seen = other72.last_seen;
+  percent = other72.percent;
+  __isset = other72.__isset;
 }
-ExecutorCall& ExecutorCall::operator=(const ExecutorCall& other69) {
-  number = other69.number;
-  kind = other69.kind;
-  executor = other69.executor;
-  address = other69.address;
-  epoch = other69.epoch;
-  run = other69.run;
-  spec = other69.spec;
-  checkpoint = other69.checkpoint;
-  lease_end_ms = other69.lease_end_ms;
-  wait_ms = other69.wait_ms;
-  last_seen = other69.last_seen;
-  percent = other69.percent;
-  __isset = other69.__isset;
+ExecutorCall& ExecutorCall::operator=(const ExecutorCall& other73) {
+  number = other73.number;
+  kind = other73.kind;
+  executor = other73.executor;
+  address = other73.address;
+  epoch = other73.epoch;
+  run = other73.run;
+  spec = other73.spec;
+  checkpoint = other73.checkpoint;
+  lease_end_ms = other73.lease_end_ms;
+  wait_ms = other73.wait_ms;
+  last_seen = other73.last_seen;
+  percent = other73.percent;
+  __isset = other73.__isset;
   return *this;
 }
 void ExecutorCall::printTo(std::ostream& out) const {
@@ -3051,19 +3369,19 @@
   swap(a.__isset, b.__isset);
 }
 
-RunningTask::RunningTask(const RunningTask& other70) {
-  run = other70.run;
-  checkpoint = other70.checkpoint;
-  percent = other70.percent;
-  load = other70.load;
-  __isset = other70.__isset;
+RunningTask::RunningTask(const RunningTask& other74) {
+  run = other74.run;
+  checkpoint = other74.checkpoint;
+  percent = other74.percent;
+  load = other74.load;
+  __isset = other74.__isset;
 }
-RunningTask& RunningTask::operator=(const RunningTask& other71) {
-  run = other71.run;
-  checkpoint = other71.checkpoint;
-  percent = other71.percent;
-  load = other71.load;
-  __isset = other71.__isset;
+RunningTask& RunningTask::operator=(const RunningTask& other75) {
+  run = other75.run;
+  checkpoint = other75.checkpoint;
+  percent = other75.percent;
+  load = other75.load;
+  __isset = other75.__isset;
   return *this;
 }
 void RunningTask::printTo(std::ostream& out) const {
@@ -3214,19 +3532,19 @@
   swap(a.__isset, b.__isset);
 }
 
-TaskEnd::TaskEnd(const TaskEnd& other72) {
-  number = other72.number;
-  run = other72.run;
-  kind = other72.kind;
-  checkpoint = other72.checkpoint;
-  __isset = other72.__isset;
+TaskEnd::TaskEnd(const TaskEnd& other76) {
+  number = other76.number;
+  run = other76.run;
+  kind = other76.kind;
+  checkpoint = other76.checkpoint;
+  __isset = other76.__isset;
 }
-TaskEnd& TaskEnd::operator=(const TaskEnd& other73) {
-  number = other73.number;
-  run = other73.run;
-  kind = other73.kind;
-  checkpoint = other73.checkpoint;
-  __isset = other73.__isset;
+TaskEnd& TaskEnd::operator=(const TaskEnd& other77) {
+  number = other77.number;
+  run = other77.run;
+  kind = other77.kind;
+  checkpoint = other77.checkpoint;
+  __isset = other77.__isset;
   return *this;
 }
 void TaskEnd::printTo(std::ostream& out) const {
@@ -3381,14 +3699,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->running.clear();
-            uint32_t _size74;
-            ::apache::thrift::protocol::TType _etype77;
-            xfer += iprot->readListBegin(_etype77, _size74);
-            this->running.resize(_size74);
-            uint32_t _i78;
-            for (_i78 = 0; _i78 < _size74; ++_i78)
+            uint32_t _size78;
+            ::apache::thrift::protocol::TType _etype81;
+            xfer += iprot->readListBegin(_etype81, _size78);
+            this->running.resize(_size78);
+            uint32_t _i82;
+            for (_i82 = 0; _i82 < _size78; ++_i82)
             {
-              xfer += this->running[_i78].read(iprot);
+              xfer += this->running[_i82].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3401,14 +3719,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->ends.clear();
-            uint32_t _size79;
-            ::apache::thrift::protocol::TType _etype82;
-            xfer += iprot->readListBegin(_etype82, _size79);
-            this->ends.resize(_size79);
-            uint32_t _i83;
-            for (_i83 = 0; _i83 < _size79; ++_i83)
+            uint32_t _size83;
+            ::apache::thrift::protocol::TType _etype86;
+            xfer += iprot->readListBegin(_etype86, _size83);
+            this->ends.resize(_size83);
+            uint32_t _i87;
+            for (_i87 = 0; _i87 < _size83; ++_i87)
             {
-              xfer += this->ends[_i83].read(iprot);
+              xfer += this->ends[_i87].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3483,10 +3801,10 @@
     xfer += oprot->writeFieldBegin("running", ::apache::thrift::protocol::T_LIST, 8);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->running.size()));
-      std::vector<RunningTask> ::const_iterator _iter84;
-      for (_iter84 = this->running.begin(); _iter84 != this->running.end(); ++_iter84)
+      std::vector<RunningTask> ::const_iterator _iter88;
+      for (_iter88 = this->running.begin(); _iter88 != this->running.end(); ++_iter88)
       {
-        xfer += (*_iter84).write(oprot);
+        xfer += (*_iter88).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3496,10 +3814,10 @@
     xfer += oprot->writeFieldBegin("ends", ::apache::thrift::protocol::T_LIST, 9);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->ends.size()));
-      std::vector<TaskEnd> ::const_iterator _iter85;
-      for (_iter85 = this->ends.begin(); _iter85 != this->ends.end(); ++_iter85)
+      std::vector<TaskEnd> ::const_iterator _iter89;
+      for (_iter89 = this->ends.begin(); _iter89 != this->ends.end(); ++_iter89)
       {
-        xfer += (*_iter85).write(oprot);
+        xfer += (*_iter89).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3530,31 +3848,31 @@
   swap(a.__isset, b.__isset);
 }
 
-ExecutorAnswer::ExecutorAnswer(const ExecutorAnswer& other86) {
-  number = other86.number;
-  result = other86.result;
-  age_us = other86.age_us;
-  refusal = other86.refusal;
-  fenced = other86.fenced;
-  incarnation = other86.incarnation;
-  clock_ms = other86.clock_ms;
-  running = other86.running;
-  ends = other86.ends;
-  unreadable = other86.unreadable;
-  __isset = other86.__isset;
-}
-ExecutorAnswer& ExecutorAnswer::operator=(const ExecutorAnswer& other87) {
-  number = other87.number;
-  result = other87.result;
-  age_us = other87.age_us;
-  refusal = other87.refusal;
-  fenced = other87.fenced;
-  incarnation = other87.incarnation;
-  clock_ms = other87.clock_ms;
-  running = other87.running;
-  ends = other87.ends;
-  unreadable = other87.unreadable;
-  __isset = other87.__isset;
+ExecutorAnswer::ExecutorAnswer(const ExecutorAnswer& other90) {
+  number = other90.number;
+  result = other90.result;
+  age_us = other90.age_us;
+  refusal = other90.refusal;
+  fenced = other90.fenced;
+  incarnation = other90.incarnation;
+  clock_ms = other90.clock_ms;
+  running = other90.running;
+  ends = other90.ends;
+  unreadable = other90.unreadable;
+  __isset = other90.__isset;
+}
+ExecutorAnswer& ExecutorAnswer::operator=(const ExecutorAnswer& other91) {
+  number = other91.number;
+  result = other91.result;
+  age_us = other91.age_us;
+  refusal = other91.refusal;
+  fenced = other91.fenced;
+  incarnation = other91.incarnation;
+  clock_ms = other91.clock_ms;
+  running = other91.running;
+  ends = other91.ends;
+  unreadable = other91.unreadable;
+  __isset = other91.__isset;
   return *this;
 }
 void ExecutorAnswer::printTo(std::ostream& out) const {
@@ -3663,14 +3981,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->calls.clear();
-            uint32_t _size88;
-            ::apache::thrift::protocol::TType _etype91;
-            xfer += iprot->readListBegin(_etype91, _size88);
-            this->calls.resize(_size88);
-            uint32_t _i92;
-            for (_i92 = 0; _i92 < _size88; ++_i92)
+            uint32_t _size92;
+            ::apache::thrift::protocol::TType _etype95;
+            xfer += iprot->readListBegin(_etype95, _size92);
+            this->calls.resize(_size92);
+            uint32_t _i96;
+            for (_i96 = 0; _i96 < _size92; ++_i96)
             {
-              xfer += this->calls[_i92].read(iprot);
+              xfer += this->calls[_i96].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3736,10 +4054,10 @@
     xfer += oprot->writeFieldBegin("calls", ::apache::thrift::protocol::T_LIST, 4);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->calls.size()));
-      std::vector<ExecutorCall> ::const_iterator _iter93;
-      for (_iter93 = this->calls.begin(); _iter93 != this->calls.end(); ++_iter93)
+      std::vector<ExecutorCall> ::const_iterator _iter97;
+      for (_iter97 = this->calls.begin(); _iter97 != this->calls.end(); ++_iter97)
       {
-        xfer += (*_iter93).write(oprot);
+        xfer += (*_iter97).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3770,23 +4088,23 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayRequest::RelayRequest(const RelayRequest& other94) {
-  owner = other94.owner;
-  session = other94.session;
-  expires_at_us = other94.expires_at_us;
-  calls = other94.calls;
-  received = other94.received;
-  decided_at_us = other94.decided_at_us;
-  __isset = other94.__isset;
-}
-RelayRequest& RelayRequest::operator=(const RelayRequest& other95) {
-  owner = other95.owner;
-  session = other95.session;
-  expires_at_us = other95.expires_at_us;
-  calls = other95.calls;
-  received = other95.received;
-  decided_at_us = other95.decided_at_us;
-  __isset = other95.__isset;
+RelayRequest::RelayRequest(const RelayRequest& other98) {
+  owner = other98.owner;
+  session = other98.session;
+  expires_at_us = other98.expires_at_us;
+  calls = other98.calls;
+  received = other98.received;
+  decided_at_us = other98.decided_at_us;
+  __isset = other98.__isset;
+}
+RelayRequest& RelayRequest::operator=(const RelayRequest& other99) {
+  owner = other99.owner;
+  session = other99.session;
+  expires_at_us = other99.expires_at_us;
+  calls = other99.calls;
+  received = other99.received;
+  decided_at_us = other99.decided_at_us;
+  __isset = other99.__isset;
   return *this;
 }
 void RelayRequest::printTo(std::ostream& out) const {
@@ -3878,14 +4196,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->answers.clear();
-            uint32_t _size96;
-            ::apache::thrift::protocol::TType _etype99;
-            xfer += iprot->readListBegin(_etype99, _size96);
-            this->answers.resize(_size96);
-            uint32_t _i100;
-            for (_i100 = 0; _i100 < _size96; ++_i100)
+            uint32_t _size100;
+            ::apache::thrift::protocol::TType _etype103;
+            xfer += iprot->readListBegin(_etype103, _size100);
+            this->answers.resize(_size100);
+            uint32_t _i104;
+            for (_i104 = 0; _i104 < _size100; ++_i104)
             {
-              xfer += this->answers[_i100].read(iprot);
+              xfer += this->answers[_i104].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3942,10 +4260,10 @@
     xfer += oprot->writeFieldBegin("answers", ::apache::thrift::protocol::T_LIST, 3);
     {
       xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->answers.size()));
-      std::vector<ExecutorAnswer> ::const_iterator _iter101;
-      for (_iter101 = this->answers.begin(); _iter101 != this->answers.end(); ++_iter101)
+      std::vector<ExecutorAnswer> ::const_iterator _iter105;
+      for (_iter105 = this->answers.begin(); _iter105 != this->answers.end(); ++_iter105)
       {
-        xfer += (*_iter101).write(oprot);
+        xfer += (*_iter105).write(oprot);
       }
       xfer += oprot->writeListEnd();
     }
@@ -3976,21 +4294,21 @@
   swap(a.__isset, b.__isset);
 }
 
-RelayReply::RelayReply(const RelayReply& other102) {
-  clock_us = other102.clock_us;
-  stopping = other102.stopping;
-  answers = other102.answers;
-  first = other102.first;
-  begun_at_us = other102.begun_at_us;
-  __isset = other102.__isset;
-}
-RelayReply& RelayReply::operator=(const RelayReply& other103) {
-  clock_us = other103.clock_us;
-  stopping = other103.stopping;
-  answers = other103.answers;
-  first = other103.first;
-  begun_at_us = other103.begun_at_us;
-  __isset = other103.__isset;
+RelayReply::RelayReply(const RelayReply& other106) {
+  clock_us = other106.clock_us;
+  stopping = other106.stopping;
+  answers = other106.answers;
+  first = other106.first;
+  begun_at_us = other106.begun_at_us;
+  __isset = other106.__isset;
+}
+RelayReply& RelayReply::operator=(const RelayReply& other107) {
+  clock_us = other107.clock_us;
+  stopping = other107.stopping;
+  answers = other107.answers;
+  first = other107.first;
+  begun_at_us = other107.begun_at_us;
+  __isset = other107.__isset;
   return *this;
 }
 void RelayReply::printTo(std::ostream& out) const {
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -45,6 +45,10 @@
 
 class HostMove;
 
+class QuotaClaim;
+
+class Allotment;
+
 class RunName;
 
 class ExecutorCall;
@@ -945,6 +949,142 @@
 
 std::ostream& operator<<(std::ostream& out, const HostMove& obj);
 
+
+class QuotaClaim : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuotaClaim(const QuotaClaim&) noexcept;
+  QuotaClaim& operator=(const QuotaClaim&) noexcept;
+  QuotaClaim() noexcept
+             : epoch(0) {
+  }
+
+  virtual ~QuotaClaim() noexcept;
+  int64_t epoch;
+
+  void __set_epoch(const int64_t val);
+
+  bool operator == (const QuotaClaim & rhs) const
+  {
+    if (!(epoch == rhs.epoch))
+      return false;
+    return true;
+  }
+  bool operator != (const QuotaClaim &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuotaClaim & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuotaClaim &a, QuotaClaim &b);
+
+std::ostream& operator<<(std::ostream& out, const QuotaClaim& obj);
+
+typedef struct _Allotment__isset {
+  _Allotment__isset() : held_millicores(false), held_memory_mb(false), held_gpus(false), wanted_millicores(false), wanted_memory_mb(false), wanted_gpus(false), wanted_since(false) {}
+  bool held_millicores :1;
+  bool held_memory_mb :1;
+  bool held_gpus :1;
+  bool wanted_millicores :1;
+  bool wanted_memory_mb :1;
+  bool wanted_gpus :1;
+  bool wanted_since :1;
+} _Allotment__isset;
+
+class Allotment : public virtual ::apache::thrift::TBase {
+ public:
+
+  Allotment(const Allotment&) noexcept;
+  Allotment& operator=(const Allotment&) noexcept;
+  Allotment() noexcept
+            : held_millicores(0),
+              held_memory_mb(0),
+              held_gpus(0),
+              wanted_millicores(0),
+              wanted_memory_mb(0),
+              wanted_gpus(0),
+              wanted_since(0) {
+  }
+
+  virtual ~Allotment() noexcept;
+  int64_t held_millicores;
+  int64_t held_memory_mb;
+  int64_t held_gpus;
+  int64_t wanted_millicores;
+  int64_t wanted_memory_mb;
+  int64_t wanted_gpus;
+  int64_t wanted_since;
+
+  _Allotment__isset __isset;
+
+  void __set_held_millicores(const int64_t val);
+
+  void __set_held_memory_mb(const int64_t val);
+
+  void __set_held_gpus(const int64_t val);
+
+  void __set_wanted_millicores(const int64_t val);
+
+  void __set_wanted_memory_mb(const int64_t val);
+
+  void __set_wanted_gpus(const int64_t val);
+
+  void __set_wanted_since(const int64_t val);
+
+  bool operator == (const Allotment & rhs) const
+  {
+    if (__isset.held_millicores != rhs.__isset.held_millicores)
+      return false;
+    else if (__isset.held_millicores && !(held_millicores == rhs.held_millicores))
+      return false;
+    if (__isset.held_memory_mb != rhs.__isset.held_memory_mb)
+      return false;
+    else if (__isset.held_memory_mb && !(held_memory_mb == rhs.held_memory_mb))
+      return false;
+    if (__isset.held_gpus != rhs.__isset.held_gpus)
+      return false;
+    else if (__isset.held_gpus && !(held_gpus == rhs.held_gpus))
+      return false;
+    if (__isset.wanted_millicores != rhs.__isset.wanted_millicores)
+      return false;
+    else if (__isset.wanted_millicores && !(wanted_millicores == rhs.wanted_millicores))
+      return false;
+    if (__isset.wanted_memory_mb != rhs.__isset.wanted_memory_mb)
+      return false;
+    else if (__isset.wanted_memory_mb && !(wanted_memory_mb == rhs.wanted_memory_mb))
+      return false;
+    if (__isset.wanted_gpus != rhs.__isset.wanted_gpus)
+      return false;
+    else if (__isset.wanted_gpus && !(wanted_gpus == rhs.wanted_gpus))
+      return false;
+    if (__isset.wanted_since != rhs.__isset.wanted_since)
+      return false;
+    else if (__isset.wanted_since && !(wanted_since == rhs.wanted_since))
+      return false;
+    return true;
+  }
+  bool operator != (const Allotment &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const Allotment & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(Allotment &a, Allotment &b);
+
+std::ostream& operator<<(std::ostream& out, const Allotment& obj);
+
 typedef struct _RunName__isset {
   _RunName__isset() : occurrence(false), step(false), index(false) {}
   bool occurrence :1;
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -113,12 +113,45 @@
   return job;
 }
 
+namespace {
+
+// Runs of an ended job that are still to be stopped. A later owner has to know whose quota they
+// count against.
+void
+AddRemainingRuns(const Job& aJob, JobProgress& aProgress)
+{
+  if (aJob.mDefinition.mTenant.mValue.empty()) {
+    return;
+  }
+  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
+    const auto& steps = aJob.mOccurrences[k].mSteps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+      for (std::size_t i = 0; i < steps[s].mTasks.size(); ++i) {
+        TaskProgress row;
+        row.mOccurrence = static_cast<int>(k);
+        row.mStep = static_cast<int>(s);
+        row.mIndex = static_cast<int>(i);
+        row.mHighestRun = steps[s].mTasks[i].mHighestRun;
+        for (const auto& attempt : steps[s].mTasks[i].mAttempts) {
+          row.mExecutors.push_back({ attempt.mExecutor, attempt.mIncarnation });
+        }
+        if (!row.mExecutors.empty()) {
+          aProgress.mTasks.push_back(std::move(row));
+        }
+      }
+    }
+  }
+}
+
+}
+
 JobProgress
 ProgressOf(const Job& aJob)
 {
   JobProgress progress;
   progress.mPhase = aJob.mPhase;
   if (IsFinal(aJob.mPhase)) {
+    AddRemainingRuns(aJob, progress);
     return progress;
   }
   for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -52,6 +52,12 @@
            aLeft.mGpus - aRight.mGpus };
 }
 
+inline Resources
+Times(const Resources& aEach, int aCount)
+{
+  return { aEach.mCpuMillicores * aCount, aEach.mMemoryMb * aCount, aEach.mGpus * aCount };
+}
+
 // A set of identical tasks of a job.
 struct Step
 {
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -94,10 +94,12 @@
 }
 
 void
-ApplyChanges(Node& aNode, const Now& aNow, const FollowerChanges& aChanges)
+ApplyChanges(Node& aNode, const Now& aNow, const FollowerChanges& aChanges, Actions& aActions)
 {
   if (aChanges.mManifest) {
     ReconcileShards(aNode, aNow);
+    auto shards = static_cast<int>(PartitionsInUse(aNode).size());
+    ApplyQuotas(aNode.mQuotas, *aNode.mFollower.mManifest, shards, aNode.mShards, aActions);
   }
   for (const auto& id : aChanges.mExecutors) {
     for (auto& [partition, shard] : aNode.mShards) {
@@ -181,6 +183,9 @@
         OnMoveRecorded(aNode.mRebalance, aNow, aAnswer, aActions);
       }
       return;
+    case Stream::Quotas:
+      OnQuotaAppend(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
+      return;
     case Stream::Owners:
       WithShard(
         aNode, static_cast<int>(aAnswer.mCall.mTicket), aAnswer, [&](auto& aShard, auto& aResult) {
@@ -201,8 +206,11 @@
   const auto& call = aAnswer.mCall;
   if (call.mStream == Stream::Fleet) {
     OnFleetRead(aNode.mFleetLog, aNow, aAnswer, aActions);
+  } else if (call.mStream == Stream::Quotas) {
+    OnQuotaRead(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
   } else if (call.mReader == Reader::Follower) {
-    ApplyChanges(aNode, aNow, OnFollowerRead(aNode.mFollower, aNow, aAnswer, aActions));
+    auto changes = OnFollowerRead(aNode.mFollower, aNow, aAnswer, aActions);
+    ApplyChanges(aNode, aNow, changes, aActions);
   } else if (call.mReader == Reader::View) {
     OnViewRead(ViewOf(aNode, call.mPartition), aNow, aAnswer);
   } else {
@@ -218,10 +226,13 @@
   const auto& call = aAnswer.mCall;
   if (call.mStream == Stream::Fleet) {
     OnFleetNewest(aNode.mFleetLog, aNow, aAnswer, aActions);
+  } else if (call.mStream == Stream::Quotas) {
+    OnQuotaNewest(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
   } else if (call.mStream == Stream::Owners) {
     OnFormerOwnersAnswer(aNode.mGroup, aNow, aAnswer);
   } else if (call.mReader == Reader::Follower) {
-    ApplyChanges(aNode, aNow, OnFollowerReadNewest(aNode.mFollower, aNow, aAnswer, aActions));
+    auto changes = OnFollowerReadNewest(aNode.mFollower, aNow, aAnswer, aActions);
+    ApplyChanges(aNode, aNow, changes, aActions);
   } else if (call.mReader == Reader::View) {
     OnViewReadNewest(ViewOf(aNode, call.mPartition), aNow, aAnswer);
   } else {
@@ -353,9 +364,11 @@
     aNode.mFollower, aNow, aNode.mSettings.mFollower, !aNode.mShards.empty(), aActions);
   AnswerQueries(aNode, aNow, aActions);
   AdvanceIntake(aNode.mIntake, aNow, aActions);
+  UpdateQuotaLimits(aNode.mQuotas, aNode.mShards, aNow.mAt);
   for (auto& [partition, shard] : aNode.mShards) {
     Advance(shard, aNow, aActions);
   }
+  AdvanceQuotas(aNode.mQuotas, aNow, aNode.mShards, aActions);
   AdvanceFleet(aNode, aNow, aActions);
   AdvanceRelayService(aNode.mRelayService, aNow);
   RelayCalls(aNode.mRelayedCalls, aNow, aActions);
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -4,6 +4,7 @@
 #include "LibSchedule/GroupMembership.h"
 #include "LibSchedule/Intake.h"
 #include "LibSchedule/Maintenance.h"
+#include "LibSchedule/QuotaKeeping.h"
 #include "LibSchedule/Rebalance.h"
 #include "LibSchedule/RelayService.h"
 #include "LibSchedule/RelayedCalls.h"
@@ -49,6 +50,7 @@
   MachineList mMachines;
   Maintenance mMaintenance;
   Rebalance mRebalance;
+  QuotaKeeping mQuotas;
   Instant mNextFleetCheckAt;
   std::map<int, Shard> mShards;
   std::map<int, StatusView> mViews;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -58,11 +58,38 @@
       continue;
     }
     const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(row.mStep)];
-    auto run = detail::MakeRun(step, RunState::Uncertain, aNow.mAt);
+    auto run = detail::MakeRun(aJob.mDefinition, step, RunState::Uncertain, aNow.mAt);
     run.mIsolation = IsolationOf(step, *FindTask(aJob, name.mTask));
     for (const auto& placed : row.mExecutors) {
       run.mIncarnation = placed.mIncarnation;
-      FindOrAddExecutor(aShard, placed.mExecutor, aNow).mRuns.emplace(name, run);
+      AddRun(aShard.mUsage, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
+    }
+  }
+}
+
+// Adds the runs of an ended job that the former owner had not seen stopped yet: they count against
+// the quota of their tenant until they are.
+void
+AdoptRunsToStop(Shard& aShard,
+                const JobId& aId,
+                const JobDefinition& aDefinition,
+                const JobProgress& aProgress,
+                const Now& aNow)
+{
+  if (aDefinition.mTenant.mValue.empty()) {
+    return;
+  }
+  for (const auto& row : aProgress.mTasks) {
+    if (row.mStep < 0 || row.mStep >= static_cast<int>(aDefinition.mSteps.size())) {
+      continue;
+    }
+    TaskRun name{ { aId, row.mOccurrence, row.mStep, row.mIndex }, row.mHighestRun };
+    const auto& step = aDefinition.mSteps[static_cast<std::size_t>(row.mStep)];
+    auto run = detail::MakeRun(aDefinition, step, RunState::Uncertain, aNow.mAt);
+    run.mStopRequested = true;
+    for (const auto& placed : row.mExecutors) {
+      run.mIncarnation = placed.mIncarnation;
+      AddRun(aShard.mUsage, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
     }
   }
 }
@@ -166,10 +193,13 @@
 }
 
 PlacedRun
-MakeRun(const Step& aStep, RunState aState, Instant aNow)
+MakeRun(const JobDefinition& aJob, const Step& aStep, RunState aState, Instant aNow)
 {
   PlacedRun run;
   run.mReserved = NeedsOf(aStep);
+  run.mTenant = aJob.mTenant;
+  // Also a best-effort run, which reserves nothing, counts with all that it asks for.
+  run.mCounted = aStep.mNeeds;
   run.mState = aState;
   run.mIsLongRunning = aStep.mLongRunning;
   run.mIsLatencySensitive = aStep.mTargetTailLatency.count() != 0;
@@ -232,6 +262,7 @@
   if (progress != nullptr && IsFinal(progress->mPhase)) {
     // The former owner may not have published how the job ended.
     AddState(aShard.mStates, id, JobState{ progress->mPhase, {} });
+    AdoptRunsToStop(aShard, id, *definition, *progress, aNow);
     AddEndedJob(aShard.mEnded, id);
     return;
   }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/Job.h"
 #include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
+#include "LibSchedule/TenantUsage.h"
 
 #include <map>
 #include <optional>
@@ -100,6 +101,7 @@
   std::string mPageKey;
 
   std::map<ExecutorId, Executor> mExecutors;
+  TenantUsage mUsage;
   // Executors that may need a call at once; all others are checked in the next sweep.
   std::vector<Executor*> mExecutorsToCheck;
   Instant mNextSweepAt;
@@ -180,7 +182,7 @@
 FormerOwnerLeaseExpiry(const Shard& aShard, const ExecutorId& aExecutor, const Now& aNow);
 
 PlacedRun
-MakeRun(const Step& aStep, RunState aState, Instant aNow);
+MakeRun(const JobDefinition& aJob, const Step& aStep, RunState aState, Instant aNow);
 
 Job*
 FindJob(Shard& aShard, const JobId& aId);
@@ -211,7 +213,7 @@
 
 // Like RequestStop(), but discards a run at once whose start has not been sent.
 void
-StopOrDiscard(Executor& aExecutor, const TaskRun& aRun);
+StopOrDiscard(Shard& aShard, Executor& aExecutor, const TaskRun& aRun);
 
 // The parts of Advance(), implemented in separate files.
 void
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -91,7 +91,7 @@
          const TaskEnd& aEnd,
          Actions& aActions)
 {
-  aExecutor.mRuns.erase(aEnd.mRun);
+  RemoveRun(aShard.mUsage, aExecutor, aEnd.mRun);
   aShard.mNeedsPlacementPass = true;
   if (aEnd.mKind == EndKind::Done) {
     RecordSuccess(aExecutor);
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -55,11 +55,11 @@
   task->mAttempts.push_back({ aCandidate.mExecutor->mEntry.mId, aRun, incarnation });
   SetTaskState(job, aName, TaskState::Placed);
   TaskRun name{ aName, aRun };
-  auto run = detail::MakeRun(step, RunState::Recording, aNow);
+  auto run = detail::MakeRun(job.mDefinition, step, RunState::Recording, aNow);
   run.mTargetTailLatency = step.mTargetTailLatency;
   run.mIsolation = IsolationOf(step, *task);
   run.mIncarnation = incarnation;
-  aCandidate.mExecutor->mRuns.emplace(name, run);
+  AddRun(aShard.mUsage, *aCandidate.mExecutor, name, run);
   aShard.mRunsToRecord.push_back(name);
   if (job.mPhase == JobPhase::Pending) {
     job.mPhase = JobPhase::Running;
@@ -98,6 +98,23 @@
     .mSteps[static_cast<std::size_t>(aReady.mStep)];
 }
 
+// Notes what the waiting tasks of a step lack in quota, provided that there is room for one of
+// them. Their needs remain placeable for other tenants.
+void
+HoldBack(Shard& aShard,
+         const ReadyStep& aReady,
+         const PlacementRequest& aRequest,
+         PlacementPass& aPass)
+{
+  const auto& definition = aReady.mJob->mDefinition;
+  if (LacksEnough(aShard.mUsage, definition.mTenant) ||
+      ChooseCandidate(aPass.mCandidates, definition.mService, aRequest) == nullptr) {
+    return;
+  }
+  const auto& each = aRequest.mStep->mNeeds;
+  AddLacking(aShard.mUsage, definition.mTenant, each, StateOf(aReady).mWaiting, aPass.mNow);
+}
+
 void
 PlaceIndependentTasks(Shard& aShard, const ReadyStep& aReady, PlacementPass& aPass)
 {
@@ -117,6 +134,10 @@
       continue;
     }
     PlacementRequest request{ &step, task, name };
+    if (!HasQuota(aShard.mUsage, job.mDefinition.mTenant, step.mNeeds)) {
+      HoldBack(aShard, aReady, request, aPass);
+      return;
+    }
     auto* candidate = ChooseCandidate(aPass.mCandidates, service, request);
     if (candidate != nullptr) {
       // Before the placement is noted: a request is judged by the task as it waits.
@@ -133,6 +154,18 @@
   }
 }
 
+// Whether the whole quota of the tenant does not suffice.
+bool
+IsWiderThanQuota(const TenantUsage& aUsage, const TenantName& aTenant, const Resources& aNeeds)
+{
+  auto found = aUsage.mTenants.find(aTenant);
+  if (found == aUsage.mTenants.end() || !found->second.mQuota) {
+    return false;
+  }
+  const auto& quota = *found->second.mQuota;
+  return !Covers(quota, LimitedPart(aNeeds, quota));
+}
+
 // Places either all tasks of a gang or none.
 void
 PlaceGang(Shard& aShard, const ReadyStep& aReady, PlacementPass& aPass)
@@ -156,7 +189,17 @@
     Reserve(*candidate, { &step, task, name });
     places.push_back(candidate);
   }
-  if (places.size() < static_cast<std::size_t>(step.mCount)) {
+  auto fits = places.size() == static_cast<std::size_t>(step.mCount);
+  auto all = Times(step.mNeeds, step.mCount);
+  if (fits && IsWiderThanQuota(aShard.mUsage, job.mDefinition.mTenant, all)) {
+    // It can never start as a whole, and must keep no quota from what can.
+    fits = false;
+  }
+  if (fits && !HasQuota(aShard.mUsage, job.mDefinition.mTenant, all)) {
+    fits = false;
+    AddLacking(aShard.mUsage, job.mDefinition.mTenant, all, 1, aPass.mNow);
+  }
+  if (!fits) {
     for (std::size_t index = 0; index < places.size(); ++index) {
       auto name = TaskNameOf(aReady, static_cast<int>(index));
       Release(*places[index], { &step, FindTask(job, name), name });
@@ -223,6 +266,7 @@
   }
   PlacementPass pass;
   pass.mNow = aNow.mAt;
+  ClearLacking(aShard.mUsage);
   if (!ready.empty()) {
     SortReadySteps(ready);
     pass.mCandidates = MakeCandidates(aShard.mExecutors, aNow.mAt);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -45,16 +45,31 @@
   ++aExecutor.mUnansweredCalls;
 }
 
+// Adds a run that the executor lists and that this owner did not know of. It counts against the
+// quota of its tenant if its job is known.
+void
+AddForeignRun(Shard& aShard, const Now& aNow, Executor& aExecutor, const TaskRun& aName)
+{
+  PlacedRun run;
+  run.mStateSince = aNow.mAt;
+  run.mState = RunState::Running;
+  run.mIsForeign = true;
+  auto* job = detail::FindJob(aShard, aName.mTask.mJob);
+  if (job != nullptr && FindTask(*job, aName.mTask) != nullptr) {
+    run.mTenant = job->mDefinition.mTenant;
+    run.mCounted = detail::StepOf(*job, aName.mTask).mNeeds;
+  }
+  AddRun(aShard.mUsage, aExecutor, aName, run);
+}
+
 void
 ApplyRunningTask(Shard& aShard, const Now& aNow, Executor& aExecutor, const RunningTask& aRunning)
 {
-  auto [found, isNew] = aExecutor.mRuns.try_emplace(aRunning.mRun);
-  auto& run = found->second;
+  auto isNew = !aExecutor.mRuns.contains(aRunning.mRun);
   if (isNew) {
-    run.mStateSince = aNow.mAt;
-    run.mState = RunState::Running;
-    run.mIsForeign = true;
+    AddForeignRun(aShard, aNow, aExecutor, aRunning.mRun);
   }
+  auto& run = aExecutor.mRuns.at(aRunning.mRun);
   if (run.mState == RunState::Uncertain && !run.mStopRequested) {
     run.mState = RunState::Running;
     run.mStateSince = aNow.mAt;
@@ -387,11 +402,11 @@
 }
 
 void
-StopOrDiscard(Executor& aExecutor, const TaskRun& aRun)
+StopOrDiscard(Shard& aShard, Executor& aExecutor, const TaskRun& aRun)
 {
   auto found = aExecutor.mRuns.find(aRun);
   if (found != aExecutor.mRuns.end() && found->second.mState == RunState::Recording) {
-    aExecutor.mRuns.erase(found);
+    RemoveRun(aShard.mUsage, aExecutor, aRun);
     return;
   }
   RequestStop(aExecutor, aRun);
@@ -400,7 +415,7 @@
 void
 DropRun(Shard& aShard, Executor& aExecutor, const TaskRun& aRun)
 {
-  aExecutor.mRuns.erase(aRun);
+  RemoveRun(aShard.mUsage, aExecutor, aRun);
   aShard.mNeedsPlacementPass = true;
   auto* job = FindJob(aShard, aRun.mTask.mJob);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aRun.mTask);
@@ -430,7 +445,8 @@
   auto isStillValid =
     !IsFinal(job->mPhase) && !found->second.mStopRequested && MayStartTasks(aShard, aNow.mAt) &&
     aNow.mAt - aShard.mConfirmedAt < kMaxUnconfirmedToStart && IsSchedulable(executor, aNow.mAt) &&
-    FitsItsExecutors(aShard, *job, aRun.mTask);
+    FitsItsExecutors(aShard, *job, aRun.mTask) &&
+    !IsFrozen(aShard.mUsage, job->mDefinition.mTenant);
   if (!isStillValid) {
     DropRun(aShard, executor, aRun);
     return;
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -112,7 +112,7 @@
                        static_cast<int>(&occurrence - found->second.mOccurrences.data()),
                        static_cast<int>(&step - occurrence.mSteps.data()),
                        static_cast<int>(&task - step.mTasks.data()) };
-          detail::StopOrDiscard(executor->second, { name, attempt.mRun });
+          detail::StopOrDiscard(aShard, executor->second, { name, attempt.mRun });
         }
       }
     }
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -115,6 +115,23 @@
   2: required i64 at_ms,
 }
 
+// The epoch with which the owner of a shard uses the shard's allotments.
+struct QuotaClaim {
+  1: required i64 epoch,
+}
+
+// What a shard holds of a tenant's quota, and what it wants beyond that. An absent amount is 0.
+struct Allotment {
+  1: optional i64 held_millicores,
+  2: optional i64 held_memory_mb,
+  3: optional i64 held_gpus,
+  4: optional i64 wanted_millicores,
+  5: optional i64 wanted_memory_mb,
+  6: optional i64 wanted_gpus,
+  // The end of the log when the shard began to want more.
+  7: optional i64 wanted_since,
+}
+
 // What entry hosts send to one another: the calls to executors that one makes for another.
 
 struct RunName {
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -190,7 +190,7 @@
   for (int index = 0; index < 2; ++index) {
     TaskId name{ job.mId, 0, 0, index };
     auto& executor = owner.AddHost("m" + std::to_string(index), pool);
-    auto run = schedule::detail::MakeRun(definition.mSteps[0], RunState::Running, kNow.mAt);
+    auto run = schedule::detail::MakeRun({}, definition.mSteps[0], RunState::Running, kNow.mAt);
     run.mPercent = 100;
     executor.mRuns[{ name, 1 }] = run;
     FindTask(job, name)->mAttempts.push_back({ executor.mEntry.mId, 1 });
--- a/Tests/StandIns/job-platform/Store.cpp
+++ b/Tests/StandIns/job-platform/Store.cpp
@@ -45,7 +45,8 @@
                        Stream::Progress,
                        Stream::JobStates,
                        Stream::Owners,
-                       Stream::Fleet }) {
+                       Stream::Fleet,
+                       Stream::Quotas }) {
     if (platform::TopicOf(stream) == aTopic) {
       return stream;
     }
