Show a job to its tenant only, and name the tenant in lines, explanations and metrics

Any key of the manifest gave access to every job whose id was known. A hash of the tenant's name goes with a job's progress and published state (optional fields, at most 6 bytes), since the record of an ended job is removed; another tenant's question or cancellation gets 410. Jobs without a tenant, also those of the code before, are shown to all. Ruled out: the name itself (20 bytes a state), the key of the record (a process of the code before would misread it).

Not mended: an id that another tenant sends again.

--- a/Libraries/LibExplain/Explain.cpp
+++ b/Libraries/LibExplain/Explain.cpp
@@ -51,7 +51,7 @@
 Explanation
 MakeExplanation(Cause aCause, std::string aSentence, Lines aEvidence)
 {
-  return { aCause, std::move(aSentence), std::move(aEvidence) };
+  return { aCause, std::move(aSentence), {}, std::move(aEvidence) };
 }
 
 // Returns the dependencies that a host had reported as lost, and not as regained, by the given
@@ -92,6 +92,18 @@
   return MakeExplanation(Cause::RefusedByManifest, std::move(summary), std::move(evidence));
 }
 
+Explanation
+ExplainRefusedKey(const Lines& aAll, const Lines& aRefusals)
+{
+  const auto& last = aRefusals.back();
+  auto evidence = DependenciesLostAt(aAll, last.mHost, last.mTimeMs);
+  evidence.insert(evidence.end(), aRefusals.begin(), aRefusals.end());
+  auto summary = "refused by " + last.mHost + ": " + last.mReason + ", by version " +
+                 std::to_string(last.mVersion.value_or(0)) + " of the manifest, proven " +
+                 std::to_string(last.mAgeMs.value_or(0)) + " ms before";
+  return MakeExplanation(Cause::RefusedForKey, std::move(summary), std::move(evidence));
+}
+
 Explanation
 ExplainNotStored(const Lines& aAll, const Lines& aOwn)
 {
@@ -100,6 +112,12 @@
   if (refused.empty() && !unknown.empty()) {
     return ExplainUnknownQueue(aAll, unknown.back());
   }
+  auto keyRefusals = Select(aOwn, [](const LogLine& aLine) {
+    return aLine.mEvent == "call-unauthorized" || aLine.mEvent == "call-undecided";
+  });
+  if (refused.empty() && !keyRefusals.empty()) {
+    return ExplainRefusedKey(aAll, keyRefusals);
+  }
   if (refused.empty()) {
     return MakeExplanation(Cause::Unconfirmed, "no host logged whether it was stored", aOwn);
   }
@@ -173,6 +191,24 @@
   return MakeExplanation(Cause::NoFaultLogged, took + "; no line shows a fault", aOwn);
 }
 
+Explanation
+ExplainOwn(const Lines& aLines, const Lines& aOwn)
+{
+  auto stored = SelectEvent(aOwn, "job-stored");
+  auto ends = SelectEvent(aOwn, "job-finished");
+  if (ends.empty()) {
+    return stored.empty()
+             ? ExplainNotStored(aLines, aOwn)
+             : MakeExplanation(Cause::Unfinished, "stored; no line says that it ended", aOwn);
+  }
+  const auto& end = ends.back();
+  if (end.mOutcome == "cancelled") {
+    return MakeExplanation(Cause::Cancelled, "cancelled by its caller", stored);
+  }
+  return end.mOutcome == "failed" ? ExplainFailed(aLines, aOwn)
+                                  : ExplainCompleted(aLines, aOwn, end);
+}
+
 }
 
 absl::StatusOr<LogLine>
@@ -185,6 +221,7 @@
   line.mEvent = StringMember(json, "event");
   line.mJob = StringMember(json, "job");
   line.mSubject = StringMember(json, "subject");
+  line.mTenant = StringMember(json, "tenant");
   line.mOutcome = StringMember(json, "outcome");
   line.mReason = StringMember(json, "reason");
   line.mVersion = IntegerMember(json, "version");
@@ -203,18 +240,14 @@
     return MakeExplanation(
       Cause::NotFound, "no line names the job", SelectEvent(aLines, "log-lines-dropped"));
   }
-  auto stored = SelectEvent(own, "job-stored");
-  auto ends = SelectEvent(own, "job-finished");
-  if (ends.empty()) {
-    return stored.empty()
-             ? ExplainNotStored(aLines, own)
-             : MakeExplanation(Cause::Unfinished, "stored; no line says that it ended", own);
-  }
-  const auto& end = ends.back();
-  if (end.mOutcome == "cancelled") {
-    return MakeExplanation(Cause::Cancelled, "cancelled by its caller", stored);
+  auto explanation = ExplainOwn(aLines, own);
+  for (const auto& line : own) {
+    // Another tenant may have asked for the job, or for its id, too.
+    if (!line.mTenant.empty() && (line.mEvent == "job-finished" || explanation.mTenant.empty())) {
+      explanation.mTenant = line.mTenant;
+    }
   }
-  return end.mOutcome == "failed" ? ExplainFailed(aLines, own) : ExplainCompleted(aLines, own, end);
+  return explanation;
 }
 
 }
--- a/Libraries/LibExplain/Explain.h
+++ b/Libraries/LibExplain/Explain.h
@@ -19,6 +19,7 @@
   std::string mEvent;
   std::string mJob;
   std::string mSubject;
+  std::string mTenant;
   std::string mOutcome;
   std::string mReason;
   std::optional<std::int64_t> mVersion;
@@ -36,6 +37,8 @@
   RefusedByLog,
   // The manifest in force had no queue for the job.
   RefusedByManifest,
+  // The caller's key was not known, or the manifest may have been too old to tell.
+  RefusedForKey,
   // It is unknown whether the job was stored.
   Unconfirmed,
   Cancelled,
@@ -59,6 +62,8 @@
 {
   Cause mCause = Cause::NotFound;
   std::string mSummary;
+  // The tenant whose job it is, if a line names it.
+  std::string mTenant;
   // The log lines that support the cause.
   std::vector<LogLine> mEvidence;
 };
--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -151,6 +151,7 @@
   WaitingCaller caller;
   caller.mTicket = aRequest.mTicket;
   caller.mJob = aId;
+  caller.mTenant = aTenant;
   caller.mArrivedAt = aNow.mAt;
   caller.mDeadline = DeadlineOf(aRequest, aNow.mAt);
   EnqueueRecord(aNode.mIntake,
@@ -164,6 +165,7 @@
           const Now& aNow,
           const CallerRequest& aRequest,
           const Route& aRoute,
+          const TenantName& aTenant,
           const JobId& aId)
 {
   StatusQuery query;
@@ -171,6 +173,9 @@
   query.mKind = aRequest.mKind;
   query.mJob = aId;
   query.mQueue = aRoute.mQueue;
+  if (aNode.mFollower.mKeys.mIsRequired) {
+    query.mTenantHash = TenantHashOf(aTenant);
+  }
   query.mIsCountQuery = aId.IsEmpty();
   query.mReceivedAt = aNow.mAt;
   query.mDeadline = DeadlineOf(aRequest, aNow.mAt);
@@ -192,6 +197,14 @@
                 caller);
 }
 
+// A job without a tenant may have been stored by a version that had none, so that all may ask.
+bool
+IsForeign(const ViewAnswer& aAnswer)
+{
+  const auto& caller = aAnswer.mQuery.mTenantHash;
+  return caller && aAnswer.mPhase && aAnswer.mTenantHash != 0 && aAnswer.mTenantHash != *caller;
+}
+
 void
 AnswerQuery(Node& aNode,
             const Now& aNow,
@@ -213,6 +226,12 @@
     aActions.emplace_back(std::move(reply));
     return;
   }
+  if (IsForeign(aAnswer)) {
+    ++aNode.mCounters.mForeignJobs;
+    AddReply(aActions, query.mTicket, ReplyKind::Gone);
+    LogRequest(aActions, "job-not-known", query.mJob.mValue, "it is another tenant's");
+    return;
+  }
   if (!aAnswer.mPhase) {
     AddReply(aActions, query.mTicket, ReplyKind::Gone);
     LogRequest(aActions, "job-not-known", query.mJob.mValue, "neither stream has it");
@@ -267,7 +286,7 @@
   if (aRequest.mKind == RequestKind::Submit) {
     Submit(aNode, aNow, aRequest, *route, *tenant, id, aActions);
   } else {
-    QueryView(aNode, aNow, aRequest, *route, id);
+    QueryView(aNode, aNow, aRequest, *route, *tenant, id);
   }
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1465,6 +1465,11 @@
   this->tasks = val;
 __isset.tasks = true;
 }
+
+void Progress::__set_tenant_hash(const int32_t val) {
+  this->tenant_hash = val;
+__isset.tenant_hash = true;
+}
 std::ostream& operator<<(std::ostream& out, const Progress& obj)
 {
   obj.printTo(out);
@@ -1542,6 +1547,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tenant_hash);
+          this->__isset.tenant_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1591,6 +1604,11 @@
     }
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenant_hash) {
+    xfer += oprot->writeFieldBegin("tenant_hash", ::apache::thrift::protocol::T_I32, 4);
+    xfer += oprot->writeI32(this->tenant_hash);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1601,6 +1619,7 @@
   swap(a.phase, b.phase);
   swap(a.finished_steps, b.finished_steps);
   swap(a.tasks, b.tasks);
+  swap(a.tenant_hash, b.tenant_hash);
   swap(a.__isset, b.__isset);
 }
 
@@ -1608,12 +1627,14 @@
   phase = other52.phase;
   finished_steps = other52.finished_steps;
   tasks = other52.tasks;
+  tenant_hash = other52.tenant_hash;
   __isset = other52.__isset;
 }
 Progress& Progress::operator=(const Progress& other53) {
   phase = other53.phase;
   finished_steps = other53.finished_steps;
   tasks = other53.tasks;
+  tenant_hash = other53.tenant_hash;
   __isset = other53.__isset;
   return *this;
 }
@@ -1623,6 +1644,7 @@
   out << "phase=" << to_string(phase);
   out << ", " << "finished_steps="; (__isset.finished_steps ? (out << to_string(finished_steps)) : (out << "<null>"));
   out << ", " << "tasks="; (__isset.tasks ? (out << to_string(tasks)) : (out << "<null>"));
+  out << ", " << "tenant_hash="; (__isset.tenant_hash ? (out << to_string(tenant_hash)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1639,6 +1661,11 @@
   this->pending_in = val;
 __isset.pending_in = true;
 }
+
+void JobState::__set_tenant_hash(const int32_t val) {
+  this->tenant_hash = val;
+__isset.tenant_hash = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobState& obj)
 {
   obj.printTo(out);
@@ -1684,6 +1711,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->tenant_hash);
+          this->__isset.tenant_hash = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1712,6 +1747,11 @@
     xfer += oprot->writeString(this->pending_in);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.tenant_hash) {
+    xfer += oprot->writeFieldBegin("tenant_hash", ::apache::thrift::protocol::T_I32, 3);
+    xfer += oprot->writeI32(this->tenant_hash);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1721,17 +1761,20 @@
   using ::std::swap;
   swap(a.phase, b.phase);
   swap(a.pending_in, b.pending_in);
+  swap(a.tenant_hash, b.tenant_hash);
   swap(a.__isset, b.__isset);
 }
 
 JobState::JobState(const JobState& other54) {
   phase = other54.phase;
   pending_in = other54.pending_in;
+  tenant_hash = other54.tenant_hash;
   __isset = other54.__isset;
 }
 JobState& JobState::operator=(const JobState& other55) {
   phase = other55.phase;
   pending_in = other55.pending_in;
+  tenant_hash = other55.tenant_hash;
   __isset = other55.__isset;
   return *this;
 }
@@ -1740,6 +1783,7 @@
   out << "JobState(";
   out << "phase=" << to_string(phase);
   out << ", " << "pending_in="; (__isset.pending_in ? (out << to_string(pending_in)) : (out << "<null>"));
+  out << ", " << "tenant_hash="; (__isset.tenant_hash ? (out << to_string(tenant_hash)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -585,9 +585,10 @@
 std::ostream& operator<<(std::ostream& out, const FinishedStep& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset() : finished_steps(false), tasks(false) {}
+  _Progress__isset() : finished_steps(false), tasks(false), tenant_hash(false) {}
   bool finished_steps :1;
   bool tasks :1;
+  bool tenant_hash :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
@@ -596,13 +597,15 @@
   Progress(const Progress&);
   Progress& operator=(const Progress&);
   Progress() noexcept
-           : phase(0) {
+           : phase(0),
+             tenant_hash(0) {
   }
 
   virtual ~Progress() noexcept;
   int32_t phase;
   std::vector<FinishedStep>  finished_steps;
   std::vector<Task>  tasks;
+  int32_t tenant_hash;
 
   _Progress__isset __isset;
 
@@ -612,6 +615,8 @@
 
   void __set_tasks(const std::vector<Task> & val);
 
+  void __set_tenant_hash(const int32_t val);
+
   bool operator == (const Progress & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -624,6 +629,10 @@
       return false;
     else if (__isset.tasks && !(tasks == rhs.tasks))
       return false;
+    if (__isset.tenant_hash != rhs.__isset.tenant_hash)
+      return false;
+    else if (__isset.tenant_hash && !(tenant_hash == rhs.tenant_hash))
+      return false;
     return true;
   }
   bool operator != (const Progress &rhs) const {
@@ -643,8 +652,9 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _JobState__isset {
-  _JobState__isset() : pending_in(false) {}
+  _JobState__isset() : pending_in(false), tenant_hash(false) {}
   bool pending_in :1;
+  bool tenant_hash :1;
 } _JobState__isset;
 
 class JobState : public virtual ::apache::thrift::TBase {
@@ -654,12 +664,14 @@
   JobState& operator=(const JobState&);
   JobState() noexcept
            : phase(0),
-             pending_in() {
+             pending_in(),
+             tenant_hash(0) {
   }
 
   virtual ~JobState() noexcept;
   int32_t phase;
   std::string pending_in;
+  int32_t tenant_hash;
 
   _JobState__isset __isset;
 
@@ -667,6 +679,8 @@
 
   void __set_pending_in(const std::string& val);
 
+  void __set_tenant_hash(const int32_t val);
+
   bool operator == (const JobState & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -675,6 +689,10 @@
       return false;
     else if (__isset.pending_in && !(pending_in == rhs.pending_in))
       return false;
+    if (__isset.tenant_hash != rhs.__isset.tenant_hash)
+      return false;
+    else if (__isset.tenant_hash && !(tenant_hash == rhs.tenant_hash))
+      return false;
     return true;
   }
   bool operator != (const JobState &rhs) const {
--- a/Libraries/LibSchedule/Intake.cpp
+++ b/Libraries/LibSchedule/Intake.cpp
@@ -52,6 +52,7 @@
   for (const auto& caller : aPartition.mSent->mCallers) {
     ReplyTo(caller, caller.mReplyOnStored, {}, aActions);
     LogEntry entry{ LogLevel::Info, "job-stored", caller.mJob.mValue };
+    entry.mTenant = caller.mTenant.mValue;
     entry.mOutcome = caller.mReplyOnStored == ReplyKind::Cancelled ? "cancelled" : "accepted";
     aActions.emplace_back(std::move(entry));
     ++aIntake.mAccepted;
@@ -65,6 +66,7 @@
 {
   ReplyTo(aCaller, ReplyKind::Refused, aReason, aActions);
   LogEntry entry{ LogLevel::Info, "job-refused", aCaller.mJob.mValue };
+  entry.mTenant = aCaller.mTenant.mValue;
   entry.mReason = aReason;
   aActions.emplace_back(std::move(entry));
   ++aIntake.mRefused;
@@ -106,6 +108,7 @@
     }
     ReplyTo(aCaller, ReplyKind::Unknown, "the log did not answer in time", aActions);
     LogEntry entry{ LogLevel::Warning, "job-unknown", aCaller.mJob.mValue };
+    entry.mTenant = aCaller.mTenant.mValue;
     entry.mReason = "the log did not answer in time";
     aActions.emplace_back(std::move(entry));
     ++aIntake.mUnknown;
--- a/Libraries/LibSchedule/Intake.h
+++ b/Libraries/LibSchedule/Intake.h
@@ -17,6 +17,7 @@
   RequestTicket mTicket = 0;
   ReplyKind mReplyOnStored = ReplyKind::Accepted;
   JobId mJob;
+  TenantName mTenant;
   Instant mArrivedAt;
   Instant mDeadline;
 };
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -118,6 +118,7 @@
 {
   JobProgress progress;
   progress.mPhase = aJob.mPhase;
+  progress.mTenantHash = TenantHashOf(aJob.mDefinition.mTenant);
   if (IsFinal(aJob.mPhase)) {
     return progress;
   }
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -1,5 +1,7 @@
 #include "LibSchedule/JobRecords.h"
 
+#include "LibBase/Hash.h"
+
 #include "LibSchedule/Generated/schedule_types.h"
 #include "LibSchedule/RecordCodec.h"
 
@@ -219,6 +221,16 @@
   return FromUnixMilliseconds(TRY(Decode<record::Silence>(aBytes)).lapsed_at_ms);
 }
 
+TenantHash
+TenantHashOf(const TenantName& aTenant)
+{
+  if (aTenant.IsEmpty()) {
+    return 0;
+  }
+  auto tag = static_cast<TenantHash>(StableHash(aTenant.mValue));
+  return tag == 0 ? 1 : tag;
+}
+
 std::string
 EncodeProgress(const JobProgress& aProgress)
 {
@@ -260,6 +272,9 @@
     out.tasks.push_back(std::move(entry));
   }
   out.__isset.tasks = !out.tasks.empty();
+  if (aProgress.mTenantHash != 0) {
+    out.__set_tenant_hash(aProgress.mTenantHash);
+  }
   return Encode(out);
 }
 
@@ -269,6 +284,7 @@
   auto record = TRY(Decode<record::Progress>(aBytes));
   JobProgress progress;
   progress.mPhase = TRY(PhaseOf(record.phase));
+  progress.mTenantHash = record.tenant_hash;
   for (const auto& step : record.finished_steps) {
     progress.mFinishedSteps.push_back({ step.occurrence, step.step });
   }
@@ -300,6 +316,9 @@
   if (!aState.mPendingIn.IsEmpty()) {
     out.__set_pending_in(aState.mPendingIn.mValue);
   }
+  if (aState.mTenantHash != 0) {
+    out.__set_tenant_hash(aState.mTenantHash);
+  }
   return Encode(out);
 }
 
@@ -307,7 +326,9 @@
 DecodeJobState(std::string_view aBytes)
 {
   auto record = TRY(Decode<record::JobState>(aBytes));
-  return JobState{ TRY(PhaseOf(record.phase)), QueueName(std::move(record.pending_in)) };
+  return JobState{ TRY(PhaseOf(record.phase)),
+                   QueueName(std::move(record.pending_in)),
+                   record.tenant_hash };
 }
 
 std::string
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -59,9 +59,17 @@
   auto operator<=>(const StepId&) const = default;
 };
 
+// A hash of a tenant's name, which is all that is published of it with each job. 0 means that the
+// job has no tenant, or that its record was written by a version without tenants.
+using TenantHash = std::int32_t;
+
+TenantHash
+TenantHashOf(const TenantName& aTenant);
+
 struct JobProgress
 {
   JobPhase mPhase = JobPhase::Pending;
+  TenantHash mTenantHash = 0;
   std::vector<StepId> mFinishedSteps;
   std::vector<TaskProgress> mTasks;
 };
@@ -91,6 +99,7 @@
   // The queue of a job that counts as pending there. Empty once the job has begun, and for a
   // recurring job.
   QueueName mPendingIn;
+  TenantHash mTenantHash = 0;
 };
 
 std::string
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -39,6 +39,8 @@
   // Calls that showed no known key, and calls that the manifest may have been too old to decide on.
   std::int64_t mUnauthorized = 0;
   std::int64_t mUndecidedKeys = 0;
+  // Calls about a job of another tenant.
+  std::int64_t mForeignJobs = 0;
   std::int64_t mTakeOvers = 0;
 };
 
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -33,6 +33,7 @@
 {
   JobState state;
   state.mPendingIn = aDefinition.mRunCount > 0 ? QueueName() : aDefinition.mQueue;
+  state.mTenantHash = TenantHashOf(aDefinition.mTenant);
   return state;
 }
 
@@ -231,7 +232,7 @@
   }
   if (progress != nullptr && IsFinal(progress->mPhase)) {
     // The former owner may not have published how the job ended.
-    AddState(aShard.mStates, id, JobState{ progress->mPhase, {} });
+    AddState(aShard.mStates, id, JobState{ progress->mPhase, {}, progress->mTenantHash });
     AddEndedJob(aShard.mEnded, id);
     return;
   }
@@ -260,6 +261,7 @@
   entry.mOutcome = aPhase == JobPhase::Completed ? "completed"
                    : aPhase == JobPhase::Failed  ? "failed"
                                                  : "cancelled";
+  entry.mTenant = aJob.mDefinition.mTenant.mValue;
   entry.mReason = std::move(aReason);
   entry.mVersion = aShard.mEpoch;
   aActions.emplace_back(std::move(entry));
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -42,6 +42,7 @@
 {
   JobId mJob;
   JobPhase mPhase = JobPhase::Pending;
+  TenantHash mTenantHash = 0;
 };
 
 // A progress append in flight, and the actions that wait until it is stored.
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -148,7 +148,10 @@
   }
   JobId id(aRecord.mKey);
   AddLoadedState(aShard.mStates,
-                 { id, { progress->mPhase, {} }, StateSource::Progress, aRecord.mOffset });
+                 { id,
+                   { progress->mPhase, {}, progress->mTenantHash },
+                   StateSource::Progress,
+                   aRecord.mOffset });
   aShard.mLoadedProgress[id] = *std::move(progress);
 }
 
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -37,7 +37,7 @@
     job->mDirty = false;
     if (job->mPhase != job->mRecordedPhase) {
       job->mRecordedPhase = job->mPhase;
-      aWrite.mPhaseChanges.push_back({ id, job->mPhase });
+      aWrite.mPhaseChanges.push_back({ id, job->mPhase, TenantHashOf(job->mDefinition.mTenant) });
     }
     auto value = EncodeProgress(ProgressOf(*job));
     bytes += value.size();
@@ -145,7 +145,7 @@
     }
   }
   for (const auto& change : write.mPhaseChanges) {
-    AddState(aShard.mStates, change.mJob, JobState{ change.mPhase, {} });
+    AddState(aShard.mStates, change.mJob, JobState{ change.mPhase, {}, change.mTenantHash });
   }
   for (const auto& id : write.mExpired) {
     AddState(aShard.mStates, id, std::nullopt);
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -80,7 +80,9 @@
     return;
   }
   auto queue = definition->mRunCount > 0 ? QueueName() : definition->mQueue;
-  aView.mUncoveredJobs[JobId(aRecord.mKey)] = { aRecord.mOffset, std::move(queue) };
+  aView.mUncoveredJobs[JobId(aRecord.mKey)] = { aRecord.mOffset,
+                                                std::move(queue),
+                                                TenantHashOf(definition->mTenant) };
 }
 
 void
@@ -133,14 +135,18 @@
   return aStream.mLoaded && aStream.mCurrentAsOf >= aQuery.mReceivedAt;
 }
 
-std::optional<JobPhase>
-FindPhase(const StatusView& aView, const JobId& aId)
+std::optional<JobState>
+FindState(const StatusView& aView, const JobId& aId)
 {
   auto published = aView.mJobs.find(aId);
   if (published != aView.mJobs.end()) {
-    return published->second.mPhase;
+    return published->second;
   }
-  return aView.mUncoveredJobs.contains(aId) ? std::optional(JobPhase::Pending) : std::nullopt;
+  auto uncovered = aView.mUncoveredJobs.find(aId);
+  if (uncovered == aView.mUncoveredJobs.end()) {
+    return std::nullopt;
+  }
+  return JobState{ JobPhase::Pending, uncovered->second.mQueue, uncovered->second.mTenantHash };
 }
 
 // Whether a job that is in neither stream does not exist. It may have left the jobs stream after
@@ -180,18 +186,21 @@
 {
   ViewAnswer answer;
   answer.mQuery = aQuery;
-  auto phase = FindPhase(aView, aQuery.mJob);
+  auto state = FindState(aView, aQuery.mJob);
+  if (state) {
+    answer.mPhase = state->mPhase;
+    answer.mTenantHash = state->mTenantHash;
+  }
   // A final phase never changes, so the view need not be current.
-  if (!aQuery.mIsCountQuery && phase && IsFinal(*phase)) {
-    answer.mPhase = phase;
+  if (!aQuery.mIsCountQuery && state && IsFinal(state->mPhase)) {
     return answer;
   }
-  if (IsAnswerable(aView, aQuery, phase.has_value())) {
-    answer.mPhase = phase;
+  if (IsAnswerable(aView, aQuery, state.has_value())) {
     answer.mCount = aQuery.mIsCountQuery ? CountPending(aView, aQuery.mQueue) : 0;
     return answer;
   }
   if (aNow >= aQuery.mDeadline) {
+    answer.mPhase.reset();
     answer.mTimedOut = true;
     return answer;
   }
--- a/Libraries/LibSchedule/StatusView.h
+++ b/Libraries/LibSchedule/StatusView.h
@@ -35,6 +35,8 @@
   RequestKind mKind = RequestKind::State;
   JobId mJob;
   QueueName mQueue;
+  // Whose jobs the caller may ask for; empty if calls need no key.
+  std::optional<TenantHash> mTenantHash;
   bool mIsCountQuery = false;
   Instant mReceivedAt;
   Instant mDeadline;
@@ -46,6 +48,7 @@
   std::int64_t mOffset = 0;
   // The queue in which it counts as pending; empty for a recurring job.
   QueueName mQueue;
+  TenantHash mTenantHash = 0;
 };
 
 struct StatusView
@@ -78,6 +81,8 @@
   StatusQuery mQuery;
   // Empty if the job is unknown, or if the deadline passed before the log answered.
   std::optional<JobPhase> mPhase;
+  // Whose job it is.
+  TenantHash mTenantHash = 0;
   std::int64_t mCount = 0;
   bool mTimedOut = false;
 };
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -70,6 +70,8 @@
   1: required i32 phase,
   2: optional list<FinishedStep> finished_steps,
   3: optional list<Task> tasks,
+  // Tells whose job it is, see TenantHashOf; absent for a job without a tenant.
+  4: optional i32 tenant_hash,
 }
 
 // The phase of a job as callers are told it.
@@ -77,6 +79,8 @@
   1: required i32 phase,
   // The queue of a job that counts as pending there; absent otherwise.
   2: optional string pending_in,
+  // As in Progress.
+  3: optional i32 tenant_hash,
 }
 
 // Every job record before jobs_end and every progress record before progress_end is reflected in
--- a/Tests/LibExplain/TestExplain.cpp
+++ b/Tests/LibExplain/TestExplain.cpp
@@ -119,4 +119,24 @@
   BOOST_TEST(!ParseLogLine("not json").ok());
 }
 
+BOOST_AUTO_TEST_CASE(job_refused_for_its_key_names_the_version_and_its_age)
+{
+  auto refused = Line(
+    3000, "call-undecided", ",\"tenant\":\"t1\",\"reason\":\"why\",\"version\":7,\"age_ms\":5100");
+  auto explanation = ExplainTexts({ Dependency(2000, "dependency-lost"), refused });
+  BOOST_TEST((explanation.mCause == Cause::RefusedForKey));
+  BOOST_TEST(explanation.mTenant == "t1");
+  BOOST_TEST(explanation.mSummary ==
+             "refused by e1: why, by version 7 of the manifest, proven 5100 ms before");
+  BOOST_TEST(explanation.mEvidence.size() == 2u);
+}
+
+BOOST_AUTO_TEST_CASE(explanation_names_the_tenant_of_the_job)
+{
+  auto ended =
+    Line(9000, "job-finished", ",\"tenant\":\"t1\",\"outcome\":\"completed\",\"version\":7");
+  BOOST_TEST(ExplainTexts({ kStored, ended }).mTenant == "t1");
+  BOOST_TEST(ExplainTexts({ kStored, kCompleted }).mTenant == "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestAuthentication.cpp
+++ b/Tests/LibSchedule/TestAuthentication.cpp
@@ -115,6 +115,34 @@
   return text;
 }
 
+// Asks as the first tenant, at a host that has read the job's state after the call.
+ReplyKind
+AskFor(RequestKind aKind,
+       const JobState& aState,
+       const std::string& aPath = "/prints/00000000000000ab",
+       bool aHasNoTenants = false)
+{
+  auto manifest = ManifestOf(1);
+  if (aHasNoTenants) {
+    manifest.mTenants.clear();
+  }
+  auto node = NodeWith(manifest, Instant(100s));
+  Call(node, Instant(101s), Bearer(kGoodKey), aKind, aPath);
+  auto& view = ViewOf(node, PartitionOf(ServiceName("s"), node.mSettings.mPartitions));
+  view.mJobs[JobId("00000000000000ab")] = aState;
+  view.mStates.mLoaded = true;
+  view.mStates.mCurrentAsOf = Instant(102s);
+  Actions actions;
+  AnswerQueries(node, { Instant(102s), TimePoint(1000s) }, actions);
+  for (const auto& action : actions) {
+    if (const auto* reply = std::get_if<Reply>(&action)) {
+      return reply->mKind;
+    }
+  }
+  // A cancellation waits for its record.
+  return ReplyKind::Accepted;
+}
+
 // A host that follows the manifest over a connection that is subject to faults, with a clock that
 // is 2% slow, and callers that use keys of all versions.
 struct GuardedHost
@@ -384,6 +412,45 @@
   BOOST_TEST(seconds / lookups < 1e-6);
 }
 
+// A job is shown to its tenant only; to others it is as one that does not exist.
+BOOST_AUTO_TEST_CASE(a_job_of_another_tenant_does_not_exist_for_the_caller)
+{
+  auto weavers = TenantHashOf(TenantName("weavers"));
+  auto dyers = TenantHashOf(TenantName("dyers"));
+  for (auto phase : { JobPhase::Pending, JobPhase::Running, JobPhase::Completed }) {
+    for (auto kind : { RequestKind::State, RequestKind::Cancel }) {
+      BOOST_TEST((AskFor(kind, { phase, {}, dyers }) == ReplyKind::Gone));
+      BOOST_TEST((AskFor(kind, { phase, {}, weavers }) != ReplyKind::Gone));
+      // Of a version without tenants.
+      BOOST_TEST((AskFor(kind, { phase, {}, 0 }) != ReplyKind::Gone));
+    }
+  }
+  auto kind = RequestKind::State;
+  JobState job{ JobPhase::Completed, {}, dyers };
+  // A caller of a public queue has no tenant; without tenants all may ask.
+  BOOST_TEST((AskFor(kind, job, "/open/00000000000000ab") == ReplyKind::Gone));
+  BOOST_TEST((AskFor(kind, job, "/prints/00000000000000ab", true) == ReplyKind::State));
+}
+
+// A new owner, which may know a job from its progress alone, still says whose it is.
+BOOST_AUTO_TEST_CASE(the_tenant_stays_with_the_progress_and_the_state_of_a_job)
+{
+  JobDefinition definition;
+  definition.mTenant = TenantName("weavers");
+  definition.mSteps.emplace_back();
+  auto tag = TenantHashOf(definition.mTenant);
+  for (auto phase : { JobPhase::Running, JobPhase::Completed }) {
+    auto job = MakeJob(JobId("00000000000000ab"), definition, nullptr);
+    job.mPhase = phase;
+    BOOST_TEST(DecodeProgress(EncodeProgress(ProgressOf(job)))->mTenantHash == tag);
+  }
+  BOOST_TEST(DecodeJobState(EncodeJobState({ JobPhase::Running, {}, tag }))->mTenantHash == tag);
+  BOOST_TEST(DecodeJobState(EncodeJobState({ JobPhase::Running, {}, 0 }))->mTenantHash == 0);
+  auto bytes = EncodeJobState({ JobPhase::Running, {}, tag }).size() -
+               EncodeJobState({ JobPhase::Running, {}, 0 }).size();
+  BOOST_TEST(bytes <= 6u);
+}
+
 // A restarted host knows nothing of before and reads the newest manifest only.
 BOOST_AUTO_TEST_CASE(a_withdrawn_key_is_not_in_use_again_after_a_restart)
 {
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -1,3 +1,4 @@
+#include "LibSchedule/Authentication.h"
 #include "platform/ExecutorWire.h"
 #include "platform/ExternalRecordsWire.h"
 #include "platform/JobWire.h"
@@ -249,6 +250,27 @@
   BOOST_TEST((first.mQuota == Resources{ 4000, 0, 0 }));
   BOOST_TEST(manifest.mTenants.back().mKeys.empty());
   BOOST_TEST((records.mUnreadable == std::vector<std::string>{ "a tenant of version 7" }));
+  BOOST_TEST(manifest.mHasUnreadableTenants);
+}
+
+// Calls need no key without tenants, but tenants that cannot be read do not open the door.
+BOOST_AUTO_TEST_CASE(only_tenants_that_are_not_there_make_keys_needless)
+{
+  auto requiresKeys = [](const std::string& aTenants) {
+    ExternalRecords records;
+    auto value = R"({"version":7,"routes":[])" + aTenants + "}";
+    DecodeExternalRecords(Stream::Operator, { { "config", value, 4 } }, records);
+    return MakeKeyIndex(records.mManifests.at(0)).mIsRequired;
+  };
+  for (const auto* none : { "", R"(,"tenants":null)", R"(,"tenants":[])" }) {
+    BOOST_TEST(!requiresKeys(none));
+  }
+  for (const auto* some : { R"(,"tenants":{})",
+                            R"(,"tenants":"t")",
+                            R"(,"tenants":[1])",
+                            R"(,"tenants":[{"name":"t"}])" }) {
+    BOOST_TEST(requiresKeys(some));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(route_that_cannot_be_read_is_reported_and_the_others_hold)
--- a/Utilities/sesameseam/ExplainCommands.cpp
+++ b/Utilities/sesameseam/ExplainCommands.cpp
@@ -40,7 +40,8 @@
     }
   }
   auto explanation = explain::Explain(std::move(lines), aJob);
-  std::cout << aJob << ": " << explanation.mSummary << "\n";
+  auto owner = explanation.mTenant.empty() ? "" : " of " + explanation.mTenant;
+  std::cout << aJob << owner << ": " << explanation.mSummary << "\n";
   for (const auto& line : explanation.mEvidence) {
     Print(line);
   }
