--- a/Libraries/LibSchedule/Demand.cpp
+++ b/Libraries/LibSchedule/Demand.cpp
@@ -1,6 +1,7 @@
 #include "LibSchedule/Demand.h"
 
 #include "LibSchedule/CrashIsolation.h"
+#include "LibSchedule/Placement.h"
 
 #include <algorithm>
 #include <cmath>
@@ -9,9 +10,6 @@
 
 namespace {
 
-// Share of a host's cores that can be planned for: tasks of different sizes leave some of them
-// unused.
-constexpr double kTargetUtilization = 0.85;
 // Share of the running tasks that are expected to still run while the waiting tasks can be in time.
 constexpr double kStillRunningShare = 0.25;
 // Late work is to be completed within this time. It asks for few hosts, so that it holds none that
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -66,6 +66,8 @@
   JobPhase mRecordedPhase = JobPhase::Pending;
   // When the owner of the shard received the job; unset for a job that it loaded when taking over.
   Instant mArrivedAt;
+  // Its tenant had sent more than its weight in jobs per second when it came.
+  bool mIsBeyondWeight = false;
   // It has changes that are not in the log yet.
   bool mDirty = false;
 };
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -68,6 +68,9 @@
   auto& shard =
     aNode.mShards.emplace(aPartition, MakeShard(aPartition, settings, aNow.mAt)).first->second;
   ++aNode.mCounters.mTakeOvers;
+  if (aNode.mFollower.mManifest) {
+    UpdateTenants(shard.mTenantShares, aNode.mFollower.mManifest->mTenants);
+  }
   for (const auto& [id, entry] : aNode.mFollower.mExecutors) {
     ApplyExecutorEntry(aNode, aNow, shard, entry);
   }
@@ -97,6 +100,9 @@
 ApplyChanges(Node& aNode, const Now& aNow, const FollowerChanges& aChanges)
 {
   if (aChanges.mManifest) {
+    for (auto& [partition, shard] : aNode.mShards) {
+      UpdateTenants(shard.mTenantShares, aNode.mFollower.mManifest->mTenants);
+    }
     ReconcileShards(aNode, aNow);
   }
   for (const auto& id : aChanges.mExecutors) {
--- a/Libraries/LibSchedule/Placement.h
+++ b/Libraries/LibSchedule/Placement.h
@@ -9,6 +9,9 @@
 // Chooses the executor of a task. Pure functions over the executors of a shard.
 namespace sesameseam::schedule {
 
+// Share of an executor that can be planned for: tasks of different sizes leave some of it unused.
+inline constexpr double kTargetUtilization = 0.85;
+
 // An executor and its free resources during a placement pass.
 struct Candidate
 {
--- a/Libraries/LibSchedule/QueueOrder.cpp
+++ b/Libraries/LibSchedule/QueueOrder.cpp
@@ -34,7 +34,8 @@
   auto key = [](const ReadyStep& aStep) {
     const auto& definition = aStep.mJob->mDefinition;
     auto lasts = definition.mSteps[static_cast<std::size_t>(aStep.mStep)].mLongRunning;
-    return std::tuple(aStep.mIsLate, definition.mPriority, !lasts, aStep.mLatestStart, aStep.mWork);
+    return std::tuple(
+      aStep.mIsLate, aStep.mYields, definition.mPriority, !lasts, aStep.mLatestStart, aStep.mWork);
   };
   std::stable_sort(
     aSteps.begin(), aSteps.end(), [&](const ReadyStep& aLeft, const ReadyStep& aRight) {
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -238,6 +238,9 @@
   auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
   if (aShard.mPhase == ShardPhase::Active) {
     job.mArrivedAt = aNow.mAt;
+    // Jobs that were there before are not loaded in the order in which they came.
+    job.mIsBeyondWeight =
+      !CountArrival(aShard.mTenantShares, definition->mTenant, definition->mAcceptedAt);
   }
   if (progress != nullptr) {
     AdoptAttempts(aShard, job, *progress, aNow);
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/Job.h"
 #include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
+#include "LibSchedule/TenantShares.h"
 
 #include <map>
 #include <optional>
@@ -89,6 +90,7 @@
   Instant mRetryAt;
 
   std::map<JobId, Job> mJobs;
+  TenantShares mTenantShares;
   EndedJobs mEnded;
   std::map<JobId, JobProgress> mLoadedProgress;
   std::int64_t mNextJobsOffset = -1;
@@ -121,6 +123,7 @@
   bool mHasUnplacedTasks = false;
   Instant mLastPlacementPassAt;
   ShardLoad mLoad;
+  YieldCounts mYielding;
   Instant mNextLoadReportAt;
   ShardCounters mCounters;
 };
--- a/Libraries/LibSchedule/ShardLoad.cpp
+++ b/Libraries/LibSchedule/ShardLoad.cpp
@@ -29,6 +29,17 @@
   }
 }
 
+std::string
+DescribeYielding(const YieldCounts& aYielding)
+{
+  if (aYielding.mTasks == 0) {
+    return {};
+  }
+  return "; " + std::to_string(aYielding.mTasks) + " yield, " +
+         std::to_string(aYielding.mBeyondWeight) +
+         " of them beyond their tenants' weights, most of " + aYielding.mMostOf.mValue;
+}
+
 std::string
 Describe(const ShardLoad& aLoad)
 {
@@ -36,7 +47,7 @@
          std::to_string(aLoad.mWaitingMillicores / kMillicoresPerCore) + " cores, " +
          std::to_string(aLoad.mInTimeTasks) + " of them in time; " +
          std::to_string(aLoad.mFreeMillicores / kMillicoresPerCore) + " cores are free on " +
-         std::to_string(aLoad.mExecutors) + " executors";
+         std::to_string(aLoad.mExecutors) + " executors" + DescribeYielding(aLoad.mYielding);
 }
 
 }
@@ -51,6 +62,7 @@
     }
   }
   ShardLoad load;
+  load.mYielding = aShard.mYielding;
   for (const auto& step : ready) {
     AddReadyStep(step, aNow, load);
   }
--- a/Libraries/LibSchedule/ShardLoad.h
+++ b/Libraries/LibSchedule/ShardLoad.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibSchedule/Calls.h"
+#include "LibSchedule/Model.h"
 
 #include <chrono>
 #include <cstdint>
@@ -16,11 +17,22 @@
 // The event of the log lines that ReportLoad() writes.
 inline constexpr std::string_view kLoadEvent = "shard-load";
 
+// What yielded to other work in the last placement pass.
+struct YieldCounts
+{
+  int mTasks = 0;
+  // Those of them that are beyond their tenants' weights.
+  int mBeyondWeight = 0;
+  // The tenant with the most of them.
+  TenantName mMostOf;
+};
+
 struct ShardLoad
 {
   // Tasks that could start now, and those of them whose job can still be in time.
   int mWaitingTasks = 0;
   int mInTimeTasks = 0;
+  YieldCounts mYielding;
   // In thousandths of a core.
   std::int64_t mWaitingMillicores = 0;
   std::int64_t mFreeMillicores = 0;
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -1,5 +1,6 @@
 #include "LibSchedule/CrashIsolation.h"
 #include "LibSchedule/Placement.h"
+#include "LibSchedule/PoolContest.h"
 #include "LibSchedule/QueueOrder.h"
 #include "LibSchedule/Shard.h"
 
@@ -39,6 +40,15 @@
   return aStep.mRequiredLabel.empty() && aStep.mMaxPerExecutor == 0;
 }
 
+// The work of one task, by its estimate.
+double
+CoreSecondsOf(const Step& aStep)
+{
+  constexpr double kMillicoreMilliseconds = 1'000'000.0;
+  return static_cast<double>(NeedsOf(aStep).mCpuMillicores * aStep.mEstimate.count()) /
+         kMillicoreMilliseconds;
+}
+
 void
 PlaceTask(Shard& aShard,
           const ReadyStep& aReady,
@@ -65,6 +75,9 @@
     job.mPhase = JobPhase::Running;
   }
   detail::MarkDirty(aShard, job);
+  if (!step.mLongRunning) {
+    RecordServed(aShard.mTenantShares, job.mDefinition.mTenant, CoreSecondsOf(step), aNow);
+  }
 }
 
 TaskId
@@ -223,9 +236,14 @@
   }
   PlacementPass pass;
   pass.mNow = aNow.mAt;
+  aShard.mYielding = {};
   if (!ready.empty()) {
-    SortReadySteps(ready);
     pass.mCandidates = MakeCandidates(aShard.mExecutors, aNow.mAt);
+    if (!aShard.mTenantShares.IsEmpty()) {
+      aShard.mYielding =
+        MarkYieldingSteps(aShard.mJobs, ready, pass.mCandidates, aShard.mTenantShares, aNow);
+    }
+    SortReadySteps(ready);
   }
   for (const auto& step : ready) {
     const auto& definition = step.mJob->mDefinition.mSteps[static_cast<std::size_t>(step.mStep)];
--- a/Libraries/LibServe/ClassShares.cpp
+++ b/Libraries/LibServe/ClassShares.cpp
@@ -1,6 +1,7 @@
 #include "LibServe/ClassShares.h"
 
-#include <cmath>
+#include "LibBase/Decay.h"
+
 #include <numeric>
 
 namespace sesameseam {
@@ -21,7 +22,7 @@
 void
 RecordStarted(ClassShares& aShares, RequestClass aClass, Duration aWork, TimePoint aNow)
 {
-  auto decay = std::exp2(-Seconds(aNow - aShares.mAt) / Seconds(kHalfLife));
+  auto decay = DecayOver(aNow - aShares.mAt, kHalfLife);
   for (auto& work : aShares.mWork) {
     work *= decay;
   }
