--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/Job.h"
 #include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
+#include "LibSchedule/TenantShares.h"
 #include "LibSchedule/TenantUsage.h"
 
 #include <map>
@@ -91,6 +92,7 @@
   Instant mRetryAt;
 
   std::map<JobId, Job> mJobs;
+  TenantShares mTenantShares;
   EndedJobs mEnded;
   std::map<JobId, JobProgress> mLoadedProgress;
   std::int64_t mNextJobsOffset = -1;
@@ -124,6 +126,7 @@
   bool mHasUnplacedTasks = false;
   Instant mLastPlacementPassAt;
   ShardLoad mLoad;
+  YieldCounts mYielding;
   Instant mNextLoadReportAt;
   ShardCounters mCounters;
 };
