--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -155,8 +155,11 @@
 }
 
 void
-HandleEvent(Node& /*aNode*/, const Now& /*aNow*/, const Tick& /*aTick*/, Actions& /*aActions*/)
+HandleEvent(Node& aNode, const Now& aNow, const Tick& aTick, Actions& /*aActions*/)
 {
+  if (aTick.mDueAt) {
+    RecordDelay(aNode.mRelayedCalls, aNow.mAt, aNow.mAt - *aTick.mDueAt);
+  }
 }
 
 void
@@ -390,7 +393,9 @@
   node.mGroup.mHost = aSettings.mName;
   node.mGroup.mCapacityMillicores = aSettings.mCapacityMillicores;
   node.mGroup.mTimeToLive = aSettings.mMemberTimeToLive;
-  node.mRelayedCalls.mSettings = { aSettings.mName, aSettings.mCapacityMillicores };
+  node.mRelayedCalls.mSettings = { aSettings.mName,
+                                   aSettings.mCapacityMillicores,
+                                   aSettings.mShareCallsDelay };
   return node;
 }
 
