--- a/Libraries/LibSchedule/QuotaKeeping.cpp
+++ b/Libraries/LibSchedule/QuotaKeeping.cpp
@@ -83,8 +83,9 @@
     if (aChanges.mClaims.contains(key.mShard)) {
       continue;
     }
-    LogEntry entry{ LogLevel::Info, EventOf(before, allotment), {}, key.mTenant.mValue };
-    entry.mOutcome = "shard " + std::to_string(key.mShard) + " holds " + TextOf(allotment.mHeld);
+    LogEntry entry{ LogLevel::Info, EventOf(before, allotment), {}, std::to_string(key.mShard) };
+    entry.mTenant = key.mTenant.mValue;
+    entry.mOutcome = "holds " + TextOf(allotment.mHeld);
     if (allotment.mWanted != Resources()) {
       entry.mReason = "lacks " + TextOf(allotment.mWanted);
     }
@@ -92,6 +93,15 @@
   }
 }
 
+void
+Add(TenantReport& aSum, const TenantReport& aPart)
+{
+  aSum.mRunning = aSum.mRunning + aPart.mRunning;
+  aSum.mAllotted = aSum.mAllotted + aPart.mAllotted;
+  aSum.mWanted = aSum.mWanted + aPart.mWanted;
+  aSum.mHeldBack = aSum.mHeldBack + aPart.mHeldBack;
+}
+
 void
 NoteWants(QuotaKeeping& aKeeping, Instant aNow)
 {
@@ -122,7 +132,8 @@
   for (const auto& [tenant, quota] : quotas) {
     auto before = aKeeping.mQuotas.find(tenant);
     if (before != aKeeping.mQuotas.end() && !Covers(quota, before->second)) {
-      LogEntry entry{ LogLevel::Info, "quota-lowered", {}, tenant.mValue };
+      LogEntry entry{ LogLevel::Info, "quota-lowered" };
+      entry.mTenant = tenant.mValue;
       entry.mOutcome = TextOf(quota);
       entry.mVersion = aManifest.mVersion;
       aActions.emplace_back(std::move(entry));
@@ -193,4 +204,36 @@
   AppendChanges(aKeeping.mLog, aNow, changes, aActions);
 }
 
+std::vector<TenantReport>
+ReportTenants(const QuotaKeeping& aKeeping, const std::map<int, Shard>& aShards, std::size_t aMost)
+{
+  std::vector<TenantReport> reports;
+  reports.reserve(aKeeping.mQuotas.size());
+  for (const auto& [tenant, quota] : aKeeping.mQuotas) {
+    TenantReport report{ tenant, {}, {}, {}, {} };
+    for (const auto& [partition, shard] : aShards) {
+      auto use = shard.mUsage.mTenants.find(tenant);
+      if (use == shard.mUsage.mTenants.end()) {
+        continue;
+      }
+      auto allotment = FindAllotment(aKeeping.mLog.mBook, { partition, tenant });
+      Add(report,
+          { {}, use->second.mRunning, allotment.mHeld, allotment.mWanted, use->second.mLacking });
+    }
+    reports.push_back(std::move(report));
+  }
+  std::stable_sort(reports.begin(), reports.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mRunning.mCpuMillicores > aRight.mRunning.mCpuMillicores;
+  });
+  if (reports.size() > aMost) {
+    TenantReport others;
+    for (std::size_t i = aMost; i < reports.size(); ++i) {
+      Add(others, reports[i]);
+    }
+    reports.resize(aMost);
+    reports.push_back(std::move(others));
+  }
+  return reports;
+}
+
 }
--- a/Libraries/LibSchedule/QuotaKeeping.h
+++ b/Libraries/LibSchedule/QuotaKeeping.h
@@ -37,4 +37,20 @@
               const std::map<int, Shard>& aShards,
               Actions& aActions);
 
+// What a host's shards use of a tenant's quota, for operators.
+struct TenantReport
+{
+  // Empty for the sum over all tenants that have no report of their own.
+  TenantName mTenant;
+  Resources mRunning;
+  Resources mAllotted;
+  Resources mWanted;
+  // What the last placement passes held back for want of quota.
+  Resources mHeldBack;
+};
+
+// The tenants with quotas that have the most running, aMost of them, and the sum of the others.
+std::vector<TenantReport>
+ReportTenants(const QuotaKeeping& aKeeping, const std::map<int, Shard>& aShards, std::size_t aMost);
+
 }
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -16,13 +16,21 @@
 constexpr char kOtherPrefix[] = "/archives/";
 constexpr Duration kTickInterval = 100ms;
 constexpr int kMillicoresPerCore = 1000;
+constexpr char kKey[] = "key";
 constexpr std::int64_t kMemoryMb = 64 * 1024;
 constexpr TimePoint kWallStart = TimePoint(std::chrono::seconds(1'700'000'000));
 
 schedule::Manifest
-FirstManifest()
+FirstManifest(int aQuotaCores)
 {
   schedule::Manifest manifest;
+  if (aQuotaCores > 0) {
+    schedule::Tenant tenant;
+    tenant.mName = schedule::TenantName("weavers");
+    tenant.mKeys = { kKey };
+    tenant.mQuota.mCpuMillicores = std::int64_t(aQuotaCores) * kMillicoresPerCore;
+    manifest.mTenants.push_back(std::move(tenant));
+  }
   manifest.mVersion = 1;
   schedule::Route route;
   route.mQueue = schedule::QueueName("previews");
@@ -48,7 +56,7 @@
   : mSettings(aSettings)
   , mRandom(aSettings.mSeed)
 {
-  PublishManifest(FirstManifest());
+  PublishManifest(FirstManifest(aSettings.mQuotaCores));
   for (int i = 0; i < aSettings.mExecutors + aSettings.mOtherExecutors; ++i) {
     FakeExecutor executor;
     executor.mEntry.mId = schedule::ExecutorId("x" + std::to_string(i));
@@ -365,6 +373,9 @@
   request.mKind = aKind;
   request.mHost = kHost;
   request.mPath = kPrefix + aJob.mValue;
+  if (mSettings.mQuotaCores > 0) {
+    request.mCredential = { schedule::CredentialKind::Bearer, kKey, {} };
+  }
   if (aDefinition != nullptr) {
     request.mJob = *aDefinition;
   }
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -44,6 +44,8 @@
   bool mHasRelays = true;
   // The processor capacity of a host.
   int mHostMillicores = 1000;
+  // The cores that the tenant of all jobs may have running; 0 if there are no tenants.
+  int mQuotaCores = 0;
 };
 
 struct SimulatedHost
@@ -219,6 +221,10 @@
                            schedule::ExternalRecords& aOut);
 
   void CheckStart(const FakeExecutor& aExecutor, const schedule::StartCall& aCall);
+  // Whether more runs than the tenant may have running, by the manifest.
+  void CheckQuota(const std::string& aTask);
+  // Whether the owners' counts of what tenants have running match their runs.
+  void CheckUsage();
   // Ends the process of the executor if the run that has just started is one that crashes it.
   void CrashUnder(FakeExecutor& aExecutor, const schedule::StartCall& aCall);
   // Executes an order that takes a machine out of service and returns it to a pool after a time.
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -133,6 +133,8 @@
   if (job->second.mRefused && !job->second.mAccepted) {
     mViolations.push_back(text + " was started although its job was refused");
   }
+  CheckQuota(text);
+  CheckUsage();
   std::int64_t reserved = 0;
   for (auto& executor : mExecutors) {
     Advance(executor, mNow);
@@ -152,6 +154,46 @@
   }
 }
 
+void
+Simulation::CheckQuota(const std::string& aTask)
+{
+  constexpr int kMillicores = 1000;
+  if (mSettings.mQuotaCores == 0) {
+    return;
+  }
+  std::int64_t running = 0;
+  for (auto& executor : mExecutors) {
+    Advance(executor, mNow);
+    for (const auto& [run, state] : executor.mRuns) {
+      const auto& steps = mJobs.at(run.mTask.mJob).mDefinition.mSteps;
+      running += steps[static_cast<std::size_t>(run.mTask.mStep)].mNeeds.mCpuMillicores;
+    }
+  }
+  if (running > std::int64_t(mSettings.mQuotaCores) * kMillicores) {
+    mViolations.push_back(aTask + " was started beyond the quota of its tenant");
+  }
+}
+
+void
+Simulation::CheckUsage()
+{
+  for (const auto& host : mHosts) {
+    for (const auto& [partition, shard] : host.mNode.mShards) {
+      std::map<schedule::TenantName, schedule::Resources> running;
+      for (const auto& [id, executor] : shard.mExecutors) {
+        for (const auto& [name, run] : executor.mRuns) {
+          running[run.mTenant] = running[run.mTenant] + run.mCounted;
+        }
+      }
+      for (const auto& [tenant, use] : shard.mUsage.mTenants) {
+        if (use.mRunning != running[tenant]) {
+          mViolations.push_back("host " + host.mName + " counts other runs than it has");
+        }
+      }
+    }
+  }
+}
+
 bool
 Simulation::HasEnded(const JobId& aJob) const
 {
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -624,6 +624,26 @@
   BOOST_TEST(holds);
 }
 
+// Guards against a tenant that has more running than its quota, and against jobs that wait for ever
+// for a quota that is free, after owners were lost and on executors that don't answer.
+BOOST_AUTO_TEST_CASE(no_tenant_exceeds_its_quota_under_random_faults)
+{
+  auto holds = rc::check([] {
+    SimulationSettings settings;
+    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
+    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
+    settings.mLateOrders = *rc::gen::element(0.0, 0.02);
+    settings.mQuotaCores = *rc::gen::element(4, 8, 12);
+    auto problems = PlayRandomFaults(settings);
+    for (const auto& problem : problems) {
+      RC_LOG() << problem << "\n";
+    }
+    RC_ASSERT(problems.empty());
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against calls that another host makes late, twice or for an owner that has lost its shard.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_random_faults_while_hosts_call_for_one_another)
 {
