--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -49,6 +49,8 @@
   // The rate of each host's link to everything else; 0 if it is unlimited. What is sent over it
   // comes one after the other.
   std::int64_t mLinkBytesPerSecond = 0;
+  // The cores that the tenant of all jobs may have running; 0 if there are no tenants.
+  int mQuotaCores = 0;
 };
 
 struct SimulatedHost
@@ -234,6 +236,10 @@
   void CheckStop(const FakeExecutor& aExecutor, const schedule::StopCall& aCall);
   // Checks that no long-running task is without a run for long.
   void CheckLongRunningTasks();
+  // Whether more runs than the tenant may have running, by the manifest.
+  void CheckQuota(const std::string& aTask);
+  // Whether the owners' counts of what tenants have running match their runs.
+  void CheckUsage();
   // Ends the process of the executor if the run that has just started is one that crashes it.
   void CrashUnder(FakeExecutor& aExecutor, const schedule::StartCall& aCall);
   // Executes an order that takes a machine out of service and returns it to a pool after a time.
