--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A startup is not extrapolated further than by this multiple of what was seen of it, since it need
-// not be even.
-constexpr int kMaxExtrapolation = 2;
 // The slowest rate at which the steady clock of an executor may run.
 constexpr double kMinClockRate = 0.98;
 // Renewals ask for slightly less than the maximum, because the executor shortens longer leases.
@@ -73,18 +70,6 @@
   return sum;
 }
 
-void
-UpdatePercent(PlacedRun& aRun, int aPercent, Instant aNow)
-{
-  if (aPercent > aRun.mPercent) {
-    auto seen = aNow - std::max(aRun.mPercentAt, aRun.mStateSince);
-    auto rest = seen * (kFullSpeed - aPercent) / (aPercent - aRun.mPercent);
-    aRun.mFullSpeedAt = aNow + std::min<Duration>(rest, kMaxExtrapolation * seen);
-    aRun.mPercentAt = aNow;
-  }
-  aRun.mPercent = aPercent;
-}
-
 bool
 IsSchedulable(const Executor& aExecutor, Instant aNow)
 {
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -42,10 +42,6 @@
   // When mState was last set.
   Instant mStateSince;
   int mPercent = 0;
-  // When mPercent last rose, and by when the run may be at full speed according to that; unset
-  // while nothing is known.
-  Instant mPercentAt;
-  Instant mFullSpeedAt;
   std::int64_t mLoad = 0;
   std::chrono::milliseconds mTargetTailLatency{ 0 };
   // The percentage of its speed that a best-effort run is limited to.
@@ -145,11 +141,6 @@
 Resources
 ReservedResources(const Executor& aExecutor);
 
-// Sets the percentage of its speed at which a run was reported to work, and expects the rest of its
-// startup to take as long as what was seen of it.
-void
-UpdatePercent(PlacedRun& aRun, int aPercent, Instant aNow);
-
 // Whether new runs may be placed on the executor.
 bool
 IsSchedulable(const Executor& aExecutor, Instant aNow);
--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -8,11 +8,9 @@
 
 // An executor answers a heartbeat when the first run ends, or after this time.
 constexpr std::chrono::milliseconds kHeartbeatPollTime = 2s;
-// Used while a long-running task starts up for an unknown time, a run is stopping or uncertain, or
+// Used while a long-running task is not at full speed yet, a run is stopping or uncertain, or
 // best-effort tasks run beside latency-sensitive ones.
 constexpr std::chrono::milliseconds kShortHeartbeatPollTime = 400ms;
-// The least while a long-running task starts up, since its end is only an estimate.
-constexpr std::chrono::milliseconds kMinStartupPollTime = 80ms;
 // A renewal is not delayed for longer than this by ends that have yet to be written.
 constexpr Duration kRenewInterval = 2s;
 // An executor may have restarted since it last answered, and have ended other runs under the same
@@ -43,24 +41,6 @@
   return aExecutor.mRecordedEnds > aExecutor.mAcknowledgedEnds;
 }
 
-bool
-IsStartingUp(const PlacedRun& aRun)
-{
-  return aRun.mIsLongRunning && aRun.mPercent != kFullSpeed && aRun.mThrottlePercent == kFullSpeed;
-}
-
-// The time after which the run is expected at full speed. Its step may not have another task moved
-// before that is known.
-std::chrono::milliseconds
-StartupPollTime(const PlacedRun& aRun, Instant aNow)
-{
-  if (aRun.mFullSpeedAt <= aNow) {
-    return kShortHeartbeatPollTime;
-  }
-  auto left = std::chrono::ceil<std::chrono::milliseconds>(aRun.mFullSpeedAt - aNow);
-  return std::clamp(left, kMinStartupPollTime, kHeartbeatPollTime);
-}
-
 }
 
 bool
@@ -98,25 +78,22 @@
     return 0ms;
   }
   auto hasRuns = false;
-  auto pollTime = kHeartbeatPollTime;
+  auto needsShortPoll = false;
   auto hasLatencySensitive = false;
   auto hasBestEffort = false;
   for (const auto& [name, run] : aExecutor.mRuns) {
     hasRuns |= IsOutstanding(run);
-    if (IsStartingUp(run)) {
-      pollTime = std::min(pollTime, StartupPollTime(run, aNow));
-    }
-    if (run.mState == RunState::Stopping || run.mState == RunState::Uncertain) {
-      pollTime = std::min(pollTime, kShortHeartbeatPollTime);
-    }
+    needsShortPoll |=
+      run.mIsLongRunning && run.mPercent != kFullSpeed && run.mThrottlePercent == kFullSpeed;
+    needsShortPoll |= run.mState == RunState::Stopping || run.mState == RunState::Uncertain;
     hasLatencySensitive |= run.mIsLatencySensitive;
     hasBestEffort |= run.mBestEffort;
   }
   if (!hasRuns) {
     return 0ms;
   }
-  return hasLatencySensitive && hasBestEffort ? std::min(pollTime, kShortHeartbeatPollTime)
-                                              : pollTime;
+  return needsShortPoll || (hasLatencySensitive && hasBestEffort) ? kShortHeartbeatPollTime
+                                                                  : kHeartbeatPollTime;
 }
 
 std::int64_t
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -62,7 +62,7 @@
   if (run.mPercent != kFullSpeed && aRunning.mPercent == kFullSpeed) {
     aShard.mNeedsPlacementPass = true;
   }
-  UpdatePercent(run, aRunning.mPercent, aNow.mAt);
+  run.mPercent = aRunning.mPercent;
   run.mLoad = aRunning.mLoad;
   auto* job = detail::FindJob(aShard, aRunning.mRun.mTask.mJob);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aRunning.mRun.mTask);
