--- a/Libraries/LibSchedule/WaveDrain.cpp
+++ b/Libraries/LibSchedule/WaveDrain.cpp
@@ -271,7 +271,7 @@
 }
 
 WaveProgress
-ProgressOf(const WaveDrainState& aState, Shard& aShard, int aLeft)
+ProgressOf(const WaveDrainState& aState, Shard& aShard, int aLeft, Instant aNow)
 {
   WaveProgress progress;
   progress.mLeft = aLeft;
@@ -285,8 +285,11 @@
     progress.mSlowestTasks = step.mTasks;
     progress.mSlowestRounds = RoundsOf(step);
     // An index that no task has: all tasks of the step are counted.
-    progress.mSlowestUnavailable = detail::CountUnavailableTasks(
-      aShard, *detail::FindJob(aShard, key.mJob), { key.mJob, key.mOccurrence, key.mStep, -1 });
+    progress.mSlowestUnavailable =
+      detail::CountUnavailableTasks(aShard,
+                                    *detail::FindJob(aShard, key.mJob),
+                                    { key.mJob, key.mOccurrence, key.mStep, -1 },
+                                    aNow);
   }
   return progress;
 }
@@ -317,7 +320,7 @@
       Drain(state, host);
     }
   }
-  return ProgressOf(state, aShard, left);
+  return ProgressOf(state, aShard, left, aNow.mAt);
 }
 
 bool
