Take no more of a quota than there is for a task that is larger than it, and search less for room

Found by review (reading, not reproduced): with two waiting tasks larger than their tenant's quota the owner recorded more as held than there is, froze the tenant and dropped the start it had just placed, again and again. And a pass walked all executors for each step of a tenant at its limit. Now such a task holds the whole quota at most, what finds no room marks its needs as unplaceable as before quotas, and what lacks is noted until one limited resource is reached.

--- a/Libraries/LibSchedule/QuotaAllotments.cpp
+++ b/Libraries/LibSchedule/QuotaAllotments.cpp
@@ -266,7 +266,8 @@
   const auto& quota = found->second;
   AllotmentKey key{ aUser.mShard, aTenant };
   const auto& use = UseOf(aUser, aTenant);
-  auto running = LimitedPart(use.mRunning, quota);
+  // A single task that is larger than the quota holds all of it, no more.
+  auto running = Least(LimitedPart(use.mRunning, quota), quota);
   auto allotment = aDraft.Find(key);
   // A tenant may have become limited while its tasks ran.
   allotment.mHeld = Most(LimitedPart(allotment.mHeld, quota), running);
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -112,20 +112,23 @@
 }
 
 // Notes what the waiting tasks of a step lack in quota, provided that there is room for one of
-// them. Their needs remain placeable for other tenants.
-void
+// them. Their needs remain placeable for other tenants. Returns false if there is no room.
+bool
 HoldBack(Shard& aShard,
          const ReadyStep& aReady,
          const PlacementRequest& aRequest,
          PlacementPass& aPass)
 {
   const auto& definition = aReady.mJob->mDefinition;
-  if (LacksEnough(aShard.mUsage, definition.mTenant) ||
-      ChooseCandidate(aPass.mCandidates, definition.mService, aRequest) == nullptr) {
-    return;
+  if (LacksEnough(aShard.mUsage, definition.mTenant)) {
+    return true;
+  }
+  if (ChooseCandidate(aPass.mCandidates, definition.mService, aRequest) == nullptr) {
+    return false;
   }
   const auto& each = aRequest.mStep->mNeeds;
   AddLacking(aShard.mUsage, definition.mTenant, each, StateOf(aReady).mWaiting, aPass.mNow);
+  return true;
 }
 
 void
@@ -148,7 +151,10 @@
     }
     PlacementRequest request{ &step, task, name };
     if (!HasQuota(aShard.mUsage, job.mDefinition.mTenant, step.mNeeds)) {
-      HoldBack(aShard, aReady, request, aPass);
+      auto hasRoom = HoldBack(aShard, aReady, request, aPass);
+      if (!hasRoom && !isSuspect && DependsOnCapacityOnly(step)) {
+        aPass.mUnplaceable[service] = NeedsOf(step);
+      }
       return;
     }
     auto* candidate = ChooseCandidate(aPass.mCandidates, service, request);
--- a/Libraries/LibSchedule/TenantUsage.cpp
+++ b/Libraries/LibSchedule/TenantUsage.cpp
@@ -79,8 +79,16 @@
 LacksEnough(const TenantUsage& aUsage, const TenantName& aTenant)
 {
   const auto* use = FindLimited(aUsage, aTenant);
-  return use != nullptr && aUsage.mLacking.contains(aTenant) &&
-         Covers(LimitedPart(use->mLacking, *use->mQuota), *use->mQuota);
+  if (use == nullptr || !aUsage.mLacking.contains(aTenant)) {
+    return false;
+  }
+  auto reaches = [](std::int64_t aLacking, std::int64_t aQuota) {
+    return aQuota != 0 && aLacking >= aQuota;
+  };
+  const auto& lacking = use->mLacking;
+  const auto& quota = *use->mQuota;
+  return reaches(lacking.mCpuMillicores, quota.mCpuMillicores) ||
+         reaches(lacking.mMemoryMb, quota.mMemoryMb) || reaches(lacking.mGpus, quota.mGpus);
 }
 
 void
