Leave out a stored job with impossible values, and clocks that are ahead

What operators of similar systems saw: one malformed message took every process down in turn. A job record that decodes but has a step of -1 tasks, or one that depends on a step that there is not, threw out of the owner, stayed in the log and would have thrown out of each successor. Only another program could have stored it. It is checked as a submission is, left out and named in the log. A job that was accepted by a host whose clock is ahead used up what its tenant is owed for all jobs that follow.

--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -248,9 +248,12 @@
     return;
   }
   auto definition = DecodeJob(aRecord.mValue);
-  if (!definition.ok()) {
+  // A record that another program has stored may be readable and still hold impossible values.
+  auto problem =
+    definition.ok() ? ValidationError(*definition) : std::string(definition.status().message());
+  if (!problem.empty()) {
     LogEntry entry{ LogLevel::Warning, "job-unreadable", id.mValue };
-    entry.mReason = std::string(definition.status().message());
+    entry.mReason = std::move(problem);
     entry.mVersion = aRecord.mOffset;
     aActions.emplace_back(std::move(entry));
     return;
@@ -271,8 +274,9 @@
   if (aShard.mPhase == ShardPhase::Active) {
     job.mArrivedAt = aNow.mAt;
     // Jobs that were there before are not loaded in the order in which they came.
-    job.mIsBeyondWeight =
-      !CountArrival(aShard.mTenantShares, definition->mTenant, definition->mAcceptedAt);
+    // A host whose clock is ahead must not use up what is owed to the jobs that follow.
+    auto acceptedAt = std::min(definition->mAcceptedAt, aNow.mWall);
+    job.mIsBeyondWeight = !CountArrival(aShard.mTenantShares, definition->mTenant, acceptedAt);
   }
   if (progress != nullptr) {
     AdoptAttempts(aShard, job, *progress, aNow);
