Show the jobs of a queue that was made public to the tenant that sent them

Found by review: a public queue names no tenant, so that a tenant's question for a job that it had sent before the queue became public was answered 410. A key that is shown there counts for questions and cancellations now. No test of its own.

--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -140,14 +140,9 @@
     AddReply(aActions, aRequest.mTicket, kind, problem);
     return;
   }
-  job.mQueue = aRoute.mQueue;
-  job.mService = aRoute.mService;
+  ApplyRoute(job, aRoute);
   job.mTenant = aTenant;
   job.mAcceptedAt = aNow.mWall;
-  job.mAttempts = aRoute.mAttempts;
-  job.mPriority = aRoute.mPriority;
-  job.mStretchPercent = aRoute.mStretchPercent;
-  job.mResponseGoal = aRoute.mResponseGoal;
   WaitingCaller caller;
   caller.mTicket = aRequest.mTicket;
   caller.mJob = aId;
@@ -285,9 +280,15 @@
   JobId id(name);
   if (aRequest.mKind == RequestKind::Submit) {
     Submit(aNode, aNow, aRequest, *route, *tenant, id, aActions);
-  } else {
-    QueryView(aNode, aNow, aRequest, *route, *tenant, id);
+    return;
+  }
+  // The jobs of a public queue may be older than the manifest that made it public.
+  const auto& credential = aRequest.mCredential;
+  if (route->mIsPublic && credential.mKind == CredentialKind::Bearer) {
+    const auto* known = FindTenant(aNode.mFollower.mKeys, credential.mKey);
+    tenant = known == nullptr ? TenantName() : *known;
   }
+  QueryView(aNode, aNow, aRequest, *route, *tenant, id);
 }
 
 StatusView&
