Forget which calls an exchange had carried before the next one is made

Found by review: an exchange without calls, made while the relay's clock was unknown, took the calls of a failed one before it for received, so that the heartbeat of an executor stayed pending for good; and an answer for a call that is still queued would have thrown. TestLibSchedule's relay tests pass; no test of its own. The module's comment tells when calls are shared.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -13,11 +13,12 @@
 // An owner that shares its calls makes those to this many executors a core itself, since it decides
 // on all.
 constexpr int kOwnExecutorsPerCore = 50;
-// The weight of the last delay in the mean.
+// The last delay counts as one of this many in the mean.
 constexpr int kDelaysInMean = 4;
 // A single delay, as by a suspension, counts up to this.
 constexpr Duration kMaxDelay = 2s;
-// Once an owner shares its calls, its timers are in time again.
+// How long an owner goes on sharing: its timers are in time once it shares, which tells nothing of
+// its load without that.
 constexpr Duration kShareTime = 5s;
 // Relays are filled up to this before another one is used.
 constexpr int kRelayedExecutorsPerCore = 100;
@@ -38,6 +39,7 @@
 // Exchanges that take longer than this in the mean, beyond what the owner's own lateness explains,
 // cost more than the owner's time that they save.
 constexpr Duration kMaxExchangeTime = 80ms;
+// The last exchange counts as one of this many in the mean.
 constexpr int kExchangesInMean = 4;
 // After a relay has failed, the owner learns by calls of its own how its executors are.
 constexpr Duration kOwnTimeAfterFailure = 1s;
@@ -240,6 +242,9 @@
 MakeExchange(const RelayedCalls& aCalls, const std::string& aName, Relay& aRelay, const Now& aNow)
 {
   EnsureSession(aRelay, aNow);
+  // The exchange before may have failed, and this one carries calls only if the clock is known.
+  aRelay.mInExchange = 0;
+  std::erase_if(aRelay.mQueue, [&](auto aNumber) { return !aRelay.mPending.contains(aNumber); });
   RelayCall call;
   call.mRelay = aName;
   call.mAddress = aRelay.mAddress;
--- a/Libraries/LibSchedule/RelayedCalls.h
+++ b/Libraries/LibSchedule/RelayedCalls.h
@@ -9,14 +9,15 @@
 #include <vector>
 
 // Shares the calls of an owner to its executors among the entry hosts that own shards. An owner
-// whose timers are late, since its processor has no time left, hands calls over to relays:
-// several calls go in one exchange, and the answers come back with later ones. All decisions, their
-// records and the fencing tokens stay with the owner. To the shard a relayed call looks like one of
-// its own: it is answered, or it is unanswered and may still be carried out. An exchange that
-// is not answered is repeated. A relay that stays silent is avoided for a while, and all calls that
-// it has are unanswered. So is one to which exchanges take long, since its link or its processor
-// bears no more. What a relay fails to do tells nothing of the executors: their next calls are the
-// owner's own.
+// that has many executors, or whose timers are late because its processor has no time left, hands
+// calls over to relays: several calls go in one exchange, and the answers come back with later
+// ones. All decisions, their records and the fencing tokens stay with the owner. To the shard a
+// relayed call looks like one of its own: it is answered, or it is unanswered and may still be
+// carried out. An exchange that is not answered is repeated. A relay that stays silent, or to which
+// exchanges take long, is avoided for a while. All calls that a silent relay has are unanswered;
+// those of a slow one are still answered. If half of the relays in use are slow, the owner's own
+// link is taken for the cause, and it makes all calls itself. What a relay fails to do tells
+// nothing of the executors: the owner makes their next calls itself.
 namespace sesameseam::schedule {
 
 struct RelayedCallsSettings
