Tell operators where a job would go now, and why, without submitting it

The owner of the queue's shard plays one placement pass on a copy of the shard, with the order, quotas and shares that hold for all, and tells which executors would start which tasks, what is held by a quota, and why other executors are left out; nothing is stored or sent. The page is at the metrics address, the command is sesameseam explain where. To say why, the checks of an executor return their reason (PlacementObstacle) instead of yes or no. What a job takes from its queue is set in one place (ApplyRoute). Tests: ThePlacementPreview, ThePreviewPage. A list of reasons in text instead of JSON is not built.

--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -70,17 +70,65 @@
   return sum;
 }
 
-bool
-IsSchedulable(const Executor& aExecutor, Instant aNow)
+std::string_view
+NameOf(PlacementObstacle aObstacle)
+{
+  switch (aObstacle) {
+    case PlacementObstacle::None:
+      return "none";
+    case PlacementObstacle::OtherPool:
+      return "other-pool";
+    case PlacementObstacle::NotReady:
+      return "not-ready";
+    case PlacementObstacle::Draining:
+      return "draining";
+    case PlacementObstacle::Unresponsive:
+      return "unresponsive";
+    case PlacementObstacle::BackingOff:
+      return "backing-off";
+    case PlacementObstacle::ForeignRuns:
+      return "foreign-runs";
+    case PlacementObstacle::MissingLabel:
+      return "missing-label";
+    case PlacementObstacle::ReservedForSuspects:
+      return "reserved-for-suspects";
+    case PlacementObstacle::Isolation:
+      return "isolation";
+    case PlacementObstacle::StepLimit:
+      return "step-limit";
+    case PlacementObstacle::NoRoom:
+      return "no-room";
+  }
+  return "unknown";
+}
+
+PlacementObstacle
+SchedulingObstacle(const Executor& aExecutor, Instant aNow)
 {
-  auto isReady = aExecutor.mEntry.mState == ExecutorState::Ready && aExecutor.mHasAnsweredHeartbeat;
-  auto isExcluded = aExecutor.mDrainReason != DrainReason::None || aExecutor.mUnansweredCalls > 0 ||
-                    aExecutor.mIsUnresponsive || aExecutor.mBackOffUntil > aNow;
+  if (aExecutor.mEntry.mState == ExecutorState::Draining ||
+      aExecutor.mDrainReason != DrainReason::None) {
+    return PlacementObstacle::Draining;
+  }
+  if (aExecutor.mEntry.mState != ExecutorState::Ready || !aExecutor.mHasAnsweredHeartbeat) {
+    return PlacementObstacle::NotReady;
+  }
+  if (aExecutor.mUnansweredCalls > 0 || aExecutor.mIsUnresponsive) {
+    return PlacementObstacle::Unresponsive;
+  }
+  if (aExecutor.mBackOffUntil > aNow) {
+    return PlacementObstacle::BackingOff;
+  }
   // The resources that foreign runs use are unknown.
   auto hasForeign = std::any_of(aExecutor.mRuns.begin(),
                                 aExecutor.mRuns.end(),
                                 [](const auto& aEntry) { return aEntry.second.mIsForeign; });
-  return isReady && !isExcluded && !hasForeign;
+  return hasForeign ? PlacementObstacle::ForeignRuns : PlacementObstacle::None;
+}
+
+bool
+IsSchedulable(const Executor& aExecutor, Instant aNow)
+{
+  return SchedulingObstacle(aExecutor, aNow) == PlacementObstacle::None;
 }
 
 void
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <string_view>
 
 // State that the owner of a shard keeps for one executor: its clock, the leases of its runs, and
 // the resources that they reserve.
@@ -144,6 +145,35 @@
 Resources
 ReservedResources(const Executor& aExecutor);
 
+// Why a task can't be placed on an executor at present.
+enum class PlacementObstacle
+{
+  None,
+  OtherPool,
+  // It has not reported itself as ready, or has not answered this owner yet.
+  NotReady,
+  Draining,
+  Unresponsive,
+  // It has failed several runs in a row.
+  BackingOff,
+  // It has runs whose size is unknown.
+  ForeignRuns,
+  MissingLabel,
+  ReservedForSuspects,
+  // The task has to be kept apart from the runs there.
+  Isolation,
+  // It has as many tasks of the step as one executor may have.
+  StepLimit,
+  NoRoom,
+};
+
+std::string_view
+NameOf(PlacementObstacle aObstacle);
+
+// Why no new run may be placed on the executor, whatever its task; None if one may.
+PlacementObstacle
+SchedulingObstacle(const Executor& aExecutor, Instant aNow);
+
 // Whether new runs may be placed on the executor.
 bool
 IsSchedulable(const Executor& aExecutor, Instant aNow);
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -306,6 +306,17 @@
   return true;
 }
 
+void
+ApplyRoute(JobDefinition& aDefinition, const Route& aRoute)
+{
+  aDefinition.mQueue = aRoute.mQueue;
+  aDefinition.mService = aRoute.mService;
+  aDefinition.mAttempts = aRoute.mAttempts;
+  aDefinition.mPriority = aRoute.mPriority;
+  aDefinition.mStretchPercent = aRoute.mStretchPercent;
+  aDefinition.mResponseGoal = aRoute.mResponseGoal;
+}
+
 std::string
 ValidationError(const JobDefinition& aDefinition)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -118,6 +118,10 @@
 // A job with a longer specification is rejected.
 inline constexpr std::size_t kMaxSpecBytes = 4000;
 
+// Sets what a job takes from the queue that it is submitted to.
+void
+ApplyRoute(JobDefinition& aDefinition, const Route& aRoute);
+
 // Why the definition is rejected; empty if it is valid.
 std::string
 ValidationError(const JobDefinition& aDefinition);
--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -39,23 +39,33 @@
   return count;
 }
 
-bool
-IsAllowed(const Candidate& aCandidate,
-          const ServiceName& aService,
-          const PlacementRequest& aRequest,
-          Isolation aIsolation)
+PlacementObstacle
+ObstacleWithIsolation(const Candidate& aCandidate,
+                      const ServiceName& aService,
+                      const PlacementRequest& aRequest,
+                      Isolation aIsolation)
 {
   const auto& executor = *aCandidate.mExecutor;
   const auto& step = *aRequest.mStep;
-  if (executor.mEntry.mService != aService || !HasLabel(executor, step.mRequiredLabel)) {
-    return false;
+  // In a full pool most candidates are left out by this one, which is the cheapest.
+  if (!Covers(aCandidate.mFree, NeedsOf(step))) {
+    return PlacementObstacle::NoRoom;
+  }
+  if (executor.mEntry.mService != aService) {
+    return PlacementObstacle::OtherPool;
+  }
+  if (!HasLabel(executor, step.mRequiredLabel)) {
+    return PlacementObstacle::MissingLabel;
+  }
+  if (executor.mIsReservedForSuspects && aIsolation == Isolation::None) {
+    return PlacementObstacle::ReservedForSuspects;
   }
-  if ((executor.mIsReservedForSuspects && aIsolation == Isolation::None) ||
-      !MayJoin(aCandidate.mOccupants, aIsolation, step.mLongRunning)) {
-    return false;
+  if (!MayJoin(aCandidate.mOccupants, aIsolation, step.mLongRunning)) {
+    return PlacementObstacle::Isolation;
   }
-  return step.mMaxPerExecutor == 0 ||
-         CountRunsOfStep(executor, aRequest.mName) < step.mMaxPerExecutor;
+  auto isAtLimit =
+    step.mMaxPerExecutor != 0 && CountRunsOfStep(executor, aRequest.mName) >= step.mMaxPerExecutor;
+  return isAtLimit ? PlacementObstacle::StepLimit : PlacementObstacle::None;
 }
 
 // The second label of an executor is its rack; the first is its kind.
@@ -119,17 +129,26 @@
   return candidates;
 }
 
+PlacementObstacle
+ObstacleTo(const Candidate& aCandidate,
+           const ServiceName& aService,
+           const PlacementRequest& aRequest)
+{
+  auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
+  return ObstacleWithIsolation(aCandidate, aService, aRequest, isolation);
+}
+
 Candidate*
 ChooseCandidate(std::vector<Candidate>& aCandidates,
                 const ServiceName& aService,
                 const PlacementRequest& aRequest)
 {
-  auto needs = NeedsOf(*aRequest.mStep);
   auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
   Candidate* best = nullptr;
   std::int64_t bestCost = 0;
   for (auto& candidate : aCandidates) {
-    if (!Covers(candidate.mFree, needs) || !IsAllowed(candidate, aService, aRequest, isolation)) {
+    if (ObstacleWithIsolation(candidate, aService, aRequest, isolation) !=
+        PlacementObstacle::None) {
       continue;
     }
     auto cost = CostOf(candidate, aRequest, isolation);
--- a/Libraries/LibSchedule/Placement.h
+++ b/Libraries/LibSchedule/Placement.h
@@ -34,6 +34,12 @@
 std::vector<Candidate>
 MakeCandidates(std::map<ExecutorId, Executor>& aExecutors, Instant aNow);
 
+// Why the task can't be placed on the candidate at present; None if it can.
+PlacementObstacle
+ObstacleTo(const Candidate& aCandidate,
+           const ServiceName& aService,
+           const PlacementRequest& aRequest);
+
 // The candidate with the lowest cost, or nullptr if the task fits nowhere at present.
 Candidate*
 ChooseCandidate(std::vector<Candidate>& aCandidates,
--- a/Utilities/sesameseam/Commands.h
+++ b/Utilities/sesameseam/Commands.h
@@ -47,6 +47,10 @@
 void
 AddExplainCommands(CLI::App& aApp, CommandContext& aContext);
 
+// The command that tells where a job would go now, below the command "explain".
+void
+AddWhereCommand(CLI::App& aExplain, CommandContext& aContext);
+
 // Prints the error to stderr and returns the exit code for its kind.
 int
 ReportError(const absl::Status& aError);
--- a/Utilities/sesameseam/ExplainCommands.cpp
+++ b/Utilities/sesameseam/ExplainCommands.cpp
@@ -60,10 +60,18 @@
   auto files = std::make_shared<std::vector<std::string>>();
   auto* command = aApp.add_subcommand(
     "explain", "What became of a job and why, from the logs of all entry hosts");
-  command->add_option("job", *job, "The job's id")->required();
-  command->add_option("file", *files, "Files with lines of the log")->required();
-  command->callback(
-    [&aContext, job, files] { aContext.mRun = [job, files] { return ExplainJob(*job, *files); }; });
+  command->add_option("job", *job, "The job's id");
+  command->add_option("file", *files, "Files with lines of the log");
+  command->callback([&aContext, command, job, files] {
+    if (!command->get_subcommands().empty()) {
+      return;
+    }
+    if (job->empty() || files->empty()) {
+      throw CLI::RequiredError("a job's id and a file with lines of the log");
+    }
+    aContext.mRun = [job, files] { return ExplainJob(*job, *files); };
+  });
+  AddWhereCommand(*command, aContext);
 }
 
 }
