--- a/Libraries/LibSchedule/Authentication.cpp
+++ b/Libraries/LibSchedule/Authentication.cpp
@@ -4,7 +4,7 @@
 
 namespace {
 
-// Clocks of hosts may be this much slow, and the same again is kept for what measures the deadline.
+// A host's clock may run this much slow, and so may the one by which the deadline is measured.
 constexpr int kClockDriftPercent = 2;
 constexpr int kPercent = 100;
 
--- a/Libraries/LibSchedule/Authentication.h
+++ b/Libraries/LibSchedule/Authentication.h
@@ -36,8 +36,8 @@
 const TenantName*
 FindTenant(const KeyIndex& aIndex, const std::string& aKey);
 
-// How long after the manifest was last known to be the newest it still decides. Both times are
-// deadlines of the deployment, from which a margin for clocks is taken off.
+// How long after the manifest was last known to be the newest it still decides. Both are
+// settings, from which a margin for clocks that run slow is taken off.
 struct ManifestLimits
 {
   // A change must be in force this long after it was stored: a caller is told that its key is
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -318,8 +318,6 @@
   TooLarge,
   // The request was not accepted and never will be; the caller may retry after mRetryAfter.
   Refused,
-  // As Refused, because there is too little room for what the caller asks.
-  Overloaded,
   // It is unknown whether the job was stored.
   Unknown,
 };
--- a/Libraries/LibSchedule/InTimeSelection.cpp
+++ b/Libraries/LibSchedule/InTimeSelection.cpp
@@ -48,7 +48,7 @@
 // The work that is planned to start in time, and who could yield.
 struct Plan
 {
-  const RoomContest* mContest = nullptr;
+  const PoolBacklog* mBacklog = nullptr;
   // By resource, in seconds of the whole pool.
   PoolShares mWork{};
   // The part of it that can't yield.
@@ -68,7 +68,7 @@
 };
 
 double
-MeanSeconds(const RoomContest& aContest)
+MeanSeconds(const PoolBacklog& aContest)
 {
   double needs = 0;
   double work = 0;
@@ -86,7 +86,7 @@
 {
   double start = 0;
   for (std::size_t i = 0; i < aWork.size(); ++i) {
-    auto startsAtOnce = aPlan.mContest->mFree[i] * aPlan.mMeanSeconds;
+    auto startsAtOnce = aPlan.mBacklog->mFree[i] * aPlan.mMeanSeconds;
     start = std::max(start, (aWork[i] - startsAtOnce) / kTargetUtilization);
   }
   return start;
@@ -101,7 +101,7 @@
 }
 
 PoolShares
-WorkOf(const StepClaim& aStep)
+WorkOf(const WaitingStep& aStep)
 {
   auto work = aStep.mNeeds;
   for (auto& amount : work) {
@@ -111,7 +111,7 @@
 }
 
 double
-TenantShareOf(const JobClaim& aJob, const RoomContest& aContest)
+TenantShareOf(const WaitingJob& aJob, const PoolBacklog& aContest)
 {
   return aJob.mWork / aContest.mTenants[aJob.mTenant].mWeight;
 }
@@ -119,9 +119,9 @@
 void
 AddJob(Plan& aPlan, std::size_t aJob)
 {
-  const auto& job = aPlan.mContest->mJobs[aJob];
+  const auto& job = aPlan.mBacklog->mJobs[aJob];
   aPlan.mIsPlanned[aJob] = true;
-  aPlan.mTenantShare[job.mTenant] += TenantShareOf(job, *aPlan.mContest);
+  aPlan.mTenantShare[job.mTenant] += TenantShareOf(job, *aPlan.mBacklog);
   auto& count = job.mIsLarge ? aPlan.mLarge : aPlan.mSmall;
   ++count.mPlanned;
   ++count.mStaying;
@@ -134,7 +134,7 @@
 }
 
 void
-AddStep(Plan& aPlan, const StepClaim& aStep)
+AddStep(Plan& aPlan, const WaitingStep& aStep)
 {
   if (!aPlan.mIsPlanned[aStep.mJob]) {
     AddJob(aPlan, aStep.mJob);
@@ -142,17 +142,17 @@
   auto work = WorkOf(aStep);
   AddWork(aPlan.mWorkOfJob[aStep.mJob], work);
   AddWork(aPlan.mWork, work);
-  if (aPlan.mContest->mJobs[aStep.mJob].mMustStay) {
+  if (aPlan.mBacklog->mJobs[aStep.mJob].mMustStay) {
     AddWork(aPlan.mStayingWork, work);
   }
 }
 
 // Whether the step could start in time if all others made way that can.
 bool
-CouldStartInTime(const Plan& aPlan, const StepClaim& aStep, double aLeft)
+CanStartIfOthersYield(const Plan& aPlan, const WaitingStep& aStep, double aLeft)
 {
   auto work = aPlan.mStayingWork;
-  if (!aPlan.mContest->mJobs[aStep.mJob].mMustStay) {
+  if (!aPlan.mBacklog->mJobs[aStep.mJob].mMustStay) {
     AddWork(work, aPlan.mWorkOfJob[aStep.mJob]);
   }
   return StartOfLast(aPlan, work) <= aLeft + kRounding;
@@ -206,9 +206,9 @@
 void
 RemoveJob(Plan& aPlan, std::size_t aJob)
 {
-  const auto& job = aPlan.mContest->mJobs[aJob];
+  const auto& job = aPlan.mBacklog->mJobs[aJob];
   aPlan.mYields[aJob] = true;
-  aPlan.mTenantShare[job.mTenant] -= TenantShareOf(job, *aPlan.mContest);
+  aPlan.mTenantShare[job.mTenant] -= TenantShareOf(job, *aPlan.mBacklog);
   --(job.mIsLarge ? aPlan.mLarge : aPlan.mSmall).mStaying;
   for (std::size_t i = 0; i < aPlan.mWork.size(); ++i) {
     aPlan.mWork[i] -= aPlan.mWorkOfJob[aJob][i];
@@ -217,11 +217,11 @@
 
 // Lets jobs yield until the step that was added last can start in time.
 void
-MakeWay(Plan& aPlan, const StepClaim& aStep, double aLeft)
+YieldUntilInTime(Plan& aPlan, const WaitingStep& aStep, double aLeft)
 {
-  if (!CouldStartInTime(aPlan, aStep, aLeft)) {
-    // Nobody has to make way in vain.
-    if (!aPlan.mContest->mJobs[aStep.mJob].mMustStay) {
+  if (!CanStartIfOthersYield(aPlan, aStep, aLeft)) {
+    // Nobody yields if the step would be late all the same.
+    if (!aPlan.mBacklog->mJobs[aStep.mJob].mMustStay) {
       RemoveJob(aPlan, aStep.mJob);
     }
     return;
@@ -236,10 +236,10 @@
 }
 
 Plan
-MakePlan(const RoomContest& aContest)
+MakePlan(const PoolBacklog& aContest)
 {
   Plan plan;
-  plan.mContest = &aContest;
+  plan.mBacklog = &aContest;
   plan.mWorkOfJob.resize(aContest.mJobs.size());
   plan.mIsPlanned.resize(aContest.mJobs.size());
   plan.mYields.resize(aContest.mJobs.size());
@@ -253,18 +253,18 @@
 }
 
 std::vector<bool>
-SelectYieldingJobs(RoomContest aContest, TimePoint aNow)
+SelectYieldingJobs(PoolBacklog aContest, TimePoint aNow)
 {
   std::stable_sort(aContest.mSteps.begin(),
                    aContest.mSteps.end(),
-                   [](const StepClaim& aLeft, const StepClaim& aRight) {
+                   [](const WaitingStep& aLeft, const WaitingStep& aRight) {
                      return aLeft.mLatestStart < aRight.mLatestStart;
                    });
   auto plan = MakePlan(aContest);
   for (const auto& step : aContest.mSteps) {
     if (!plan.mYields[step.mJob]) {
       AddStep(plan, step);
-      MakeWay(plan, step, Seconds(step.mLatestStart - aNow));
+      YieldUntilInTime(plan, step, Seconds(step.mLatestStart - aNow));
     }
   }
   return plan.mYields;
--- a/Libraries/LibSchedule/InTimeSelection.h
+++ b/Libraries/LibSchedule/InTimeSelection.h
@@ -15,9 +15,9 @@
 using PoolShares = std::array<double, 3>;
 
 // The waiting tasks of a step.
-struct StepClaim
+struct WaitingStep
 {
-  // Index in RoomContest::mJobs.
+  // Index in PoolBacklog::mJobs.
   std::size_t mJob = 0;
   TimePoint mLatestStart;
   // What its tasks take while they run.
@@ -25,9 +25,9 @@
   Duration mEstimate{};
 };
 
-struct JobClaim
+struct WaitingJob
 {
-  // Index in RoomContest::mTenants.
+  // Index in PoolBacklog::mTenants.
   std::size_t mTenant = 0;
   // Jobs with a higher value yield first.
   int mPriority = 0;
@@ -41,7 +41,7 @@
   double mWork = 0;
 };
 
-struct TenantClaim
+struct WaitingTenant
 {
   double mWeight = 1.0;
   // The work that was served to it lately, divided by its weight.
@@ -49,13 +49,13 @@
 };
 
 // What waits for a pool, and what the pool has.
-struct RoomContest
+struct PoolBacklog
 {
   // What is free at present.
   PoolShares mFree{};
-  std::vector<StepClaim> mSteps;
-  std::vector<JobClaim> mJobs;
-  std::vector<TenantClaim> mTenants;
+  std::vector<WaitingStep> mSteps;
+  std::vector<WaitingJob> mJobs;
+  std::vector<WaitingTenant> mTenants;
 };
 
 // Returns for each job whether it yields. The steps are taken in the order of their latest starts;
@@ -64,6 +64,6 @@
 // with the largest share sends; then what has the most work left, since more callers are served
 // without it. Of the large jobs at least half as many stay as of the others, in proportion.
 std::vector<bool>
-SelectYieldingJobs(RoomContest aContest, TimePoint aNow);
+SelectYieldingJobs(PoolBacklog aContest, TimePoint aNow);
 
 }
--- a/Libraries/LibSchedule/PoolContest.cpp
+++ b/Libraries/LibSchedule/PoolContest.cpp
@@ -124,7 +124,7 @@
 // The contest for one pool, and which of the ready steps belong to which of its jobs.
 struct PoolContest
 {
-  RoomContest mContest;
+  PoolBacklog mBacklog;
   Resources mCapacity;
   std::map<TenantName, std::size_t> mTenants;
   // Of the jobs of the contest: all their work, in core-milliseconds.
@@ -143,7 +143,7 @@
   if (isNew) {
     auto cores = static_cast<double>(aContest.mCapacity.mCpuMillicores) / kMillicores;
     auto served = cores > 0 ? ServedShare(aShares, aTenant, aNow) / cores : 0.0;
-    aContest.mContest.mTenants.push_back({ WeightOf(aShares, aTenant), served });
+    aContest.mBacklog.mTenants.push_back({ WeightOf(aShares, aTenant), served });
   }
   return found->second;
 }
@@ -159,9 +159,9 @@
 
 // Jobs under way go on to their end, so that no margin is taken from them.
 Duration
-MarginOf(const Job& aJob, int aOccurrence, std::size_t aStep)
+MarginOf(const Job& aJob, bool aHasBegun, std::size_t aStep)
 {
-  if (HasBegun(aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)])) {
+  if (aHasBegun) {
     return Duration::zero();
   }
   return kCallMargin +
@@ -173,25 +173,27 @@
 void
 AddOccurrence(PoolContest& aContest, const Job& aJob, int aOccurrence, std::size_t aTenant)
 {
-  JobClaim claim;
-  claim.mTenant = aTenant;
-  claim.mPriority = aJob.mDefinition.mPriority;
-  claim.mIsBeyondWeight = aJob.mIsBeyondWeight;
-  claim.mMustStay = true;
-  auto index = aContest.mContest.mJobs.size();
-  const auto& states = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)].mSteps;
+  WaitingJob waiting;
+  waiting.mTenant = aTenant;
+  waiting.mPriority = aJob.mDefinition.mPriority;
+  waiting.mIsBeyondWeight = aJob.mIsBeyondWeight;
+  waiting.mMustStay = true;
+  auto index = aContest.mBacklog.mJobs.size();
+  const auto& occurrence = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)];
+  const auto& states = occurrence.mSteps;
+  auto objective = CompletionObjective(aJob, aOccurrence);
+  auto hasBegun = HasBegun(occurrence);
   for (std::size_t i = 0; i < states.size(); ++i) {
     const auto& step = aJob.mDefinition.mSteps[i];
     if (states[i].mWaiting == 0 || step.mLongRunning) {
       continue;
     }
     auto needs = PartsOf(Times(NeedsOf(step), states[i].mWaiting), aContest.mCapacity);
-    auto latest =
-      LatestStart(aJob, aOccurrence, static_cast<int>(i)) - MarginOf(aJob, aOccurrence, i);
-    aContest.mContest.mSteps.push_back({ index, latest, needs, step.mEstimate });
-    claim.mWork += *std::max_element(needs.begin(), needs.end()) * Seconds(step.mEstimate);
+    auto latest = objective - aJob.mCriticalPaths[i] - MarginOf(aJob, hasBegun, i);
+    aContest.mBacklog.mSteps.push_back({ index, latest, needs, step.mEstimate });
+    waiting.mWork += *std::max_element(needs.begin(), needs.end()) * Seconds(step.mEstimate);
   }
-  aContest.mContest.mJobs.push_back(claim);
+  aContest.mBacklog.mJobs.push_back(waiting);
   aContest.mWholeWork.push_back(WorkOf(aJob.mDefinition));
 }
 
@@ -204,7 +206,7 @@
   }
   auto mean = sum / static_cast<double>(std::max<std::size_t>(1, aContest.mWholeWork.size()));
   for (std::size_t i = 0; i < aContest.mWholeWork.size(); ++i) {
-    aContest.mContest.mJobs[i].mIsLarge =
+    aContest.mBacklog.mJobs[i].mIsLarge =
       static_cast<double>(aContest.mWholeWork[i]) > kLargeJobFactor * mean;
   }
 }
@@ -228,9 +230,9 @@
     if (!isSameJob) {
       auto tenant = IndexOfTenant(aContest, ready.mJob->mDefinition.mTenant, aShares, aNow);
       AddOccurrence(aContest, *ready.mJob, ready.mOccurrence, tenant);
-      aContest.mContest.mJobs.back().mMustStay = false;
+      aContest.mBacklog.mJobs.back().mMustStay = false;
     }
-    aContest.mSteps.emplace_back(i, aContest.mContest.mJobs.size() - 1);
+    aContest.mSteps.emplace_back(i, aContest.mBacklog.mJobs.size() - 1);
     last = &ready;
   }
 }
@@ -265,7 +267,7 @@
 {
   PoolContest contest;
   contest.mCapacity = aRoom.mCapacity;
-  contest.mContest.mFree = PartsOf(aRoom.mFree, aRoom.mCapacity);
+  contest.mBacklog.mFree = PartsOf(aRoom.mFree, aRoom.mCapacity);
   AddReadySteps(contest, aPool, aSteps, aShares, aNow.mAt);
   std::set<const Job*> withReadySteps;
   for (const auto& ready : aSteps) {
@@ -273,7 +275,7 @@
   }
   AddBegunJobs(contest, aPool, aJobs, withReadySteps, aShares, aNow);
   MarkLargeJobs(contest);
-  auto yields = SelectYieldingJobs(std::move(contest.mContest), aNow.mWall);
+  auto yields = SelectYieldingJobs(std::move(contest.mBacklog), aNow.mWall);
   for (auto [step, job] : contest.mSteps) {
     aSteps[step].mYields = yields[job];
   }
--- a/Libraries/LibSchedule/WaveDrain.h
+++ b/Libraries/LibSchedule/WaveDrain.h
@@ -22,9 +22,9 @@
 };
 
 // Chooses the hosts of a shard that get no new work, so that the wave continues as soon as its
-// limit allows: idle ones at once, and as many busy ones as the time limit requires. A few with
-// long-running tasks drain from the start, since their steps allow only some tasks to be
-// unavailable at a time.
+// limit allows: idle ones at once, and as many busy ones as the time limit requires. Hosts
+// with long-running tasks drain from the start, so that each step moves as many tasks as it allows
+// to be unavailable.
 WaveProgress
 ChooseHostsToDrain(const Maintenance& aMaintenance,
                    const Now& aNow,
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -236,9 +236,9 @@
   void CheckStop(const FakeExecutor& aExecutor, const schedule::StopCall& aCall);
   // Checks that no long-running task is without a run for long.
   void CheckLongRunningTasks();
-  // Whether more runs than the tenant may have running, by the manifest.
+  // Checks that there are no more runs than the tenant may have, by the manifest.
   void CheckQuota(const std::string& aTask);
-  // Whether the owners' counts of what tenants have running match their runs.
+  // Checks that the owners' counts of what tenants have running match their runs.
   void CheckUsage();
   // Ends the process of the executor if the run that has just started is one that crashes it.
   void CrashUnder(FakeExecutor& aExecutor, const schedule::StartCall& aCall);
--- a/Tests/LibSchedule/TestAuthentication.cpp
+++ b/Tests/LibSchedule/TestAuthentication.cpp
@@ -292,7 +292,7 @@
 
 }
 
-BOOST_AUTO_TEST_SUITE(TheDoor)
+BOOST_AUTO_TEST_SUITE(TheAuthentication)
 
 BOOST_AUTO_TEST_CASE(every_kind_of_call_needs_a_key_unless_its_queue_is_public)
 {
@@ -322,7 +322,7 @@
   manifest.mTenants.clear();
   auto node = NodeWith(manifest, Instant(100s));
   BOOST_TEST(!Call(node, Instant(900s), {}).mReply);
-  // Tenants that cannot be read do not open the door.
+  // Tenants that cannot be read do not let calls pass without a key.
   manifest.mHasUnreadableTenants = true;
   node = NodeWith(manifest, Instant(100s));
   BOOST_TEST(IsRefusedWith(Call(node, Instant(101s), {}), ReplyKind::Unauthorized));
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -118,7 +118,8 @@
   shard.mJobs.emplace(id, MakeJob(id, definition, nullptr));
   for (int index = 0; index < aTasks; ++index) {
     auto name = aName + "-" + std::to_string(index);
-    auto run = schedule::detail::MakeRun(definition.mSteps[0], RunState::Running, kNow.mAt);
+    auto run =
+      schedule::detail::MakeRun(definition, definition.mSteps[0], RunState::Running, kNow.mAt);
     run.mReserved.mCpuMillicores = 1000 + static_cast<std::int64_t>(aMachines.size());
     aOwner.AddHost(name, aPool).mRuns[{ { id, 0, 0, index }, 1 }] = run;
     aMachines.emplace_back(name);
@@ -260,7 +261,7 @@
   BOOST_TEST(owner.IsStopped(kNow.mAt + 2s));
 }
 
-// Guards against a stop while another task of the step is unavailable (AVAIL), which the owner has
+// Guards against a stop while another task of the step is unavailable, which the owner has
 // not heard of because answers are late.
 BOOST_AUTO_TEST_CASE(no_task_is_stopped_on_old_knowledge_of_the_others)
 {
@@ -273,7 +274,7 @@
 }
 
 // Guards against a stop that was not answered and is repeated once another task of the step is
-// unavailable (AVAIL).
+// unavailable.
 BOOST_AUTO_TEST_CASE(a_stop_is_not_repeated_while_another_task_is_unavailable)
 {
   OwnerOfTwoTasks owner;
@@ -700,9 +701,8 @@
   BOOST_TEST(others == 4);
 }
 
-// Three archives of a pool allowed one task each to be unavailable. The places for hosts that drain
-// went to the hosts of one of them, whose tasks waited for one another, and a wave of 25 s ended
-// while the last archive still had hosts to leave.
+// Three long-running steps of a pool allow one task each to be unavailable. Each drains a host from
+// the start, also if another step has more hosts that could.
 BOOST_AUTO_TEST_CASE(each_step_uses_what_it_allows_from_the_start)
 {
   Owner owner;
@@ -722,8 +722,7 @@
   BOOST_TEST(jobs.size() == 3u);
 }
 
-// The last hosts of a wave were those with tasks of the largest archive, which began as late as all
-// others.
+// The step that needs the most rounds decides when a wave ends.
 BOOST_AUTO_TEST_CASE(the_step_with_the_most_rounds_to_move_begins_first)
 {
   Owner owner;
@@ -740,8 +739,8 @@
   BOOST_TEST(draining[0]->mRuns.begin()->first.mTask.mJob.mValue == "large");
 }
 
-// Hosts whose long-running tasks waited for one another held the places of hosts that could have
-// gone down at once.
+// Hosts that wait until their long-running tasks may move leave room for hosts that can go down at
+// once.
 BOOST_AUTO_TEST_CASE(hosts_that_wait_for_long_running_tasks_do_not_hold_up_idle_ones)
 {
   Owner owner;
@@ -759,8 +758,7 @@
   BOOST_TEST(DrainingHosts(owner).size() == 5u);
 }
 
-// In rolling restarts, each new owner planned as if the wave had begun when it read of it, and
-// drained its busy hosts too late.
+// After a restart, an owner takes the start of a wave from its records.
 BOOST_AUTO_TEST_CASE(an_owner_that_starts_within_a_wave_knows_when_it_began)
 {
   Owner owner;
--- a/Tests/LibSchedule/TestInTimeSelection.cpp
+++ b/Tests/LibSchedule/TestInTimeSelection.cpp
@@ -14,9 +14,9 @@
 
 // A job of one step that needs aNeeds of the pool for a second.
 std::size_t
-AddJob(RoomContest& aContest, double aNeeds, Duration aLeft, std::size_t aTenant = 0)
+AddJob(PoolBacklog& aContest, double aNeeds, Duration aLeft, std::size_t aTenant = 0)
 {
-  JobClaim job;
+  WaitingJob job;
   job.mTenant = aTenant;
   job.mWork = aNeeds;
   aContest.mJobs.push_back(job);
@@ -25,15 +25,15 @@
   return index;
 }
 
-RoomContest
+PoolBacklog
 MakeContest(std::size_t aTenants = 1)
 {
-  RoomContest contest;
+  PoolBacklog contest;
   contest.mTenants.resize(aTenants);
   return contest;
 }
 
-RoomContest
+PoolBacklog
 DrawContest(std::size_t aTenants)
 {
   auto contest = MakeContest(aTenants);
@@ -51,8 +51,8 @@
 }
 
 // The contest among those that stay.
-RoomContest
-Staying(const RoomContest& aContest, const std::vector<bool>& aYields)
+PoolBacklog
+Staying(const PoolBacklog& aContest, const std::vector<bool>& aYields)
 {
   auto left = aContest;
   std::erase_if(left.mSteps, [&](const auto& aStep) { return aYields[aStep.mJob]; });
--- a/Tests/NarrowLinks/TestNarrowLinks.cpp
+++ b/Tests/NarrowLinks/TestNarrowLinks.cpp
@@ -10,8 +10,8 @@
 
 BOOST_AUTO_TEST_SUITE(TheSimulationOfNarrowLinks)
 
-// Guards against long-running tasks that are away for long (LOST), or more of them at once than
-// their step allows (AVAIL), where hosts have narrow links and make calls for one another.
+// Guards against long-running tasks that are away for long, or more of them at once than
+// their step allows, where hosts have narrow links and make calls for one another.
 BOOST_AUTO_TEST_CASE(long_running_tasks_stay_while_hosts_with_narrow_links_call_for_one_another)
 {
   auto holds = rc::check([] {
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -253,7 +253,7 @@
   BOOST_TEST(manifest.mHasUnreadableTenants);
 }
 
-// Calls need no key without tenants, but tenants that cannot be read do not open the door.
+// Calls need no key without tenants, but tenants that cannot be read do not let calls pass.
 BOOST_AUTO_TEST_CASE(only_tenants_that_are_not_there_make_keys_needless)
 {
   auto requiresKeys = [](const std::string& aTenants) {
