--- a/Libraries/LibSchedule/Maintenance.cpp
+++ b/Libraries/LibSchedule/Maintenance.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr Duration kRetryPause = 200ms;
-constexpr Duration kProgressLogInterval = 2s;
 
 int
 CountHostsInMaintenance(const FleetContext& aContext, std::int64_t aWave)
@@ -141,34 +140,6 @@
   aActions.emplace_back(*aMaintenance.mPendingReport);
 }
 
-// Logs what the owner has left of a wave, from time to time.
-void
-LogProgress(Maintenance& aMaintenance,
-            const Now& aNow,
-            const Wave& aWave,
-            const Shard& aShard,
-            const WaveProgress& aProgress,
-            Actions& aActions)
-{
-  auto& nextAt = aMaintenance.mNextProgressAt[{ aWave.mNumber, aShard.mPartition }];
-  if (aProgress.mLeft == 0 || aNow.mAt < nextAt) {
-    return;
-  }
-  nextAt = aNow.mAt + kProgressLogInterval;
-  LogEntry entry{ LogLevel::Info, "wave-progress", aProgress.mSlowestJob.mValue };
-  entry.mSubject = std::to_string(aWave.mNumber);
-  entry.mOutcome = std::to_string(aProgress.mLeft) + " hosts left in shard " +
-                   std::to_string(aShard.mPartition) + ", " + std::to_string(aProgress.mDraining) +
-                   " drain, " + std::to_string(aProgress.mWithLongRunning) +
-                   " of them with long-running tasks";
-  if (aProgress.mSlowestRounds > 0) {
-    entry.mReason = "the slowest step moves " + std::to_string(aProgress.mSlowestTasks) +
-                    " tasks in " + std::to_string(aProgress.mSlowestRounds) + " rounds; " +
-                    std::to_string(aProgress.mSlowestUnavailable) + " of its tasks are unavailable";
-  }
-  aActions.emplace_back(std::move(entry));
-}
-
 }
 
 bool
@@ -253,8 +224,7 @@
   for (const auto& [number, wave] : *aContext.mWaves) {
     for (auto& [partition, shard] : *aContext.mShards) {
       if (shard.mPhase == ShardPhase::Active) {
-        auto progress = ChooseHostsToDrain(aMaintenance, aNow, aContext, wave, shard);
-        LogProgress(aMaintenance, aNow, wave, shard, progress, aActions);
+        ChooseHostsToDrain(aMaintenance, aNow, aContext, wave, shard);
       }
     }
     auto down = CountHostsInMaintenance(aContext, number);
--- a/Libraries/LibSchedule/Maintenance.h
+++ b/Libraries/LibSchedule/Maintenance.h
@@ -32,8 +32,6 @@
   std::map<std::int64_t, bool> mReported;
   std::optional<WaveStatusCall> mPendingReport;
   Instant mNextReportAt;
-  // When the progress of each wave is logged next, by wave and shard.
-  std::map<std::pair<std::int64_t, int>, Instant> mNextProgressAt;
 };
 
 // Whether there is a wave that was not reported as completed.
