--- a/Tests/NarrowLinks/TestNarrowLinks.cpp
+++ b/Tests/NarrowLinks/TestNarrowLinks.cpp
@@ -30,8 +30,10 @@
     Simulation simulation(settings);
     std::mt19937_64 random(settings.mSeed);
     simulation.RunFor(3s);
+    constexpr int kLongRunningJobs = 4;
     std::vector<JobId> lasting;
-    for (int i = 0; i < 4; ++i) {
+    lasting.reserve(kLongRunningJobs);
+    for (int i = 0; i < kLongRunningJobs; ++i) {
       lasting.push_back(simulation.Submit(i, { MakeLongRunningStep(12, 2, 2) }, "lasts"));
     }
     simulation.RunFor(4s);
