Keep what a placement pass works on from one pass to the next

The cost of an event grew with the pool. Class: state that is rebuilt for each event instead of kept. Change: CandidateIndex keeps the executors of a pool in the order of their free capacity, so that the tightest fit is found from there on; ReadyQueue keeps the ready steps in order; a pass takes over only executors and jobs that were noted as changed (PlacementState). Reservations are walked only while there are any. TestPlacement passes the present time to ChooseCandidate instead of MakeCandidates; its checks are unchanged.

--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -103,7 +103,7 @@
 }
 
 PlacementObstacle
-SchedulingObstacle(const Executor& aExecutor, Instant aNow)
+AvailabilityObstacle(const Executor& aExecutor, Instant aNow)
 {
   if (aExecutor.mEntry.mState == ExecutorState::Draining ||
       aExecutor.mDrainReason != DrainReason::None) {
@@ -115,8 +115,15 @@
   if (aExecutor.mUnansweredCalls > 0 || aExecutor.mIsUnresponsive) {
     return PlacementObstacle::Unresponsive;
   }
-  if (aExecutor.mBackOffUntil > aNow) {
-    return PlacementObstacle::BackingOff;
+  return aExecutor.mBackOffUntil > aNow ? PlacementObstacle::BackingOff : PlacementObstacle::None;
+}
+
+PlacementObstacle
+SchedulingObstacle(const Executor& aExecutor, Instant aNow)
+{
+  auto obstacle = AvailabilityObstacle(aExecutor, aNow);
+  if (obstacle != PlacementObstacle::None) {
+    return obstacle;
   }
   // The resources that foreign runs use are unknown.
   auto hasForeign = std::any_of(aExecutor.mRuns.begin(),
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -119,6 +119,8 @@
   Instant mBackOffUntil;
   // It is in Shard::mExecutorsToCheck.
   bool mIsCheckScheduled = false;
+  // It is among the changed executors of the shard's placement.
+  bool mIsCandidateStale = false;
 };
 
 struct LeaseLimits
@@ -170,7 +172,12 @@
 std::string_view
 NameOf(PlacementObstacle aObstacle);
 
-// Why no new run may be placed on the executor, whatever its task; None if one may.
+// Why no new run may be placed on the executor, whatever its task and whatever runs there; None if
+// one may.
+PlacementObstacle
+AvailabilityObstacle(const Executor& aExecutor, Instant aNow);
+
+// As above, with regard to what runs there.
 PlacementObstacle
 SchedulingObstacle(const Executor& aExecutor, Instant aNow);
 
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -3,7 +3,9 @@
 #include "LibSchedule/Clock.h"
 #include "LibSchedule/JobRecords.h"
 #include "LibSchedule/Model.h"
+#include "LibSchedule/ReadyStep.h"
 
+#include <optional>
 #include <vector>
 
 // The progress of a job: which of its tasks wait, which may be running, and which are done.
@@ -70,6 +72,11 @@
   bool mIsBeyondWeight = false;
   // It has changes that are not in the log yet.
   bool mDirty = false;
+  // It is among the changed jobs of the shard's placement.
+  bool mIsReadinessStale = false;
+  // Its steps in the ready queue, and the time for which it stands there as due.
+  std::vector<ReadyStep> mReadySteps;
+  std::optional<TimePoint> mNextDueAt;
 };
 
 // Restores the progress from the log, if there is any. Rows that match no task are ignored.
--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -41,18 +41,18 @@
 
 PlacementObstacle
 ObstacleWithIsolation(const Candidate& aCandidate,
-                      const ServiceName& aService,
                       const PlacementRequest& aRequest,
-                      Isolation aIsolation)
+                      Isolation aIsolation,
+                      Instant aNow)
 {
   const auto& executor = *aCandidate.mExecutor;
   const auto& step = *aRequest.mStep;
-  // In a full pool most candidates are left out by this one, which is the cheapest.
   if (!Covers(aCandidate.mFree, NeedsOf(step))) {
     return PlacementObstacle::NoRoom;
   }
-  if (executor.mEntry.mService != aService) {
-    return PlacementObstacle::OtherPool;
+  auto obstacle = SchedulingObstacle(aCandidate, aNow);
+  if (obstacle != PlacementObstacle::None) {
+    return obstacle;
   }
   if (!HasLabel(executor, step.mRequiredLabel)) {
     return PlacementObstacle::MissingLabel;
@@ -68,13 +68,6 @@
   return isAtLimit ? PlacementObstacle::StepLimit : PlacementObstacle::None;
 }
 
-// The second label of an executor is its rack; the first is its kind.
-std::string
-RackOf(const ExecutorEntry& aEntry)
-{
-  return aEntry.mLabels.size() > 1 ? aEntry.mLabels[1] : std::string();
-}
-
 std::int64_t
 CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest, Isolation aIsolation)
 {
@@ -105,66 +98,62 @@
   return cost;
 }
 
-}
+struct CandidateCost
+{
+  Candidate* mCandidate = nullptr;
+  std::int64_t mCost = 0;
+};
 
-std::vector<Candidate>
-MakeCandidates(std::map<ExecutorId, Executor>& aExecutors, Instant aNow)
+bool
+IsCheaper(const CandidateCost& aLeft, const CandidateCost& aRight)
 {
-  std::vector<Candidate> candidates;
-  for (auto& [id, executor] : aExecutors) {
-    if (!IsSchedulable(executor, aNow)) {
-      continue;
-    }
-    Candidate candidate;
-    candidate.mExecutor = &executor;
-    candidate.mFree = executor.mEntry.mCapacity - ReservedResources(executor);
-    candidate.mRack = RackOf(executor.mEntry);
-    for (const auto& [name, run] : executor.mRuns) {
-      candidate.mLatencySensitiveRuns += run.mIsLatencySensitive ? 1 : 0;
-      candidate.mBestEffortRuns += run.mBestEffort ? 1 : 0;
-      AddOccupant(candidate.mOccupants, run.mIsolation, run.mIsLongRunning);
-    }
-    candidates.push_back(std::move(candidate));
+  if (aRight.mCandidate == nullptr || aLeft.mCost != aRight.mCost) {
+    return aRight.mCandidate == nullptr || aLeft.mCost < aRight.mCost;
   }
-  return candidates;
+  return aLeft.mCandidate->mExecutor->mEntry.mId < aRight.mCandidate->mExecutor->mEntry.mId;
+}
+
 }
 
 PlacementObstacle
-ObstacleTo(const Candidate& aCandidate,
-           const ServiceName& aService,
-           const PlacementRequest& aRequest)
+ObstacleTo(const Candidate& aCandidate, const PlacementRequest& aRequest, Instant aNow)
 {
   auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
-  return ObstacleWithIsolation(aCandidate, aService, aRequest, isolation);
+  return ObstacleWithIsolation(aCandidate, aRequest, isolation, aNow);
 }
 
 Candidate*
-ChooseCandidate(std::vector<Candidate>& aCandidates,
-                const ServiceName& aService,
-                const PlacementRequest& aRequest)
+ChooseCandidate(const CandidateIndex& aCandidates,
+                const ServiceName& aPool,
+                const PlacementRequest& aRequest,
+                Instant aNow)
 {
+  auto pool = aCandidates.mPools.find(aPool);
+  if (pool == aCandidates.mPools.end()) {
+    return nullptr;
+  }
   auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
-  Candidate* best = nullptr;
-  std::int64_t bestCost = 0;
-  for (auto& candidate : aCandidates) {
-    if (ObstacleWithIsolation(candidate, aService, aRequest, isolation) !=
-        PlacementObstacle::None) {
-      continue;
+  auto needed = NeedsOf(*aRequest.mStep).mCpuMillicores;
+  CandidateCost best;
+  for (auto at = pool->second.lower_bound(needed); at != pool->second.end(); ++at) {
+    auto& candidate = **at;
+    // The cost of a candidate is at least what it would have left, which only rises from here on.
+    if (best.mCandidate != nullptr && candidate.mFree.mCpuMillicores - needed > best.mCost) {
+      break;
     }
-    auto cost = CostOf(candidate, aRequest, isolation);
-    if (best == nullptr || cost < bestCost) {
-      best = &candidate;
-      bestCost = cost;
+    if (ObstacleWithIsolation(candidate, aRequest, isolation, aNow) == PlacementObstacle::None) {
+      CandidateCost cost{ &candidate, CostOf(candidate, aRequest, isolation) };
+      best = IsCheaper(cost, best) ? cost : best;
     }
   }
-  return best;
+  return best.mCandidate;
 }
 
 void
 Reserve(Candidate& aCandidate, const PlacementRequest& aRequest)
 {
   const auto& step = *aRequest.mStep;
-  aCandidate.mFree = aCandidate.mFree - NeedsOf(step);
+  SetFree(aCandidate, aCandidate.mFree - NeedsOf(step));
   aCandidate.mLatencySensitiveRuns += step.mTargetTailLatency.count() != 0 ? 1 : 0;
   aCandidate.mBestEffortRuns += step.mBestEffort ? 1 : 0;
   AddOccupant(aCandidate.mOccupants, IsolationOf(step, *aRequest.mTask), step.mLongRunning);
@@ -174,10 +163,17 @@
 Release(Candidate& aCandidate, const PlacementRequest& aRequest)
 {
   const auto& step = *aRequest.mStep;
-  aCandidate.mFree = aCandidate.mFree + NeedsOf(step);
+  SetFree(aCandidate, aCandidate.mFree + NeedsOf(step));
   aCandidate.mLatencySensitiveRuns -= step.mTargetTailLatency.count() != 0 ? 1 : 0;
   aCandidate.mBestEffortRuns -= step.mBestEffort ? 1 : 0;
   RemoveOccupant(aCandidate.mOccupants, IsolationOf(step, *aRequest.mTask), step.mLongRunning);
 }
 
+std::int64_t
+detail::CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest)
+{
+  auto isolation = IsolationOf(*aRequest.mStep, *aRequest.mTask);
+  return schedule::CostOf(aCandidate, aRequest, isolation);
+}
+
 }
--- a/Libraries/LibSchedule/Placement.h
+++ b/Libraries/LibSchedule/Placement.h
@@ -1,29 +1,14 @@
 #pragma once
 
-#include "LibSchedule/CrashIsolation.h"
-#include "LibSchedule/Executor.h"
+#include "LibSchedule/CandidateIndex.h"
 #include "LibSchedule/Job.h"
 
-#include <vector>
-
-// Chooses the executor of a task. Pure functions over the executors of a shard.
+// Chooses the executor of a task. Functions over the candidates of a shard.
 namespace sesameseam::schedule {
 
 // Share of an executor that can be planned for: tasks of different sizes leave some of it unused.
 inline constexpr double kTargetUtilization = 0.85;
 
-// An executor and its free resources during a placement pass.
-struct Candidate
-{
-  Executor* mExecutor = nullptr;
-  Resources mFree;
-  std::string mRack;
-  // Runs there that serve their own users, and best-effort runs, which only use spare CPU time.
-  int mLatencySensitiveRuns = 0;
-  int mBestEffortRuns = 0;
-  Occupants mOccupants;
-};
-
 struct PlacementRequest
 {
   const Step* mStep = nullptr;
@@ -31,20 +16,17 @@
   TaskId mName;
 };
 
-std::vector<Candidate>
-MakeCandidates(std::map<ExecutorId, Executor>& aExecutors, Instant aNow);
-
-// Why the task can't be placed on the candidate at present; None if it can.
+// Why the task can't be placed on the candidate of its pool at present; None if it can.
 PlacementObstacle
-ObstacleTo(const Candidate& aCandidate,
-           const ServiceName& aService,
-           const PlacementRequest& aRequest);
+ObstacleTo(const Candidate& aCandidate, const PlacementRequest& aRequest, Instant aNow);
 
-// The candidate with the lowest cost, or nullptr if the task fits nowhere at present.
+// The candidate of the pool with the lowest cost, and of those with the same cost the one with the
+// lowest id; nullptr if the task fits nowhere at present.
 Candidate*
-ChooseCandidate(std::vector<Candidate>& aCandidates,
-                const ServiceName& aService,
-                const PlacementRequest& aRequest);
+ChooseCandidate(const CandidateIndex& aCandidates,
+                const ServiceName& aPool,
+                const PlacementRequest& aRequest,
+                Instant aNow);
 
 // Reserves the resources of one task on the candidate.
 void
@@ -52,4 +34,13 @@
 void
 Release(Candidate& aCandidate, const PlacementRequest& aRequest);
 
+namespace detail {
+
+// What placing the task on the candidate costs: the capacity that would be left free, and more for
+// what it would be better to avoid.
+std::int64_t
+CostOf(const Candidate& aCandidate, const PlacementRequest& aRequest);
+
+}
+
 }
--- a/Libraries/LibSchedule/PlacementPreview.cpp
+++ b/Libraries/LibSchedule/PlacementPreview.cpp
@@ -46,21 +46,19 @@
 }
 
 std::map<PlacementObstacle, int>
-ObstaclesTo(Shard& aShard, const Now& aNow, const Job& aJob, const PlacementRequest& aRequest)
+ObstaclesTo(const Shard& aShard, const Now& aNow, const Job& aJob, const PlacementRequest& aRequest)
 {
   std::map<PlacementObstacle, int> obstacles;
   const auto& service = aJob.mDefinition.mService;
-  for (const auto& [id, executor] : aShard.mExecutors) {
-    auto obstacle = SchedulingObstacle(executor, aNow.mAt);
-    auto isOfPool = executor.mEntry.mService == service;
-    if (isOfPool && obstacle != PlacementObstacle::None) {
-      ++obstacles[obstacle];
+  for (const auto& [executor, candidate] : aShard.mPlacement.mCandidates.mCandidates) {
+    if (executor->mEntry.mService != service) {
+      continue;
     }
-  }
-  for (const auto& candidate : MakeCandidates(aShard.mExecutors, aNow.mAt)) {
-    auto obstacle = ObstacleTo(candidate, service, aRequest);
-    auto isOfPool = candidate.mExecutor->mEntry.mService == service;
-    if (isOfPool && obstacle != PlacementObstacle::None) {
+    auto obstacle = SchedulingObstacle(candidate, aNow.mAt);
+    if (obstacle == PlacementObstacle::None) {
+      obstacle = ObstacleTo(candidate, aRequest, aNow.mAt);
+    }
+    if (obstacle != PlacementObstacle::None) {
       ++obstacles[obstacle];
     }
   }
@@ -68,7 +66,7 @@
 }
 
 StepPreview
-PreviewStep(Shard& aShard, const Now& aNow, const Job& aJob, int aStep)
+PreviewStep(const Shard& aShard, const Now& aNow, const Job& aJob, int aStep)
 {
   const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(aStep)];
   const auto& state = aJob.mOccurrences.front().mSteps[static_cast<std::size_t>(aStep)];
@@ -106,7 +104,7 @@
   auto definition = aDefinition;
   definition.mAcceptedAt = aNow.mWall;
   JobId id(kPreviewedJob);
-  auto& job = copy.mJobs.emplace(id, MakeJob(id, definition, nullptr)).first->second;
+  auto& job = detail::AddJob(copy, MakeJob(id, definition, nullptr));
   job.mArrivedAt = aNow.mAt;
   job.mIsBeyondWeight = !CountArrival(copy.mTenantShares, definition.mTenant, aNow.mWall);
   RunPass(copy, aNow);
--- a/Libraries/LibSchedule/PoolContest.cpp
+++ b/Libraries/LibSchedule/PoolContest.cpp
@@ -41,14 +41,6 @@
   return sum;
 }
 
-Resources
-Times(const Resources& aResources, std::int64_t aCount)
-{
-  return { aResources.mCpuMillicores * aCount,
-           aResources.mMemoryMb * aCount,
-           aResources.mGpus * aCount };
-}
-
 const Step&
 DefinitionOf(const ReadyStep& aReady)
 {
@@ -72,7 +64,9 @@
 
 // Returns the pools in which more waits than is free.
 PoolRooms
-FindShortPools(const std::vector<ReadyStep>& aSteps, const std::vector<Candidate>& aCandidates)
+FindShortPools(const std::vector<ReadyStep>& aSteps,
+               const CandidateIndex& aCandidates,
+               Instant aNow)
 {
   PoolRooms rooms;
   for (const auto& ready : aSteps) {
@@ -81,20 +75,19 @@
       room.mWaiting = room.mWaiting + Times(NeedsOf(DefinitionOf(ready)), StateOf(ready).mWaiting);
     }
   }
-  for (const auto& candidate : aCandidates) {
-    auto room = rooms.find(candidate.mExecutor->mEntry.mService);
-    if (room != rooms.end()) {
+  for (const auto& [executor, candidate] : aCandidates.mCandidates) {
+    auto room = rooms.find(executor->mEntry.mService);
+    if (room != rooms.end() && SchedulingObstacle(candidate, aNow) == PlacementObstacle::None) {
       room->second.mFree = room->second.mFree + candidate.mFree;
     }
   }
   std::erase_if(
     rooms, [](const auto& aRoom) { return Covers(aRoom.second.mFree, aRoom.second.mWaiting); });
-  for (const auto& candidate : aCandidates) {
-    auto found = rooms.find(candidate.mExecutor->mEntry.mService);
-    if (found != rooms.end()) {
+  for (const auto& [executor, candidate] : aCandidates.mCandidates) {
+    auto found = rooms.find(executor->mEntry.mService);
+    if (found != rooms.end() && SchedulingObstacle(candidate, aNow) == PlacementObstacle::None) {
       auto& capacity = found->second.mCapacity;
-      capacity =
-        capacity + candidate.mExecutor->mEntry.mCapacity - HeldByLongRunning(*candidate.mExecutor);
+      capacity = capacity + executor->mEntry.mCapacity - HeldByLongRunning(*executor);
     }
   }
   return rooms;
@@ -309,7 +302,7 @@
 YieldCounts
 MarkYieldingSteps(const std::map<JobId, Job>& aJobs,
                   std::vector<ReadyStep>& aSteps,
-                  const std::vector<Candidate>& aCandidates,
+                  const CandidateIndex& aCandidates,
                   TenantShares& aShares,
                   const Now& aNow)
 {
@@ -320,7 +313,7 @@
     }
   }
   UpdateWaitingTenants(aShares, waiting, aNow.mAt);
-  for (const auto& [pool, room] : FindShortPools(aSteps, aCandidates)) {
+  for (const auto& [pool, room] : FindShortPools(aSteps, aCandidates, aNow.mAt)) {
     MarkInPool(pool, room, aJobs, aSteps, aShares, aNow);
   }
   return CountYielding(aSteps);
--- a/Libraries/LibSchedule/PoolContest.h
+++ b/Libraries/LibSchedule/PoolContest.h
@@ -13,11 +13,11 @@
 namespace sesameseam::schedule {
 
 // aSteps holds all ready steps of aJobs, in the order of the jobs. aCandidates are the executors
-// that take work, before anything is placed.
+// of the shard, before anything is placed.
 YieldCounts
 MarkYieldingSteps(const std::map<JobId, Job>& aJobs,
                   std::vector<ReadyStep>& aSteps,
-                  const std::vector<Candidate>& aCandidates,
+                  const CandidateIndex& aCandidates,
                   TenantShares& aShares,
                   const Now& aNow);
 
--- a/Libraries/LibSchedule/QueueOrder.cpp
+++ b/Libraries/LibSchedule/QueueOrder.cpp
@@ -5,6 +5,31 @@
 
 namespace sesameseam::schedule {
 
+namespace {
+
+ReadyStep
+MakeReadyStep(Job& aJob, int aOccurrence, int aStep, TimePoint aWall)
+{
+  const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(aStep)];
+  ReadyStep ready;
+  ready.mJob = &aJob;
+  ready.mOccurrence = aOccurrence;
+  ready.mStep = aStep;
+  ready.mIsLongRunning = step.mLongRunning;
+  ready.mIsGang = step.mGang;
+  ready.mHasSuspects = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)]
+                         .mSteps[static_cast<std::size_t>(aStep)]
+                         .mSuspects > 0;
+  ready.mPriority = aJob.mDefinition.mPriority;
+  ready.mWork = WorkOf(aJob.mDefinition);
+  ready.mLatestStart = LatestStart(aJob, aOccurrence, aStep);
+  ready.mNeeds = NeedsOf(step);
+  ready.mIsLate = IsLate(ready, aWall);
+  return ready;
+}
+
+}
+
 void
 CollectReadySteps(Job& aJob, TimePoint aWall, std::vector<ReadyStep>& aSteps)
 {
@@ -13,34 +38,42 @@
     for (std::size_t s = 0; s < steps.size(); ++s) {
       auto occurrence = static_cast<int>(k);
       auto step = static_cast<int>(s);
-      if (steps[s].mWaiting == 0 || !IsReady(aJob, occurrence, step, aWall)) {
-        continue;
+      if (steps[s].mWaiting > 0 && IsReady(aJob, occurrence, step, aWall)) {
+        aSteps.push_back(MakeReadyStep(aJob, occurrence, step, aWall));
       }
-      ReadyStep ready;
-      ready.mJob = &aJob;
-      ready.mOccurrence = occurrence;
-      ready.mStep = step;
-      ready.mLatestStart = LatestStart(aJob, occurrence, step);
-      ready.mIsLate = !aJob.mDefinition.mSteps[s].mLongRunning && ready.mLatestStart < aWall;
-      ready.mWork = WorkOf(aJob.mDefinition);
-      aSteps.push_back(ready);
     }
   }
 }
 
-void
-SortReadySteps(std::vector<ReadyStep>& aSteps)
+bool
+IsLate(const ReadyStep& aStep, TimePoint aWall)
+{
+  return !aStep.mIsLongRunning && aStep.mLatestStart < aWall;
+}
+
+bool
+GoesFirst::operator()(const ReadyStep* aLeft, const ReadyStep* aRight) const
 {
   auto key = [](const ReadyStep& aStep) {
-    const auto& definition = aStep.mJob->mDefinition;
-    auto lasts = definition.mSteps[static_cast<std::size_t>(aStep.mStep)].mLongRunning;
-    return std::tuple(
-      aStep.mIsLate, aStep.mYields, definition.mPriority, !lasts, aStep.mLatestStart, aStep.mWork);
+    return std::tuple(aStep.mPriority, !aStep.mIsLongRunning, aStep.mLatestStart, aStep.mWork);
   };
-  std::stable_sort(
-    aSteps.begin(), aSteps.end(), [&](const ReadyStep& aLeft, const ReadyStep& aRight) {
-      return key(aLeft) < key(aRight);
-    });
+  auto left = key(*aLeft);
+  auto right = key(*aRight);
+  if (left != right) {
+    return left < right;
+  }
+  return std::tie(aLeft->mJob->mId, aLeft->mOccurrence, aLeft->mStep) <
+         std::tie(aRight->mJob->mId, aRight->mOccurrence, aRight->mStep);
+}
+
+void
+SortReadySteps(std::vector<ReadyStep>& aSteps)
+{
+  std::sort(aSteps.begin(), aSteps.end(), [](const ReadyStep& aLeft, const ReadyStep& aRight) {
+    auto left = std::tuple(aLeft.mIsLate, aLeft.mYields);
+    auto right = std::tuple(aRight.mIsLate, aRight.mYields);
+    return left != right ? left < right : GoesFirst()(&aLeft, &aRight);
+  });
 }
 
 }
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -24,6 +24,7 @@
     found->second.mEntry.mState = ExecutorState::Gone;
     found->second.mLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, aId, aNow);
     found->second.mIsUnresponsive = aShard.mLoadedUnresponsive.contains(aId);
+    NoteChange(aShard.mPlacement, found->second);
   }
   return found->second;
 }
@@ -63,7 +64,7 @@
     run.mIsolation = IsolationOf(step, *FindTask(aJob, name.mTask));
     for (const auto& placed : row.mExecutors) {
       run.mIncarnation = placed.mIncarnation;
-      AddRun(aShard.mUsage, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
+      detail::AddRun(aShard, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
     }
   }
 }
@@ -90,7 +91,7 @@
     run.mStopRequested = true;
     for (const auto& placed : row.mExecutors) {
       run.mIncarnation = placed.mIncarnation;
-      AddRun(aShard.mUsage, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
+      detail::AddRun(aShard, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
     }
   }
 }
@@ -124,6 +125,7 @@
     executor.mRetryAt = aNow.mAt;
   }
   executor.mEntry = aEntry;
+  NoteChange(aShard.mPlacement, executor);
   detail::ScheduleCheck(aShard, executor);
   aShard.mNeedsPlacementPass |= becameReady;
 }
@@ -221,6 +223,37 @@
 {
   aJob.mDirty = true;
   aShard.mDirty.insert(aJob.mId);
+  NoteChange(aShard.mPlacement, aJob);
+}
+
+void
+AddRun(Shard& aShard, Executor& aExecutor, const TaskRun& aName, const PlacedRun& aRun)
+{
+  schedule::AddRun(aShard.mUsage, aExecutor, aName, aRun);
+  NoteChange(aShard.mPlacement, aExecutor);
+}
+
+void
+RemoveRun(Shard& aShard, Executor& aExecutor, const TaskRun& aName)
+{
+  schedule::RemoveRun(aShard.mUsage, aExecutor, aName);
+  NoteChange(aShard.mPlacement, aExecutor);
+}
+
+Job&
+AddJob(Shard& aShard, Job aJob)
+{
+  auto id = aJob.mId;
+  auto& job = aShard.mJobs.emplace(id, std::move(aJob)).first->second;
+  NoteChange(aShard.mPlacement, job);
+  return job;
+}
+
+void
+RemoveJob(Shard& aShard, Job& aJob)
+{
+  ForgetJob(aShard.mPlacement, aJob);
+  aShard.mJobs.erase(JobId(aJob.mId));
 }
 
 void
@@ -270,7 +303,7 @@
     AddEndedJob(aShard.mEnded, id);
     return;
   }
-  auto& job = aShard.mJobs.emplace(id, MakeJob(id, *definition, progress)).first->second;
+  auto& job = AddJob(aShard, MakeJob(id, *definition, progress));
   if (aShard.mPhase == ShardPhase::Active) {
     job.mArrivedAt = aNow.mAt;
     // Jobs that were there before are not loaded in the order in which they came.
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -4,6 +4,7 @@
 #include "LibSchedule/EndedJobs.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
+#include "LibSchedule/PlacementState.h"
 #include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
 #include "LibSchedule/TenantShares.h"
@@ -120,6 +121,7 @@
   std::int64_t mSequence = 0;
   std::optional<PendingWrite> mWrite;
   Dependency mProgressLog;
+  PlacementState mPlacement;
   bool mNeedsPlacementPass = false;
   Instant mNextPlacementPassAt;
   // The last placement pass could not place all ready tasks.
@@ -193,6 +195,17 @@
 void
 MarkDirty(Shard& aShard, Job& aJob);
 
+// Adds a run to its executor, or removes it.
+void
+AddRun(Shard& aShard, Executor& aExecutor, const TaskRun& aName, const PlacedRun& aRun);
+void
+RemoveRun(Shard& aShard, Executor& aExecutor, const TaskRun& aName);
+
+Job&
+AddJob(Shard& aShard, Job aJob);
+void
+RemoveJob(Shard& aShard, Job& aJob);
+
 // Applies a job or a cancellation from the jobs stream.
 void
 ApplyJobRecord(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord, Actions& aActions);
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -91,7 +91,7 @@
          const TaskEnd& aEnd,
          Actions& aActions)
 {
-  RemoveRun(aShard.mUsage, aExecutor, aEnd.mRun);
+  RemoveRun(aShard, aExecutor, aEnd.mRun);
   aShard.mNeedsPlacementPass = true;
   if (aEnd.mKind == EndKind::Done) {
     RecordSuccess(aExecutor);
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -5,6 +5,8 @@
 #include "LibSchedule/Shard.h"
 
 #include <algorithm>
+#include <optional>
+#include <vector>
 
 // The placement pass over the waiting tasks of a shard.
 namespace sesameseam::schedule {
@@ -20,17 +22,16 @@
 constexpr Duration kPassIntervalPerJob = 10us;
 constexpr Duration kMaxPassInterval = 20ms;
 
-// For each service, the needs of a step that could not be placed in this pass. Free resources only
-// shrink during a pass, so a step with at least the same needs can't be placed either.
-using UnplaceableNeeds = std::map<ServiceName, Resources>;
+// For each pool of the ready queue, the needs of a step that could not be placed in this pass. Free
+// resources only shrink during a pass, so a step with at least the same needs can't be placed
+// either.
+using UnplaceableNeeds = std::vector<std::optional<Resources>>;
 
 bool
-IsUnplaceable(const UnplaceableNeeds& aUnplaceable,
-              const ServiceName& aService,
-              const Resources& aNeeds)
+IsUnplaceable(const UnplaceableNeeds& aUnplaceable, const ReadyStep& aReady)
 {
-  auto found = aUnplaceable.find(aService);
-  return found != aUnplaceable.end() && Covers(aNeeds, found->second);
+  const auto& needs = aUnplaceable[aReady.mPool];
+  return needs && Covers(aReady.mNeeds, *needs);
 }
 
 // Whether free resources are the only constraint on where a task of the step may run.
@@ -69,6 +70,7 @@
   run.mTargetTailLatency = step.mTargetTailLatency;
   run.mIsolation = IsolationOf(step, *task);
   run.mIncarnation = incarnation;
+  // The candidate has taken the run into account when it was reserved.
   AddRun(aShard.mUsage, *aCandidate.mExecutor, name, run);
   aShard.mRunsToRecord.push_back(name);
   if (job.mPhase == JobPhase::Pending) {
@@ -89,7 +91,6 @@
 // What a placement pass has found out so far.
 struct PlacementPass
 {
-  std::vector<Candidate> mCandidates;
   UnplaceableNeeds mUnplaceable;
   // Suspects that found no executor, by pool.
   std::map<ServiceName, UnplacedSuspects> mUnplacedSuspects;
@@ -123,7 +124,8 @@
   if (LacksEnough(aShard.mUsage, definition.mTenant)) {
     return true;
   }
-  if (ChooseCandidate(aPass.mCandidates, definition.mService, aRequest) == nullptr) {
+  const auto& candidates = aShard.mPlacement.mCandidates;
+  if (ChooseCandidate(candidates, definition.mService, aRequest, aPass.mNow) == nullptr) {
     return false;
   }
   const auto& each = aRequest.mStep->mNeeds;
@@ -137,10 +139,8 @@
   auto& job = *aReady.mJob;
   const auto& service = job.mDefinition.mService;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
-  auto isUnplaceable = IsUnplaceable(aPass.mUnplaceable, service, NeedsOf(step));
-  // Suspects may find room where other tasks find none, and the other way round.
-  auto hasSuspects = StateOf(aReady).mSuspects > 0;
-  for (int index = 0; index < step.mCount && (!isUnplaceable || hasSuspects); ++index) {
+  auto isUnplaceable = IsUnplaceable(aPass.mUnplaceable, aReady);
+  for (int index = 0; index < step.mCount && (!isUnplaceable || aReady.mHasSuspects); ++index) {
     auto name = TaskNameOf(aReady, index);
     auto* task = FindTask(job, name);
     auto isolation = IsolationOf(step, *task);
@@ -153,11 +153,11 @@
     if (!HasQuota(aShard.mUsage, job.mDefinition.mTenant, step.mNeeds)) {
       auto hasRoom = HoldBack(aShard, aReady, request, aPass);
       if (!hasRoom && !isSuspect && DependsOnCapacityOnly(step)) {
-        aPass.mUnplaceable[service] = NeedsOf(step);
+        aPass.mUnplaceable[aReady.mPool] = aReady.mNeeds;
       }
       return;
     }
-    auto* candidate = ChooseCandidate(aPass.mCandidates, service, request);
+    auto* candidate = ChooseCandidate(aShard.mPlacement.mCandidates, service, request, aPass.mNow);
     if (candidate != nullptr) {
       // Before the placement is noted: a request is judged by the task as it waits.
       Reserve(*candidate, request);
@@ -167,7 +167,7 @@
     } else {
       isUnplaceable = true;
       if (DependsOnCapacityOnly(step)) {
-        aPass.mUnplaceable[service] = NeedsOf(step);
+        aPass.mUnplaceable[aReady.mPool] = aReady.mNeeds;
       }
     }
   }
@@ -191,6 +191,7 @@
 {
   auto& job = *aReady.mJob;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
+  const auto& candidates = aShard.mPlacement.mCandidates;
   std::vector<Candidate*> places;
   int run = 0;
   for (int index = 0; index < step.mCount; ++index) {
@@ -199,7 +200,7 @@
     run = std::max(run, task->mHighestRun + 1);
     auto* candidate =
       task->mState == TaskState::Waiting
-        ? ChooseCandidate(aPass.mCandidates, job.mDefinition.mService, { &step, task, name })
+        ? ChooseCandidate(candidates, job.mDefinition.mService, { &step, task, name }, aPass.mNow)
         : nullptr;
     if (candidate == nullptr) {
       AddUnplaced(aPass, job.mDefinition.mService, IsolationOf(step, *task));
@@ -235,11 +236,30 @@
   }
 }
 
+void
+PlaceStep(Shard& aShard, const ReadyStep& aReady, PlacementPass& aPass)
+{
+  if (aReady.mIsGang) {
+    PlaceGang(aShard, aReady, aPass);
+  } else if (!aReady.mHasSuspects && IsUnplaceable(aPass.mUnplaceable, aReady)) {
+    // Most steps of a full pool: nothing else of their jobs is looked at.
+    aShard.mHasUnplacedTasks = true;
+    return;
+  } else {
+    PlaceIndependentTasks(aShard, aReady, aPass);
+  }
+  aShard.mHasUnplacedTasks |= StateOf(aReady).mWaiting > 0;
+}
+
 // Adjusts the reservations of all pools of the shard. Pools without waiting suspects give theirs
 // up.
 void
 AdjustReservations(Shard& aShard, PlacementPass& aPass)
 {
+  auto isAnyUnplaced = !aPass.mUnplacedSuspects.empty();
+  if (!isAnyUnplaced && !aShard.mPlacement.mHasReservations) {
+    return;
+  }
   for (const auto& [id, executor] : aShard.mExecutors) {
     if (executor.mIsReservedForSuspects) {
       aPass.mUnplacedSuspects.try_emplace(executor.mEntry.mService);
@@ -248,6 +268,29 @@
   for (const auto& [pool, unplaced] : aPass.mUnplacedSuspects) {
     ReserveForSuspects(aShard.mExecutors, pool, unplaced, aPass.mNow);
   }
+  aShard.mPlacement.mHasReservations = isAnyUnplaced;
+}
+
+// The ready steps in their order. Where tenants share the pools, some of them yield.
+std::vector<ReadyStep>&
+OrderSteps(Shard& aShard, const Now& aNow)
+{
+  auto& placement = aShard.mPlacement;
+  auto& steps = ReadySteps(placement.mReady, aNow.mWall);
+  if (steps.empty() || aShard.mTenantShares.IsEmpty()) {
+    return steps;
+  }
+  steps.clear();
+  for (const auto& [id, job] : aShard.mJobs) {
+    for (const auto& step : job.mReadySteps) {
+      steps.push_back(step);
+      steps.back().mIsLate = IsLate(step, aNow.mWall);
+    }
+  }
+  aShard.mYielding =
+    MarkYieldingSteps(aShard.mJobs, steps, placement.mCandidates, aShard.mTenantShares, aNow);
+  SortReadySteps(steps);
+  return steps;
 }
 
 Duration
@@ -277,32 +320,16 @@
   aShard.mLastPlacementPassAt = aNow.mAt;
   aShard.mHasUnplacedTasks = false;
   aShard.mNextPlacementPassAt = aNow.mAt + kPassInterval;
-  std::vector<ReadyStep> ready;
-  for (auto& [id, job] : aShard.mJobs) {
-    if (!IsFinal(job.mPhase)) {
-      CollectReadySteps(job, aNow.mWall, ready);
-    }
-  }
-  PlacementPass pass;
-  pass.mNow = aNow.mAt;
+  auto& placement = aShard.mPlacement;
+  UpdatePlacement(placement, aShard.mExecutors, aShard.mJobs, aNow.mWall);
   ClearLacking(aShard.mUsage);
   aShard.mYielding = {};
-  if (!ready.empty()) {
-    pass.mCandidates = MakeCandidates(aShard.mExecutors, aNow.mAt);
-    if (!aShard.mTenantShares.IsEmpty()) {
-      aShard.mYielding =
-        MarkYieldingSteps(aShard.mJobs, ready, pass.mCandidates, aShard.mTenantShares, aNow);
-    }
-    SortReadySteps(ready);
-  }
+  const auto& ready = OrderSteps(aShard, aNow);
+  PlacementPass pass;
+  pass.mNow = aNow.mAt;
+  pass.mUnplaceable.resize(placement.mReady.mPools.size());
   for (const auto& step : ready) {
-    const auto& definition = step.mJob->mDefinition.mSteps[static_cast<std::size_t>(step.mStep)];
-    if (definition.mGang) {
-      PlaceGang(aShard, step, pass);
-    } else {
-      PlaceIndependentTasks(aShard, step, pass);
-    }
-    aShard.mHasUnplacedTasks |= StateOf(step).mWaiting > 0;
+    PlaceStep(aShard, step, pass);
   }
   AdjustReservations(aShard, pass);
 }
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -59,7 +59,7 @@
     run.mTenant = job->mDefinition.mTenant;
     run.mCounted = detail::StepOf(*job, aName.mTask).mNeeds;
   }
-  AddRun(aShard.mUsage, aExecutor, aName, run);
+  detail::AddRun(aShard, aExecutor, aName, run);
 }
 
 void
@@ -94,6 +94,7 @@
     ClearCrashes(*job, aRunning.mRun.mTask);
     detail::MarkDirty(aShard, *job);
     run.mIsolation = Isolation::None;
+    NoteChange(aShard.mPlacement, aExecutor);
     aShard.mNeedsPlacementPass = true;
   }
 }
@@ -411,7 +412,7 @@
 {
   auto found = aExecutor.mRuns.find(aRun);
   if (found != aExecutor.mRuns.end() && found->second.mState == RunState::Recording) {
-    RemoveRun(aShard.mUsage, aExecutor, aRun);
+    RemoveRun(aShard, aExecutor, aRun);
     return;
   }
   RequestStop(aExecutor, aRun);
@@ -420,7 +421,7 @@
 void
 DropRun(Shard& aShard, Executor& aExecutor, const TaskRun& aRun)
 {
-  RemoveRun(aShard.mUsage, aExecutor, aRun);
+  RemoveRun(aShard, aExecutor, aRun);
   aShard.mNeedsPlacementPass = true;
   auto* job = FindJob(aShard, aRun.mTask.mJob);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aRun.mTask);
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -121,7 +121,7 @@
   if (found->second.mPhase == JobPhase::Cancelled) {
     AddEndedJobRecord(aShard.mEnded, aId, CancellationKey(aId));
   }
-  aShard.mJobs.erase(found);
+  detail::RemoveJob(aShard, found->second);
 }
 
 void
--- a/Libraries/LibStandIn/PoolModel.cpp
+++ b/Libraries/LibStandIn/PoolModel.cpp
@@ -58,7 +58,7 @@
   auto definition = aJob.mDefinition;
   definition.mService = kPool;
   definition.mAcceptedAt = aPlay.mNow.mWall;
-  auto& job = aPlay.mShard.mJobs.emplace(id, MakeJob(id, definition, nullptr)).first->second;
+  auto& job = schedule::detail::AddJob(aPlay.mShard, MakeJob(id, definition, nullptr));
   job.mArrivedAt = aPlay.mNow.mAt;
   job.mIsBeyondWeight =
     !CountArrival(aPlay.mShard.mTenantShares, definition.mTenant, definition.mAcceptedAt);
@@ -71,8 +71,12 @@
 {
   for (auto& [id, executor] : aPlay.mShard.mExecutors) {
     std::erase_if(executor.mRuns, [&](const auto& aRun) { return aRun.first.mTask.mJob == aJob; });
+    NoteChange(aPlay.mShard.mPlacement, executor);
+  }
+  auto job = aPlay.mShard.mJobs.find(aJob);
+  if (job != aPlay.mShard.mJobs.end()) {
+    schedule::detail::RemoveJob(aPlay.mShard, job->second);
   }
-  aPlay.mShard.mJobs.erase(aJob);
   aPlay.mShard.mDirty.erase(aJob);
   aPlay.mShard.mNeedsPlacementPass = true;
 }
@@ -85,8 +89,10 @@
     return;
   }
   aPlay.mShard.mNeedsPlacementPass = true;
+  NoteChange(aPlay.mShard.mPlacement, executor->second);
   auto& job = aPlay.mShard.mJobs.at(aTask.mRun.mTask.mJob);
   SetTaskState(job, aTask.mRun.mTask, TaskState::Done);
+  NoteChange(aPlay.mShard.mPlacement, job);
   if (!AllDone(job)) {
     return;
   }
@@ -106,6 +112,8 @@
     }
     aPlay.mShard.mExecutors.erase(executor);
   }
+  // Owners never forget an executor, so that their placement has no way to.
+  aPlay.mShard.mPlacement = {};
   aPlay.mShard.mExecutorsToCheck.clear();
 }
 
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -240,6 +240,7 @@
   void CheckQuota(const std::string& aTask);
   // Checks that the owners' counts of what tenants have running match their runs.
   void CheckUsage();
+  void CheckPlacement();
   // Ends the process of the executor if the run that has just started is one that crashes it.
   void CrashUnder(FakeExecutor& aExecutor, const schedule::StartCall& aCall);
   // Executes an order that takes a machine out of service and returns it to a pool after a time.
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -29,6 +29,24 @@
   });
 }
 
+// Whether the steps that the ready queue has of a job are those that are ready.
+bool
+HasCurrentSteps(schedule::Job& aJob)
+{
+  std::vector<schedule::ReadyStep> ready;
+  if (!IsFinal(aJob.mPhase)) {
+    CollectReadySteps(aJob, aJob.mOccurrences.front().mDueAt, ready);
+  }
+  return std::equal(ready.begin(),
+                    ready.end(),
+                    aJob.mReadySteps.begin(),
+                    aJob.mReadySteps.end(),
+                    [](const auto& aLeft, const auto& aRight) {
+                      return aLeft.mStep == aRight.mStep &&
+                             aLeft.mHasSuspects == aRight.mHasSuspects;
+                    });
+}
+
 }
 
 void
@@ -149,6 +167,7 @@
   }
   CheckQuota(text);
   CheckUsage();
+  CheckPlacement();
   std::int64_t reserved = 0;
   for (auto& executor : mExecutors) {
     Advance(executor, mNow);
@@ -241,6 +260,27 @@
   }
 }
 
+// What is kept from one placement pass to the next has to be what a pass would find anew.
+void
+Simulation::CheckPlacement()
+{
+  for (auto& host : mHosts) {
+    for (auto& [partition, shard] : host.mNode.mShards) {
+      for (const auto& [executor, candidate] : shard.mPlacement.mCandidates.mCandidates) {
+        auto free = executor->mEntry.mCapacity - schedule::ReservedResources(*executor);
+        if (!executor->mIsCandidateStale && candidate.mFree != free) {
+          mViolations.push_back("host " + host.mName + " takes less or more to be free than is");
+        }
+      }
+      for (auto& [id, job] : shard.mJobs) {
+        if (shard.mPlacement.mIsBuilt && !job.mIsReadinessStale && !HasCurrentSteps(job)) {
+          mViolations.push_back("host " + host.mName + " takes other steps to be ready than are");
+        }
+      }
+    }
+  }
+}
+
 void
 Simulation::CheckUsage()
 {
--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -3,6 +3,7 @@
 #include "Steps.h"
 
 #include <boost/test/unit_test.hpp>
+#include <rapidcheck.h>
 
 using namespace sesameseam;
 using namespace sesameseam::schedule;
@@ -33,19 +34,105 @@
     return mExecutors.emplace(executor.mEntry.mId, executor).first->second;
   }
 
+  // An executor in any state, with any runs.
+  void AddAny(const std::string& aName)
+  {
+    auto& executor =
+      Add(aName, *rc::gen::inRange(1, 9), "r" + std::to_string(*rc::gen::inRange(1, 3)));
+    executor.mUnansweredCalls = *rc::gen::weightedElement<int>({ { 9, 0 }, { 1, 1 } });
+    executor.mIsReservedForSuspects =
+      *rc::gen::weightedElement<bool>({ { 9, false }, { 1, true } });
+    executor.mIsDueForMaintenance = *rc::gen::arbitrary<bool>();
+    auto runs = *rc::gen::inRange(0, 3);
+    for (int i = 0; i < runs; ++i) {
+      PlacedRun run;
+      run.mReserved = { *rc::gen::inRange(0, 3) * 1000, *rc::gen::inRange(0, 9000), 0 };
+      run.mIsLongRunning = *rc::gen::arbitrary<bool>();
+      run.mIsLatencySensitive = *rc::gen::arbitrary<bool>();
+      run.mBestEffort = *rc::gen::arbitrary<bool>();
+      run.mIsolation = *rc::gen::weightedElement<Isolation>(
+        { { 9, Isolation::None }, { 1, Isolation::AmongSuspects } });
+      executor.mRuns[{ { JobId("k"), 0, 0, i }, 1 }] = run;
+    }
+  }
+
   std::string Choose(const Step& aStep, const Task& aTask = {})
   {
-    auto candidates = MakeCandidates(mExecutors, kNow);
+    auto candidates = MakeCandidates(mExecutors);
     PlacementRequest request{ &aStep, &aTask, { JobId("j"), 0, 0, 0 } };
-    auto* chosen = ChooseCandidate(candidates, ServiceName("s"), request);
+    auto* chosen = ChooseCandidate(candidates, ServiceName("s"), request, kNow);
     return chosen == nullptr ? "" : chosen->mExecutor->mEntry.mId.mValue;
   }
 };
 
+// The candidate that a walk over all executors finds, in the order of their ids.
+std::string
+ChooseByWalk(const CandidateIndex& aCandidates,
+             const std::map<ExecutorId, Executor>& aExecutors,
+             const PlacementRequest& aRequest)
+{
+  std::string best;
+  std::int64_t bestCost = 0;
+  for (const auto& [id, executor] : aExecutors) {
+    const auto& candidate = aCandidates.mCandidates.at(&executor);
+    if (ObstacleTo(candidate, aRequest, kNow) != PlacementObstacle::None) {
+      continue;
+    }
+    auto cost = schedule::detail::CostOf(candidate, aRequest);
+    if (best.empty() || cost < bestCost) {
+      best = id.mValue;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+Step
+AnyStep()
+{
+  auto step = MakeStep(1, *rc::gen::inRange(0, 6));
+  step.mNeeds.mMemoryMb = *rc::gen::inRange(0, 6000);
+  step.mLongRunning = *rc::gen::arbitrary<bool>();
+  step.mBestEffort = *rc::gen::weightedElement<bool>({ { 9, false }, { 1, true } });
+  step.mPreferredRack = *rc::gen::element(std::string(), std::string("r1"));
+  step.mTargetTailLatency = *rc::gen::element(0ms, 50ms);
+  return step;
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(ThePlacement)
 
+// Guards against tasks that are placed elsewhere than by the rule (lowest cost, then lowest id)
+// since the order by free capacity ends the search too early or is not kept up to date.
+BOOST_AUTO_TEST_CASE(a_task_goes_where_a_walk_over_all_executors_would_put_it)
+{
+  auto holds = rc::check([] {
+    Fleet fleet;
+    auto count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+      fleet.AddAny("x" + std::to_string(i));
+    }
+    auto candidates = MakeCandidates(fleet.mExecutors);
+    for (int i = 0; i < 6; ++i) {
+      auto step = AnyStep();
+      Task task;
+      task.mCrashes = *rc::gen::weightedElement<int>({ { 8, 0 }, { 1, 1 }, { 1, 2 } });
+      PlacementRequest request{ &step, &task, { JobId("j"), 0, 0, i } };
+      auto expected = ChooseByWalk(candidates, fleet.mExecutors, request);
+      auto* chosen = ChooseCandidate(candidates, ServiceName("s"), request, kNow);
+      RC_ASSERT((chosen == nullptr ? "" : chosen->mExecutor->mEntry.mId.mValue) == expected);
+      if (chosen != nullptr) {
+        Reserve(*chosen, request);
+      }
+      if (chosen != nullptr && *rc::gen::arbitrary<bool>()) {
+        Release(*chosen, request);
+      }
+    }
+  });
+  BOOST_TEST(holds);
+}
+
 BOOST_AUTO_TEST_CASE(the_tightest_fit_keeps_capacity_for_large_tasks)
 {
   Fleet fleet;
