--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -117,6 +117,8 @@
   bool mIsDueForMaintenance = false;
   int mConsecutiveFailures = 0;
   Instant mBackOffUntil;
+  // Its place in Shard::mChecks.
+  std::size_t mCheckIndex = 0;
   // It is in Shard::mExecutorsToCheck.
   bool mIsCheckScheduled = false;
   // It is among the changed executors of the shard's placement.
--- a/Libraries/LibSchedule/PlacementPreview.cpp
+++ b/Libraries/LibSchedule/PlacementPreview.cpp
@@ -31,6 +31,7 @@
 {
   auto copy = aShard;
   copy.mExecutorsToCheck.clear();
+  copy.mChecks.clear();
   for (auto& [id, executor] : copy.mExecutors) {
     executor.mIsCheckScheduled = false;
   }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -79,6 +79,14 @@
   std::int64_t mJobsCancelled = 0;
 };
 
+// When an executor is checked at the latest, for what becomes due by time alone. Kept apart from the
+// executors, so that a sweep reads little memory.
+struct ExecutorCheck
+{
+  Executor* mExecutor = nullptr;
+  Instant mAt;
+};
+
 struct Shard
 {
   int mPartition = 0;
@@ -106,8 +114,9 @@
 
   std::map<ExecutorId, Executor> mExecutors;
   TenantUsage mUsage;
-  // Executors that may need a call at once; all others are checked in the next sweep.
+  // Executors that may need a call at once; all others are checked when their time has come.
   std::vector<Executor*> mExecutorsToCheck;
+  std::vector<ExecutorCheck> mChecks;
   Instant mNextSweepAt;
   // Runs whose placement has yet to be written, in the order of placement.
   std::vector<TaskRun> mRunsToRecord;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -22,8 +22,10 @@
 constexpr Duration kMaxUnconfirmedToStart = 1s;
 constexpr int kMaxRetryDoublings = 3;
 constexpr Duration kStopRetryDelay = 400ms;
-// The longest delay before work that becomes due by time alone is noticed.
+// The longest delay before work that becomes due at a known time is noticed.
 constexpr Duration kSweepInterval = 20ms;
+// Each executor is checked at least this often: that it drains, say, is decided elsewhere.
+constexpr Duration kMaxCheckInterval = 100ms;
 // The maximum number of ends in one answer.
 constexpr std::size_t kMaxListedEnds = 500;
 
@@ -203,13 +205,16 @@
   aActions.emplace_back(std::move(call));
 }
 
-void
+// Returns whether stops remain that were requested and are not sent yet.
+bool
 SendStops(Shard& aShard, Executor& aExecutor, Instant aNow, Actions& aActions)
 {
+  bool remains = false;
   for (auto& [name, run] : aExecutor.mRuns) {
     auto isSent = run.mState != RunState::Recording && run.mState != RunState::Starting;
     if (!run.mStopRequested || run.mStopPending || !isSent || aNow < run.mStopRetryAt ||
         !detail::MaySendStop(aShard, aExecutor, name, run, aNow)) {
+      remains |= run.mStopRequested && !run.mStopPending;
       continue;
     }
     StopCall call;
@@ -218,6 +223,7 @@
     run.mStopPending = true;
     aActions.emplace_back(std::move(call));
   }
+  return remains;
 }
 
 // Whether the executor of each attempt of the task has room for all that is placed there. It may
@@ -246,12 +252,36 @@
     tasks.begin(), tasks.end(), [&](const Task& aTask) { return FitsItsExecutors(aShard, aTask); });
 }
 
+bool
+IsUnreachable(const Executor& aExecutor)
+{
+  return aExecutor.mUnansweredCalls > 0 || aExecutor.mEntry.mState == ExecutorState::Gone;
+}
+
+// When the executor has to be checked again, if nothing happens to it before.
+Instant
+NextCheckAt(const Executor& aExecutor, bool aHasStops, Instant aNow)
+{
+  auto drains = aExecutor.mDrainReason != DrainReason::None ||
+                aExecutor.mEntry.mState == ExecutorState::Draining;
+  if (aHasStops || drains) {
+    return aNow + kSweepInterval;
+  }
+  auto next = aNow + kMaxCheckInterval;
+  if (!aExecutor.mHeartbeatPending) {
+    next = std::min(next, std::max(aNow, aExecutor.mRetryAt));
+  }
+  if (IsUnreachable(aExecutor) && !aExecutor.mRuns.empty()) {
+    next = std::min(next, std::max(aNow, aExecutor.mLeasesExpiredAt));
+  }
+  return next;
+}
+
 void
 AdvanceExecutor(Shard& aShard, Executor& aExecutor, const Now& aNow, Actions& aActions)
 {
-  auto isUnreachable =
-    aExecutor.mUnansweredCalls > 0 || aExecutor.mEntry.mState == ExecutorState::Gone;
-  if (isUnreachable && aExecutor.mLeasesExpiredAt < aNow.mAt && !aExecutor.mRuns.empty()) {
+  if (IsUnreachable(aExecutor) && aExecutor.mLeasesExpiredAt < aNow.mAt &&
+      !aExecutor.mRuns.empty()) {
     DropExpiredRuns(aShard, aExecutor, aActions);
     if (aExecutor.mIsUnresponsive) {
       aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
@@ -261,7 +291,24 @@
   if (NeedsHeartbeat(aExecutor, aNow.mAt)) {
     SendHeartbeat(aShard, aExecutor, aNow.mAt, aActions);
   }
-  SendStops(aShard, aExecutor, aNow.mAt, aActions);
+  auto hasStops = SendStops(aShard, aExecutor, aNow.mAt, aActions);
+  if (aExecutor.mCheckIndex < aShard.mChecks.size()) {
+    aShard.mChecks[aExecutor.mCheckIndex].mAt = NextCheckAt(aExecutor, hasStops, aNow.mAt);
+  }
+}
+
+// Executors that are new are checked at once.
+void
+AddMissingChecks(Shard& aShard)
+{
+  if (aShard.mChecks.size() == aShard.mExecutors.size()) {
+    return;
+  }
+  aShard.mChecks.clear();
+  for (auto& [id, executor] : aShard.mExecutors) {
+    executor.mCheckIndex = aShard.mChecks.size();
+    aShard.mChecks.push_back({ &executor, Instant() });
+  }
 }
 
 }
@@ -489,8 +536,11 @@
   }
   if (aNow.mAt >= aShard.mNextSweepAt) {
     aShard.mNextSweepAt = aNow.mAt + kSweepInterval;
-    for (auto& [id, executor] : aShard.mExecutors) {
-      AdvanceExecutor(aShard, executor, aNow, aActions);
+    AddMissingChecks(aShard);
+    for (const auto& check : aShard.mChecks) {
+      if (aNow.mAt >= check.mAt) {
+        AdvanceExecutor(aShard, *check.mExecutor, aNow, aActions);
+      }
     }
   }
   for (auto* executor : std::exchange(aShard.mExecutorsToCheck, {})) {
