Look up nothing for a listed run of which nothing is new

Change: a run that is known to be running at the listed speed, without a checkpoint, is passed over; what the end of its job asks of it was decided then. The listed names are sorted pointers.

--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -6,8 +6,8 @@
 #include "LibSchedule/Throttle.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
+#include <vector>
 
 // The life cycle of runs on executors: how they are started, kept alive by leases, stopped, and
 // reconciled with the runs that executors list.
@@ -64,14 +64,30 @@
   detail::AddRun(aShard, aExecutor, aName, run);
 }
 
+// Whether the list says nothing of the run that has to be acted on. What the end of its job asks of
+// a run was decided when the job ended.
+bool
+IsAsKnown(const PlacedRun& aRun, const RunningTask& aRunning)
+{
+  return aRun.mState == RunState::Running && aRun.mPercent == aRunning.mPercent &&
+         aRunning.mCheckpoint.empty() && aRun.mIsolation == Isolation::None && !aRun.mIsForeign &&
+         !aRun.mIsLongRunning && !aRun.mIsLatencySensitive;
+}
+
 void
 ApplyRunningTask(Shard& aShard, const Now& aNow, Executor& aExecutor, const RunningTask& aRunning)
 {
-  auto isNew = !aExecutor.mRuns.contains(aRunning.mRun);
+  auto found = aExecutor.mRuns.find(aRunning.mRun);
+  auto isNew = found == aExecutor.mRuns.end();
   if (isNew) {
     AddForeignRun(aShard, aNow, aExecutor, aRunning.mRun);
+    found = aExecutor.mRuns.find(aRunning.mRun);
+  }
+  auto& run = found->second;
+  if (IsAsKnown(run, aRunning)) {
+    run.mLoad = aRunning.mLoad;
+    return;
   }
-  auto& run = aExecutor.mRuns.at(aRunning.mRun);
   if (run.mState == RunState::Uncertain && !run.mStopRequested) {
     run.mState = RunState::Running;
     run.mStateSince = aNow.mAt;
@@ -119,6 +135,31 @@
   }
 }
 
+// The names of the listed runs, in order.
+std::vector<const TaskRun*>
+ListedRuns(const std::vector<RunningTask>& aRunning)
+{
+  std::vector<const TaskRun*> listed;
+  listed.reserve(aRunning.size());
+  for (const auto& running : aRunning) {
+    listed.push_back(&running.mRun);
+  }
+  std::sort(listed.begin(), listed.end(), [](const TaskRun* aLeft, const TaskRun* aRight) {
+    return *aLeft < *aRight;
+  });
+  return listed;
+}
+
+bool
+IsListed(const TaskRun& aRun, const std::vector<const TaskRun*>& aListed)
+{
+  auto found = std::lower_bound(
+    aListed.begin(), aListed.end(), aRun, [](const TaskRun* aLeft, const TaskRun& aRight) {
+      return *aLeft < aRight;
+    });
+  return found != aListed.end() && **found == aRun;
+}
+
 // Drops runs that the executor doesn't list, provided that they were there when the list was
 // requested.
 void
@@ -127,14 +168,11 @@
                  const HeartbeatAnswer& aAnswer,
                  Actions& aActions)
 {
-  std::set<TaskRun> listed;
-  for (const auto& running : aAnswer.mRunning) {
-    listed.insert(running.mRun);
-  }
+  auto listed = ListedRuns(aAnswer.mRunning);
   std::vector<TaskRun> ended;
   for (auto& [name, run] : aExecutor.mRuns) {
     auto isSettled = run.mState != RunState::Recording && run.mState != RunState::Starting;
-    if (!isSettled || run.mStateSince >= aAnswer.mSentAt || listed.contains(name)) {
+    if (!isSettled || run.mStateSince >= aAnswer.mSentAt || IsListed(name, listed)) {
       continue;
     }
     if (run.mState == RunState::Uncertain && run.mEpoch == aShard.mEpoch) {
