--- a/Libraries/LibSchedule/CandidateIndex.h
+++ b/Libraries/LibSchedule/CandidateIndex.h
@@ -56,6 +56,8 @@
 
   std::unordered_map<const Executor*, Candidate> mCandidates;
   std::map<ServiceName, CandidatesByFree> mPools;
+  // How many candidates were examined for tasks so far.
+  std::int64_t mExamined = 0;
 };
 
 CandidateIndex
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -56,6 +56,9 @@
   aSum.mJobsCompleted += aPart.mJobsCompleted;
   aSum.mJobsFailed += aPart.mJobsFailed;
   aSum.mJobsCancelled += aPart.mJobsCancelled;
+  aSum.mPlacementPasses += aPart.mPlacementPasses;
+  aSum.mStepsExamined += aPart.mStepsExamined;
+  aSum.mExecutorsExamined += aPart.mExecutorsExamined;
 }
 
 void
--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -123,7 +123,7 @@
 }
 
 Candidate*
-ChooseCandidate(const CandidateIndex& aCandidates,
+ChooseCandidate(CandidateIndex& aCandidates,
                 const ServiceName& aPool,
                 const PlacementRequest& aRequest,
                 Instant aNow)
@@ -141,6 +141,7 @@
     if (best.mCandidate != nullptr && candidate.mFree.mCpuMillicores - needed > best.mCost) {
       break;
     }
+    ++aCandidates.mExamined;
     if (ObstacleWithIsolation(candidate, aRequest, isolation, aNow) == PlacementObstacle::None) {
       CandidateCost cost{ &candidate, CostOf(candidate, aRequest, isolation) };
       best = IsCheaper(cost, best) ? cost : best;
--- a/Libraries/LibSchedule/Placement.h
+++ b/Libraries/LibSchedule/Placement.h
@@ -23,7 +23,7 @@
 // The candidate of the pool with the lowest cost, and of those with the same cost the one with the
 // lowest id; nullptr if the task fits nowhere at present.
 Candidate*
-ChooseCandidate(const CandidateIndex& aCandidates,
+ChooseCandidate(CandidateIndex& aCandidates,
                 const ServiceName& aPool,
                 const PlacementRequest& aRequest,
                 Instant aNow);
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -77,6 +77,11 @@
   std::int64_t mJobsCompleted = 0;
   std::int64_t mJobsFailed = 0;
   std::int64_t mJobsCancelled = 0;
+  // The work of placement passes: how many there were, and how many steps and executors they looked
+  // at.
+  std::int64_t mPlacementPasses = 0;
+  std::int64_t mStepsExamined = 0;
+  std::int64_t mExecutorsExamined = 0;
 };
 
 // When an executor is checked at the latest, for what becomes due by time alone. Kept apart from the
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <optional>
+#include <utility>
 #include <vector>
 
 // The placement pass over the waiting tasks of a shard.
@@ -124,7 +125,7 @@
   if (LacksEnough(aShard.mUsage, definition.mTenant)) {
     return true;
   }
-  const auto& candidates = aShard.mPlacement.mCandidates;
+  auto& candidates = aShard.mPlacement.mCandidates;
   if (ChooseCandidate(candidates, definition.mService, aRequest, aPass.mNow) == nullptr) {
     return false;
   }
@@ -191,7 +192,7 @@
 {
   auto& job = *aReady.mJob;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
-  const auto& candidates = aShard.mPlacement.mCandidates;
+  auto& candidates = aShard.mPlacement.mCandidates;
   std::vector<Candidate*> places;
   int run = 0;
   for (int index = 0; index < step.mCount; ++index) {
@@ -332,6 +333,9 @@
     PlaceStep(aShard, step, pass);
   }
   AdjustReservations(aShard, pass);
+  ++aShard.mCounters.mPlacementPasses;
+  aShard.mCounters.mStepsExamined += static_cast<std::int64_t>(ready.size());
+  aShard.mCounters.mExecutorsExamined += std::exchange(placement.mCandidates.mExamined, 0);
 }
 
 }
