Show a job as running from when an executor has begun a task of it

Cause: a placement pass set a job to running as soon as a task was placed, and the write of the placement published that, before any start was sent.

Change: a placement leaves the phase. A start that is answered, a run that an executor lists or an end sets it, and publishes it at once, without an append of its own to the progress; the next progress record carries it. A new owner publishes a placed job as pending, in its queue (the progress does not name it), and hears of the begin from the executors. The phase of an ended job is still published once it is stored, so that the list of phase changes of a write is not needed any more. Jobs at work in a pool contest are told by their placed tasks, as before.

The simulation can hold up starts and their answers, asks for counts, and checks that no job is shown as running, or left out of a count, before a task of it has begun.

--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -102,7 +102,6 @@
   }
   if (aProgress != nullptr) {
     job.mPhase = aProgress->mPhase;
-    job.mRecordedPhase = aProgress->mPhase;
     for (const auto& step : aProgress->mFinishedSteps) {
       RestoreFinishedStep(job, step);
     }
@@ -190,6 +189,18 @@
   return progress;
 }
 
+JobState
+StateOf(const Job& aJob)
+{
+  JobState state;
+  state.mPhase = aJob.mPhase;
+  state.mTenantHash = TenantHashOf(aJob.mDefinition.mTenant);
+  if (aJob.mPhase == JobPhase::Pending && aJob.mDefinition.mRunCount == 0) {
+    state.mPendingIn = aJob.mDefinition.mQueue;
+  }
+  return state;
+}
+
 Task*
 FindTask(Job& aJob, const TaskId& aName)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -63,9 +63,8 @@
   std::vector<Occurrence> mOccurrences;
   // For each step, the sum of the estimates on the longest path from its start to the job's end.
   std::vector<std::chrono::milliseconds> mCriticalPaths;
+  // Running from when an executor is known to have begun a task, which no placement tells.
   JobPhase mPhase = JobPhase::Pending;
-  // The phase in the newest record of the job's progress that was written or is being written.
-  JobPhase mRecordedPhase = JobPhase::Pending;
   // When the owner of the shard received the job; unset for a job that it loaded when taking over.
   Instant mArrivedAt;
   // Its tenant had sent more than its weight in jobs per second when it came.
@@ -86,6 +85,10 @@
 JobProgress
 ProgressOf(const Job& aJob);
 
+// What callers are told about the job.
+JobState
+StateOf(const Job& aJob);
+
 Task*
 FindTask(Job& aJob, const TaskId& aName);
 
--- a/Libraries/LibSchedule/PoolContest.cpp
+++ b/Libraries/LibSchedule/PoolContest.cpp
@@ -230,20 +230,30 @@
   }
 }
 
+// Whether a task of the occurrence was placed or is done.
+bool
+IsAtWork(const Occurrence& aOccurrence)
+{
+  return std::any_of(
+    aOccurrence.mSteps.begin(), aOccurrence.mSteps.end(), [](const StepState& aStep) {
+      return aStep.mWaiting < static_cast<int>(aStep.mTasks.size());
+    });
+}
+
 // Adds the jobs at work whose next steps will need room.
 void
-AddBegunJobs(PoolContest& aContest,
-             const ServiceName& aPool,
-             const std::map<JobId, Job>& aJobs,
-             const std::set<const Job*>& aWithReadySteps,
-             const TenantShares& aShares,
-             const Now& aNow)
+AddJobsAtWork(PoolContest& aContest,
+              const ServiceName& aPool,
+              const std::map<JobId, Job>& aJobs,
+              const std::set<const Job*>& aWithReadySteps,
+              const TenantShares& aShares,
+              const Now& aNow)
 {
   for (const auto& [id, job] : aJobs) {
     const auto& definition = job.mDefinition;
     auto isOfPool = definition.mService == aPool && definition.mRunCount == 0;
-    if (!isOfPool || job.mPhase != JobPhase::Running || aWithReadySteps.contains(&job) ||
-        CompletionObjective(job, 0) < aNow.mWall) {
+    if (!isOfPool || IsFinal(job.mPhase) || !IsAtWork(job.mOccurrences[0]) ||
+        aWithReadySteps.contains(&job) || CompletionObjective(job, 0) < aNow.mWall) {
       continue;
     }
     AddOccurrence(aContest, job, 0, IndexOfTenant(aContest, definition.mTenant, aShares, aNow.mAt));
@@ -266,7 +276,7 @@
   for (const auto& ready : aSteps) {
     withReadySteps.insert(ready.mJob);
   }
-  AddBegunJobs(contest, aPool, aJobs, withReadySteps, aShares, aNow);
+  AddJobsAtWork(contest, aPool, aJobs, withReadySteps, aShares, aNow);
   MarkLargeJobs(contest);
   auto yields = SelectYieldingJobs(std::move(contest.mBacklog), aNow.mWall);
   for (auto [step, job] : contest.mSteps) {
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -29,20 +29,12 @@
   return found->second;
 }
 
-JobState
-StateOfNewJob(const JobDefinition& aDefinition)
-{
-  JobState state;
-  state.mPendingIn = aDefinition.mRunCount > 0 ? QueueName() : aDefinition.mQueue;
-  state.mTenantHash = TenantHashOf(aDefinition.mTenant);
-  return state;
-}
-
-// Publishes a job that has no progress yet. A job with progress is published from there.
+// Publishes a job of which no task is known to have begun. Any other job is published from its
+// progress.
 void
-PublishNewJob(Shard& aShard, const Job& aJob, std::int64_t aOffset)
+PublishPendingJob(Shard& aShard, const Job& aJob, std::int64_t aOffset)
 {
-  auto state = StateOfNewJob(aJob.mDefinition);
+  auto state = StateOf(aJob);
   if (aShard.mPhase == ShardPhase::Active) {
     AddState(aShard.mStates, aJob.mId, std::move(state));
   } else {
@@ -313,12 +305,23 @@
   }
   if (progress != nullptr) {
     AdoptAttempts(aShard, job, *progress, aNow);
-  } else {
-    PublishNewJob(aShard, job, aRecord.mOffset);
+  }
+  if (job.mPhase == JobPhase::Pending) {
+    PublishPendingJob(aShard, job, aRecord.mOffset);
   }
   aShard.mNeedsPlacementPass = true;
 }
 
+void
+RecordBegin(Shard& aShard, Job* aJob)
+{
+  if (aJob == nullptr || aJob->mPhase != JobPhase::Pending) {
+    return;
+  }
+  aJob->mPhase = JobPhase::Running;
+  AddState(aShard.mStates, aJob->mId, StateOf(*aJob));
+}
+
 void
 FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason, Actions& aActions)
 {
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -40,14 +40,6 @@
   std::chrono::milliseconds mStopTime{ 900 };
 };
 
-// A phase that a job takes on with a progress append, to be published once that is stored.
-struct PhaseChange
-{
-  JobId mJob;
-  JobPhase mPhase = JobPhase::Pending;
-  TenantHash mTenantHash = 0;
-};
-
 // A progress append in flight, and the actions that wait until it is stored.
 struct PendingWrite
 {
@@ -57,7 +49,6 @@
   std::vector<TaskRun> mStarts;
   std::map<ExecutorId, std::int64_t> mEnds;
   std::vector<JobId> mFinished;
-  std::vector<PhaseChange> mPhaseChanges;
   // Ended jobs whose progress is removed by this append.
   std::vector<JobId> mExpired;
   // Executors whose record as unresponsive is removed by this append.
@@ -219,6 +210,11 @@
 void
 ApplyJobRecord(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord, Actions& aActions);
 
+// Shows a job as running, if it is known: an executor has begun a task of it. That needs no write
+// of its own, since a later owner learns it from the executor, and leaves what is published.
+void
+RecordBegin(Shard& aShard, Job* aJob);
+
 // Puts a job into a final phase. Its runs are stopped once that phase is stored.
 void
 FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason, Actions& aActions);
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -99,6 +99,7 @@
     RecordFailure(aExecutor, aNow.mAt);
   }
   auto* job = FindJob(aShard, aEnd.mRun.mTask.mJob);
+  RecordBegin(aShard, job);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aEnd.mRun.mTask);
   if (task == nullptr || IsFinal(job->mPhase)) {
     return;
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -73,9 +73,6 @@
   // The candidate has taken the run into account when it was reserved.
   AddRun(aShard.mUsage, *aCandidate.mExecutor, name, run);
   aShard.mRunsToRecord.push_back(name);
-  if (job.mPhase == JobPhase::Pending) {
-    job.mPhase = JobPhase::Running;
-  }
   detail::MarkDirty(aShard, job);
   if (!step.mLongRunning) {
     RecordServed(aShard.mTenantShares, job.mDefinition.mTenant, CoreSecondsOf(step), aNow);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -98,6 +98,7 @@
   run.mPercent = aRunning.mPercent;
   run.mLoad = aRunning.mLoad;
   auto* job = detail::FindJob(aShard, aRunning.mRun.mTask.mJob);
+  detail::RecordBegin(aShard, job);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aRunning.mRun.mTask);
   if (task == nullptr || IsFinal(job->mPhase) || task->mState == TaskState::Done || isNew) {
     // Its outcome is no longer needed.
@@ -417,6 +418,9 @@
   if (executor == nullptr) {
     return;
   }
+  if (aAnswer.mResult == CallResult::Done) {
+    detail::RecordBegin(aShard, detail::FindJob(aShard, aAnswer.mCall.mRun.mTask.mJob));
+  }
   auto found = executor->mRuns.find(aAnswer.mCall.mRun);
   if (found == executor->mRuns.end()) {
     return;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -147,11 +147,14 @@
     return;
   }
   JobId id(aRecord.mKey);
-  AddLoadedState(aShard.mStates,
-                 { id,
-                   { progress->mPhase, {}, progress->mTenantHash },
-                   StateSource::Progress,
-                   aRecord.mOffset });
+  // A job that is still pending is published from its definition, which names its queue.
+  if (progress->mPhase != JobPhase::Pending) {
+    AddLoadedState(aShard.mStates,
+                   { id,
+                     { progress->mPhase, {}, progress->mTenantHash },
+                     StateSource::Progress,
+                     aRecord.mOffset });
+  }
   aShard.mLoadedProgress[id] = *std::move(progress);
 }
 
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -35,10 +35,6 @@
       continue;
     }
     job->mDirty = false;
-    if (job->mPhase != job->mRecordedPhase) {
-      job->mRecordedPhase = job->mPhase;
-      aWrite.mPhaseChanges.push_back({ id, job->mPhase, TenantHashOf(job->mDefinition.mTenant) });
-    }
     auto value = EncodeProgress(ProgressOf(*job));
     bytes += value.size();
     aWrite.mCall.mRecords.push_back({ id.mValue, std::move(value) });
@@ -92,7 +88,8 @@
   return write;
 }
 
-// Stops the remaining runs of an ended job, and discards its state except for its id.
+// Publishes how an ended job ended, stops its remaining runs, and discards its state except for its
+// id.
 void
 CloseJob(Shard& aShard, const JobId& aId)
 {
@@ -100,6 +97,7 @@
   if (found == aShard.mJobs.end()) {
     return;
   }
+  AddState(aShard.mStates, aId, StateOf(found->second));
   for (auto& occurrence : found->second.mOccurrences) {
     for (auto& step : occurrence.mSteps) {
       for (auto& task : step.mTasks) {
@@ -144,9 +142,6 @@
       aShard.mNeedsPlacementPass = true;
     }
   }
-  for (const auto& change : write.mPhaseChanges) {
-    AddState(aShard.mStates, change.mJob, JobState{ change.mPhase, {}, change.mTenantHash });
-  }
   for (const auto& id : write.mExpired) {
     AddState(aShard.mStates, id, std::nullopt);
   }
--- a/Libraries/LibSchedule/StatePublisher.h
+++ b/Libraries/LibSchedule/StatePublisher.h
@@ -9,8 +9,9 @@
 
 // Publishes the states of a shard's jobs for callers. The progress stream holds every placement of
 // every task, and only the owner reads it. What callers ask for is a few bytes a job, in a stream
-// of its own that every entry host can afford to read. A state is published only once it is stored
-// in the stream that it comes from, and is fenced like progress.
+// of its own that every entry host can afford to read. A state is published only once it is a fact:
+// a new job and an ended one are stored in the stream that they come from, and a job that runs has
+// a task that an executor has begun. States are fenced like progress.
 namespace sesameseam::schedule {
 
 enum class PublisherPhase
@@ -62,7 +63,7 @@
 void
 AddLoadedState(StatePublisher& aPublisher, LoadedState aState);
 
-// Adds a state that is stored in the log from now on.
+// Adds a state that is a fact from now on.
 void
 AddState(StatePublisher& aPublisher, const JobId& aJob, std::optional<JobState> aState);
 
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -385,7 +385,7 @@
   }
   auto known = mJobs.find(aJob);
   auto wasAccepted = known != mJobs.end() && known->second.mAccepted;
-  mRequests[request.mTicket] = { aKind, aJob, wasAccepted, mShownFinal.contains(aJob) };
+  mRequests[request.mTicket] = { aKind, aJob, wasAccepted, mShownFinal.contains(aJob), mNow };
   HandleEvent(aHost, request);
 }
 
@@ -401,6 +401,13 @@
   Send(aHost, schedule::RequestKind::State, aJob, nullptr);
 }
 
+void
+Simulation::AskCount(int aHost)
+{
+  // A query that names no job asks for the count of its queue.
+  Send(aHost, schedule::RequestKind::State, JobId(), nullptr);
+}
+
 schedule::ReplyKind
 Simulation::LastReply(const JobId& aJob) const
 {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -74,10 +74,18 @@
   schedule::Instant mWakeUpAt;
 };
 
+// How much longer than usual a call is on the way.
+struct CallDelay
+{
+  Duration mRequest{ 0 };
+  Duration mAnswer{ 0 };
+};
+
 struct SubmittedJob
 {
   schedule::JobDefinition mDefinition;
   bool mAccepted = false;
+  schedule::Instant mAcceptedAt;
   bool mRefused = false;
   bool mCancelled = false;
   schedule::Instant mCancelledAt;
@@ -96,6 +104,10 @@
   void Cancel(int aHost, const JobId& aJob);
   // Requests the state of a job from a host. The reply is recorded when it arrives.
   void AskState(int aHost, const JobId& aJob);
+  // Requests the number of waiting jobs from a host.
+  void AskCount(int aHost);
+  // The number in the last reply of that kind, or -1.
+  [[nodiscard]] std::int64_t LastCount() const { return mLastCount; }
   [[nodiscard]] schedule::ReplyKind LastReply(const JobId& aJob) const;
   // The phase in the last reply about the job.
   [[nodiscard]] schedule::JobPhase PhaseAt(const JobId& aJob) const;
@@ -107,6 +119,8 @@
   void StopGracefully(int aHost);
   void CutFromStore(int aHost, bool aIsCut);
   void StoreDown(bool aIsDown) { mStoreDown = aIsDown; }
+  // Starts that are sent from now on, and their answers, take this much longer on the way.
+  void DelayStarts(CallDelay aDelay) { mStartDelay = aDelay; }
   void CrashExecutor(int aExecutor);
   // Ends an executor's process. Another one starts on the machine after some seconds, under the
   // same id or under a new one.
@@ -149,6 +163,7 @@
     bool mWasAccepted = false;
     // Whether the caller had been told that the job has ended when it sent the request.
     bool mWasShownEnded = false;
+    schedule::Instant mSentAt;
   };
 
   struct ScheduledWork
@@ -195,6 +210,9 @@
   void Perform(int aHost, const schedule::LogEntry& aEntry);
   void RecordReply(const schedule::Reply& aReply);
   void CheckShownPhase(const Request& aRequest, schedule::JobPhase aPhase);
+  // Checks that the count contains all jobs that had been accepted when it was asked for, and of
+  // which no task has begun.
+  void CheckCount(const Request& aRequest, std::int64_t aCount);
   // The phase of a job in its newest progress record.
   [[nodiscard]] schedule::JobPhase StoredPhase(const JobId& aJob) const;
   void CountQueryBytes(schedule::Reader aReader,
@@ -212,7 +230,7 @@
                  std::size_t aBytes = 400);
   void CallExecutor(int aHost,
                     const schedule::ExecutorAddress& aTo,
-                    bool aIsOrder,
+                    CallDelay aDelay,
                     const schedule::Event& aWithoutAnswer,
                     const std::function<schedule::Event(FakeExecutor&)>& aWork);
   FakeExecutor* FindExecutor(const schedule::ExecutorAddress& aTo);
@@ -257,6 +275,7 @@
   std::priority_queue<ScheduledWork, std::vector<ScheduledWork>, Later> mQueue;
   std::mt19937_64 mRandom;
   bool mStoreDown = false;
+  CallDelay mStartDelay;
   // Set while an executor carries out an order long after its sender gave up on an answer.
   bool mIsOrderLate = false;
   std::set<int> mCutExecutors;
@@ -282,6 +301,7 @@
   std::vector<std::string> mViolations;
   std::int64_t mCompletedTasks = 0;
   std::int64_t mQueryBytes = 0;
+  std::int64_t mLastCount = -1;
   // The final phases that callers were told.
   std::map<JobId, schedule::JobPhase> mShownFinal;
 };
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -106,15 +106,19 @@
 void
 Simulation::CallExecutor(int aHost,
                          const schedule::ExecutorAddress& aTo,
-                         bool aIsOrder,
+                         CallDelay aDelay,
                          const Event& aWithoutAnswer,
                          const std::function<Event(FakeExecutor&)>& aWork)
 {
   auto incarnation = mHosts[static_cast<std::size_t>(aHost)].mIncarnation;
-  auto isLate = aIsOrder && Chance(mSettings.mLateOrders);
+  auto isLate = Chance(mSettings.mLateOrders);
   auto isLost = Chance(mSettings.mRequestLoss);
+  auto delay = aDelay.mRequest;
+  if (isLate) {
+    delay = std::chrono::seconds(2) + std::chrono::milliseconds(mRandom() % 6000);
+  }
+  isLate |= delay > kCallTimeout;
   if (isLate) {
-    auto delay = std::chrono::seconds(2) + std::chrono::milliseconds(mRandom() % 6000);
     // A late order was already received by the process, so that it is lost if the process ends
     // before it is executed.
     const auto* receiver = FindExecutor(aTo);
@@ -133,14 +137,14 @@
     return;
   }
   auto sentAt = mNow;
-  ScheduleAfter(kNetworkLatency + Transfer(aHost, kCallBytes), [=, this] {
+  ScheduleAfter(kNetworkLatency + delay + Transfer(aHost, kCallBytes), [=, this] {
     auto* executor = FindExecutor(aTo);
     if (executor == nullptr) {
       ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
       return;
     }
     auto answer = aWork(*executor);
-    auto back = kNetworkLatency + Transfer(aHost, kCallBytes);
+    auto back = kNetworkLatency + aDelay.mAnswer + Transfer(aHost, kCallBytes);
     auto isAnswerLost = Chance(mSettings.mAnswerLoss) || mNow + back - sentAt > kCallTimeout;
     auto until = std::max(Duration(0), sentAt + kCallTimeout - mNow);
     ScheduleAfter(isAnswerLost ? until : back, [=, this] {
@@ -345,7 +349,7 @@
   auto sentAt = mNow;
   schedule::StartAnswer lost;
   lost.mCall = aCall;
-  CallExecutor(aHost, aCall.mTo, true, lost, [=, this](FakeExecutor& aExecutor) -> Event {
+  CallExecutor(aHost, aCall.mTo, mStartDelay, lost, [=, this](FakeExecutor& aExecutor) -> Event {
     auto isNew = !aExecutor.mRuns.contains(aCall.mRun);
     auto answer = Start(aExecutor, aCall, mNow);
     answer.mSentAt = sentAt;
@@ -381,7 +385,7 @@
 {
   CallExecutor(aHost,
                aCall.mTo,
-               true,
+               CallDelay(),
                schedule::StopAnswer{ aCall },
                [=, this](FakeExecutor& aExecutor) -> Event {
                  CheckStop(aExecutor, aCall);
@@ -393,7 +397,7 @@
 Simulation::Perform(int aHost, const schedule::ThrottleCall& aCall)
 {
   CallExecutor(
-    aHost, aCall.mTo, true, schedule::ThrottleAnswer{ aCall }, [=](FakeExecutor&) -> Event {
+    aHost, aCall.mTo, CallDelay(), schedule::ThrottleAnswer{ aCall }, [=](FakeExecutor&) -> Event {
       return schedule::ThrottleAnswer{ aCall, CallResult::Done };
     });
 }
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -58,6 +58,9 @@
   }
   auto request = found->second;
   mRequests.erase(found);
+  if (aReply.mKind == schedule::ReplyKind::Count) {
+    CheckCount(request, aReply.mCount);
+  }
   mReplies[request.mJob] = aReply;
   auto known = mJobs.find(request.mJob);
   if (known == mJobs.end()) {
@@ -69,6 +72,7 @@
   }
   if (aReply.mKind == schedule::ReplyKind::Accepted) {
     job.mAccepted = true;
+    job.mAcceptedAt = mNow;
   } else if (aReply.mKind == schedule::ReplyKind::Cancelled) {
     job.mCancelled = true;
     job.mCancelledAt = mNow;
@@ -86,6 +90,9 @@
   if (aRequest.mWasShownEnded && mShownFinal.at(job) != aPhase) {
     mViolations.push_back("job " + job.mValue + " was shown as ended and then otherwise");
   }
+  if (aPhase == schedule::JobPhase::Running && !mRuns.contains(job)) {
+    mViolations.push_back("job " + job.mValue + " was shown as running before a task of it began");
+  }
   if (!schedule::IsFinal(aPhase)) {
     return;
   }
@@ -99,6 +106,21 @@
   }
 }
 
+void
+Simulation::CheckCount(const Request& aRequest, std::int64_t aCount)
+{
+  mLastCount = aCount;
+  auto waiting = std::count_if(mJobs.begin(), mJobs.end(), [&](const auto& aEntry) {
+    const auto& [id, job] = aEntry;
+    return job.mAccepted && job.mAcceptedAt <= aRequest.mSentAt && !mRuns.contains(id) &&
+           !HasEnded(id);
+  });
+  if (aCount < waiting) {
+    mViolations.push_back(std::to_string(aCount) + " jobs are said to wait; " +
+                          std::to_string(waiting) + " do");
+  }
+}
+
 schedule::JobPhase
 Simulation::StoredPhase(const JobId& aJob) const
 {
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -66,9 +66,9 @@
 
 // Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or executed
 // late, and partitions are reassigned. Returns what is wrong: invariants that were broken, and what
-// has not recovered after the faults are over.
+// has not recovered after the faults are over. Callers ask for counts if there are such callers.
 std::vector<std::string>
-PlayRandomFaults(const SimulationSettings& aSettings)
+PlayRandomFaults(const SimulationSettings& aSettings, bool aHasCountQueries = false)
 {
   Simulation simulation(aSettings);
   std::mt19937_64 random(aSettings.mSeed);
@@ -119,6 +119,9 @@
         break;
     }
     simulation.AskState(pick(3), jobs.empty() ? JobId() : jobs[random() % jobs.size()]);
+    for (int i = 0; i < 3 && aHasCountQueries; ++i) {
+      simulation.AskCount(i);
+    }
     simulation.RunFor(std::chrono::milliseconds(pick(400)));
     if (pick(3) == 0) {
       simulation.StoreDown(false);
@@ -605,6 +608,25 @@
   BOOST_TEST(holds);
 }
 
+// Guards against jobs that are shown as running, or left out of the pending count, before a task of
+// them has begun (MIXED), while orders to executors come late and owners are lost.
+BOOST_AUTO_TEST_CASE(no_job_is_said_to_have_begun_before_it_has_under_random_faults)
+{
+  auto holds = rc::check([] {
+    SimulationSettings settings;
+    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.mRequestLoss = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02, 0.1);
+    settings.mLateOrders = *rc::gen::element(0.1, 0.2);
+    auto problems = PlayRandomFaults(settings, true);
+    for (const auto& problem : problems) {
+      RC_LOG() << problem << "\n";
+    }
+    RC_ASSERT(problems.empty());
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against tasks that crash executor after executor (BUDGET), and against sound jobs that are
 // given up along with them, while hosts, calls and executors fail for other reasons.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_random_faults_and_tasks_that_crash_executors)
