Allocate nothing in a placement pass that places nothing

Cause: a pass over a full pool named a task for each step that it then found no room for, and made its notes anew. Change: a step is passed over where no executor of its pool has as much free processor capacity; the notes keep their memory from pass to pass.

--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -150,6 +150,14 @@
   return best.mCandidate;
 }
 
+bool
+HasFree(const CandidateIndex& aCandidates, const ServiceName& aPool, std::int64_t aMillicores)
+{
+  auto pool = aCandidates.mPools.find(aPool);
+  return pool != aCandidates.mPools.end() && !pool->second.empty() &&
+         (*pool->second.rbegin())->mFree.mCpuMillicores >= aMillicores;
+}
+
 void
 Reserve(Candidate& aCandidate, const PlacementRequest& aRequest)
 {
--- a/Libraries/LibSchedule/Placement.h
+++ b/Libraries/LibSchedule/Placement.h
@@ -28,6 +28,10 @@
                 const PlacementRequest& aRequest,
                 Instant aNow);
 
+// Whether any candidate of the pool has that much free processor capacity.
+bool
+HasFree(const CandidateIndex& aCandidates, const ServiceName& aPool, std::int64_t aMillicores);
+
 // Reserves the resources of one task on the candidate.
 void
 Reserve(Candidate& aCandidate, const PlacementRequest& aRequest);
--- a/Libraries/LibSchedule/PlacementState.h
+++ b/Libraries/LibSchedule/PlacementState.h
@@ -4,12 +4,18 @@
 #include "LibSchedule/ReadyQueue.h"
 
 #include <map>
+#include <optional>
 #include <vector>
 
 // What a placement pass works on, kept from one pass to the next: a pass takes over only the
 // executors and jobs that were noted as changed since the last one.
 namespace sesameseam::schedule {
 
+// For each pool of the ready queue, the needs of a step that could not be placed in a pass. Free
+// resources only shrink during a pass, so a step with at least the same needs can't be placed
+// either.
+using UnplaceableNeeds = std::vector<std::optional<Resources>>;
+
 struct PlacementState
 {
   PlacementState() = default;
@@ -25,6 +31,8 @@
   ReadyQueue mReady;
   std::vector<Executor*> mChangedExecutors;
   std::vector<Job*> mChangedJobs;
+  // Of the last pass; kept for its memory.
+  UnplaceableNeeds mUnplaceable;
   // Some executors are reserved for suspects.
   bool mHasReservations = false;
 };
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -5,7 +5,6 @@
 #include "LibSchedule/Shard.h"
 
 #include <algorithm>
-#include <optional>
 #include <utility>
 #include <vector>
 
@@ -23,11 +22,6 @@
 constexpr Duration kPassIntervalPerJob = 10us;
 constexpr Duration kMaxPassInterval = 20ms;
 
-// For each pool of the ready queue, the needs of a step that could not be placed in this pass. Free
-// resources only shrink during a pass, so a step with at least the same needs can't be placed
-// either.
-using UnplaceableNeeds = std::vector<std::optional<Resources>>;
-
 bool
 IsUnplaceable(const UnplaceableNeeds& aUnplaceable, const ReadyStep& aReady)
 {
@@ -89,7 +83,7 @@
 // What a placement pass has found out so far.
 struct PlacementPass
 {
-  UnplaceableNeeds mUnplaceable;
+  UnplaceableNeeds& mUnplaceable;
   // Suspects that found no executor, by pool.
   std::map<ServiceName, UnplacedSuspects> mUnplacedSuspects;
   Instant mNow;
@@ -110,6 +104,17 @@
     .mSteps[static_cast<std::size_t>(aReady.mStep)];
 }
 
+// Spares the pass the search for room for steps that need as much, if that is all that the step
+// lacks.
+void
+NoteUnplaceable(PlacementPass& aPass, const ReadyStep& aReady)
+{
+  const auto& definition = aReady.mJob->mDefinition;
+  if (DependsOnCapacityOnly(definition.mSteps[static_cast<std::size_t>(aReady.mStep)])) {
+    aPass.mUnplaceable[aReady.mPool] = aReady.mNeeds;
+  }
+}
+
 // Notes what the waiting tasks of a step lack in quota, provided that there is room for one of
 // them. Their needs remain placeable for other tenants. Returns false if there is no room.
 bool
@@ -137,6 +142,11 @@
   auto& job = *aReady.mJob;
   const auto& service = job.mDefinition.mService;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aReady.mStep)];
+  if (!HasFree(aShard.mPlacement.mCandidates, service, aReady.mNeeds.mCpuMillicores) &&
+      !aReady.mHasSuspects) {
+    NoteUnplaceable(aPass, aReady);
+    return;
+  }
   auto isUnplaceable = IsUnplaceable(aPass.mUnplaceable, aReady);
   for (int index = 0; index < step.mCount && (!isUnplaceable || aReady.mHasSuspects); ++index) {
     auto name = TaskNameOf(aReady, index);
@@ -150,8 +160,8 @@
     PlacementRequest request{ &step, task, name };
     if (!HasQuota(aShard.mUsage, job.mDefinition.mTenant, step.mNeeds)) {
       auto hasRoom = HoldBack(aShard, aReady, request, aPass);
-      if (!hasRoom && !isSuspect && DependsOnCapacityOnly(step)) {
-        aPass.mUnplaceable[aReady.mPool] = aReady.mNeeds;
+      if (!hasRoom && !isSuspect) {
+        NoteUnplaceable(aPass, aReady);
       }
       return;
     }
@@ -164,9 +174,7 @@
       AddUnplaced(aPass, service, isolation);
     } else {
       isUnplaceable = true;
-      if (DependsOnCapacityOnly(step)) {
-        aPass.mUnplaceable[aReady.mPool] = aReady.mNeeds;
-      }
+      NoteUnplaceable(aPass, aReady);
     }
   }
 }
@@ -323,9 +331,8 @@
   ClearLacking(aShard.mUsage);
   aShard.mYielding = {};
   const auto& ready = OrderSteps(aShard, aNow);
-  PlacementPass pass;
-  pass.mNow = aNow.mAt;
-  pass.mUnplaceable.resize(placement.mReady.mPools.size());
+  placement.mUnplaceable.assign(placement.mReady.mPools.size(), std::nullopt);
+  PlacementPass pass{ placement.mUnplaceable, {}, aNow.mAt };
   for (const auto& step : ready) {
     PlaceStep(aShard, step, pass);
   }
