Keep for relays when their next exchange is due

Cause: each event of an owner walked all relays twice, to find the exchanges that are due and the next one; each call looked up its host's count of executors by name, and the metrics page walked all executors.

Change: the time before which no exchange is due is kept as calls are handed over and answers come; the relays are walked once an exchange is due. Counts stand with the relays, assignments in a hash map.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -86,11 +86,11 @@
   return aRelay.mClockReadAt && aNow - *aRelay.mClockReadAt < kMaxClockAge;
 }
 
-int
-CountAssigned(const RelayedCalls& aCalls, const std::string& aHost)
+// How many executors the host makes the calls to; its name is empty for this one.
+int&
+CountAssigned(RelayedCalls& aCalls, const std::string& aHost)
 {
-  auto found = aCalls.mAssigned.find(aHost);
-  return found == aCalls.mAssigned.end() ? 0 : found->second;
+  return aHost.empty() ? aCalls.mOwnExecutors : aCalls.mRelays.at(aHost).mExecutors;
 }
 
 struct RelayChoice
@@ -111,6 +111,22 @@
                        : aLeft.mExecutors > aRight.mExecutors;
 }
 
+bool
+NeedsExchange(const Relay& aRelay)
+{
+  return !aRelay.mInFlight && (!aRelay.mPending.empty() || aRelay.mNeedsClock);
+}
+
+// Has the exchange that the relay needs made in time.
+void
+ScheduleExchange(RelayedCalls& aCalls, const Relay& aRelay)
+{
+  if (NeedsExchange(aRelay)) {
+    auto next = aCalls.mNextExchangeAt.value_or(aRelay.mNextExchangeAt);
+    aCalls.mNextExchangeAt = std::min(next, aRelay.mNextExchangeAt);
+  }
+}
+
 // Returns the name of the best relay; empty if none is usable.
 std::string
 ChooseRelay(RelayedCalls& aCalls, Instant aNow)
@@ -122,11 +138,11 @@
     }
     if (!HasClock(relay, aNow)) {
       relay.mNeedsClock = true;
+      ScheduleExchange(aCalls, relay);
       continue;
     }
-    auto executors = CountAssigned(aCalls, name);
     auto limit = ScaleByCapacity(kRelayedExecutorsPerCore, relay.mCapacityMillicores);
-    RelayChoice choice{ name, executors, executors >= limit };
+    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= limit };
     if (IsBetter(choice, best)) {
       best = choice;
     }
@@ -139,10 +155,10 @@
 {
   aAssignment.mRelay.clear();
   auto mayRelay = aNow >= aAssignment.mOwnUntil;
-  if (mayRelay && HasTooMany(aCalls, CountAssigned(aCalls, {}) + 1, aNow)) {
+  if (mayRelay && HasTooMany(aCalls, aCalls.mOwnExecutors + 1, aNow)) {
     aAssignment.mRelay = ChooseRelay(aCalls, aNow);
   }
-  ++aCalls.mAssigned[aAssignment.mRelay];
+  ++CountAssigned(aCalls, aAssignment.mRelay);
 }
 
 // Returns the relay that makes the calls to an executor, or null if this host does.
@@ -158,12 +174,11 @@
   auto relay = aCalls.mRelays.find(assignment.mRelay);
   auto isUsable =
     relay != aCalls.mRelays.end() && IsUsable(relay->second, aNow) && HasClock(relay->second, aNow);
-  auto keeps =
-    assignment.mRelay.empty()
-      ? aNow < assignment.mOwnUntil || !HasTooMany(aCalls, CountAssigned(aCalls, {}), aNow)
-      : isUsable && aNow >= assignment.mOwnUntil && aNow >= aCalls.mAloneUntil;
+  auto keeps = assignment.mRelay.empty()
+                 ? aNow < assignment.mOwnUntil || !HasTooMany(aCalls, aCalls.mOwnExecutors, aNow)
+                 : isUsable && aNow >= assignment.mOwnUntil && aNow >= aCalls.mAloneUntil;
   if (!keeps && !isNew) {
-    --aCalls.mAssigned[assignment.mRelay];
+    --CountAssigned(aCalls, assignment.mRelay);
     Assign(aCalls, assignment, aNow);
   }
   return assignment.mRelay.empty() ? nullptr : &aCalls.mRelays.at(assignment.mRelay);
@@ -197,15 +212,10 @@
   auto number = aRelay.mNextNumber++;
   aRelay.mPending[number] = { std::move(aCall), aNow.mAt };
   aRelay.mQueue.push_back(number);
+  ScheduleExchange(aCalls, aRelay);
   ++aCalls.mHandedOver;
 }
 
-bool
-NeedsExchange(const Relay& aRelay)
-{
-  return !aRelay.mInFlight && (!aRelay.mPending.empty() || aRelay.mNeedsClock);
-}
-
 Duration
 ExchangeInterval(const RelayedCalls& aCalls)
 {
@@ -261,6 +271,20 @@
   return call;
 }
 
+// Makes the exchanges that are due.
+void
+MakeExchanges(RelayedCalls& aCalls, const Now& aNow, Actions& aActions)
+{
+  aCalls.mNextExchangeAt.reset();
+  for (auto& [name, relay] : aCalls.mRelays) {
+    if (NeedsExchange(relay) && aNow.mAt >= relay.mNextExchangeAt) {
+      aActions.emplace_back(MakeExchange(aCalls, name, relay, aNow));
+      relay.mInFlight = true;
+    }
+    ScheduleExchange(aCalls, relay);
+  }
+}
+
 // Has the owner make the next calls to an executor itself.
 void
 MakeOwn(RelayedCalls& aCalls, const ExecutorCall& aCall, Instant aNow)
@@ -433,12 +457,12 @@
   aCalls.mNextCleanUpAt = aNow + kCleanUpInterval;
   std::erase_if(aCalls.mAssignments, [&](const auto& aEntry) {
     auto isOver = aNow - aEntry.second.mLastCallAt > kAssignmentLifetime;
-    aCalls.mAssigned[aEntry.second.mRelay] -= isOver ? 1 : 0;
+    CountAssigned(aCalls, aEntry.second.mRelay) -= isOver ? 1 : 0;
     return isOver;
   });
   std::erase_if(aCalls.mRelays, [](const auto& aEntry) {
     const auto& relay = aEntry.second;
-    return relay.mIsLeaving && relay.mPending.empty() && !relay.mInFlight;
+    return relay.mIsLeaving && relay.mExecutors == 0 && relay.mPending.empty() && !relay.mInFlight;
   });
 }
 
@@ -487,6 +511,7 @@
   RecordExchangeTime(aCalls, found->first, relay, aNow.mAt - aAnswer.mSentAt, aNow.mAt, aActions);
   if (aAnswer.mResult != CallResult::Done) {
     relay.mNextExchangeAt = aNow.mAt;
+    ScheduleExchange(aCalls, relay);
     return {};
   }
   if (relay.mBegunAt && relay.mBegunAt != aAnswer.mResponse.mBegunAt) {
@@ -501,7 +526,9 @@
   relay.mNeedsClock = false;
   relay.mIsLeaving |= aAnswer.mResponse.mIsStopping;
   relay.mNextExchangeAt = aNow.mAt + ExchangeInterval(aCalls);
-  return TakeResults(aCalls, relay, aNow, std::move(aAnswer));
+  auto answers = TakeResults(aCalls, relay, aNow, std::move(aAnswer));
+  ScheduleExchange(aCalls, relay);
+  return answers;
 }
 
 void
@@ -510,33 +537,21 @@
   CleanUp(aCalls, aNow.mAt);
   std::erase_if(aActions,
                 [&](Action& aAction) { return HandOverIfRelayed(aCalls, aNow, aAction); });
-  for (auto& [name, relay] : aCalls.mRelays) {
-    if (NeedsExchange(relay) && aNow.mAt >= relay.mNextExchangeAt) {
-      aActions.emplace_back(MakeExchange(aCalls, name, relay, aNow));
-      relay.mInFlight = true;
-    }
+  if (aCalls.mNextExchangeAt && aNow.mAt >= *aCalls.mNextExchangeAt) {
+    MakeExchanges(aCalls, aNow, aActions);
   }
 }
 
 std::optional<Instant>
 NextExchangeAt(const RelayedCalls& aCalls)
 {
-  std::optional<Instant> next;
-  for (const auto& [name, relay] : aCalls.mRelays) {
-    if (NeedsExchange(relay) && (!next || relay.mNextExchangeAt < *next)) {
-      next = relay.mNextExchangeAt;
-    }
-  }
-  return next;
+  return aCalls.mNextExchangeAt;
 }
 
 int
 CountRelayedExecutors(const RelayedCalls& aCalls)
 {
-  return static_cast<int>(
-    std::count_if(aCalls.mAssignments.begin(), aCalls.mAssignments.end(), [](const auto& aEntry) {
-      return !aEntry.second.mRelay.empty();
-    }));
+  return static_cast<int>(aCalls.mAssignments.size()) - aCalls.mOwnExecutors;
 }
 
 }
--- a/Libraries/LibSchedule/RelayedCalls.h
+++ b/Libraries/LibSchedule/RelayedCalls.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Shares the calls of an owner to its executors among the entry hosts that own shards. An owner
@@ -42,6 +43,8 @@
   int mCapacityMillicores = 0;
   // It is no longer listed, or about to stop: it gets no new calls.
   bool mIsLeaving = false;
+  // How many executors it makes the calls to.
+  int mExecutors = 0;
   // 0 while there is none.
   std::int64_t mSession = 0;
   // A lower bound of how far the relay's clock is ahead of this host's, and when it was found.
@@ -81,9 +84,11 @@
 {
   RelayedCallsSettings mSettings;
   std::map<std::string, Relay> mRelays;
-  std::map<ExecutorId, CallerAssignment> mAssignments;
-  // How many of them each host has.
-  std::map<std::string, int> mAssigned;
+  std::unordered_map<ExecutorId, CallerAssignment> mAssignments;
+  // How many of the executors this host calls itself.
+  int mOwnExecutors = 0;
+  // No exchange is due before; empty if none is needed.
+  std::optional<Instant> mNextExchangeAt;
   Instant mNextCleanUpAt;
   // The mean delay of this host's timers over the last ones.
   Duration mMeanDelay{ 0 };
