Read and write the messages of relays without copies in between

In the peak of a large pool an owner spent 13% of its processor time on decoding the answers of relays.

Cause: generated records have no move, so that each message was copied whole twice on its way out of the decoder, each row when it was appended, and again for the event, the answer and its call.

Change: a record is read and filled in where it stands, strings move on, an event is handed to its handler. Fields with their default value are not sent; they were optional already, so that former versions read the same.

--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sesameseam::schedule {
 
@@ -306,17 +307,18 @@
 }
 
 void
-HandleEvent(Node& aNode, const Now& aNow, const RelayAnswer& aAnswer, Actions& aActions)
+HandleEvent(Node& aNode, const Now& aNow, RelayAnswer&& aAnswer, Actions& aActions)
 {
-  for (const auto& answer : OnRelayAnswer(aNode.mRelayedCalls, aNow, aAnswer, aActions)) {
+  for (const auto& answer :
+       OnRelayAnswer(aNode.mRelayedCalls, aNow, std::move(aAnswer), aActions)) {
     std::visit([&](const auto& aValue) { HandleEvent(aNode, aNow, aValue, aActions); }, answer);
   }
 }
 
 void
-HandleEvent(Node& aNode, const Now& aNow, const RelayIncoming& aIncoming, Actions& aActions)
+HandleEvent(Node& aNode, const Now& aNow, RelayIncoming&& aIncoming, Actions& aActions)
 {
-  OnRelayIncoming(aNode.mRelayService, aNow, aIncoming, aNode.mStopping, aActions);
+  OnRelayIncoming(aNode.mRelayService, aNow, std::move(aIncoming), aNode.mStopping, aActions);
 }
 
 void
@@ -400,11 +402,11 @@
 }
 
 Actions
-Handle(Node& aNode, const Now& aNow, const Event& aEvent)
+Handle(Node& aNode, const Now& aNow, Event aEvent)
 {
   Actions actions;
   NoticeSuspension(aNode.mRelayService, aNow.mAt);
-  std::visit([&](const auto& aValue) { HandleEvent(aNode, aNow, aValue, actions); }, aEvent);
+  std::visit([&](auto& aValue) { HandleEvent(aNode, aNow, std::move(aValue), actions); }, aEvent);
   AdvanceAll(aNode, aNow, actions);
   return actions;
 }
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -105,7 +105,7 @@
 MakeNode(const NodeSettings& aSettings);
 
 Actions
-Handle(Node& aNode, const Now& aNow, const Event& aEvent);
+Handle(Node& aNode, const Now& aNow, Event aEvent);
 
 // When the node has to handle an event at the latest, beside the regular ticks; empty if these
 // suffice.
--- a/Libraries/LibSchedule/RecordCodec.h
+++ b/Libraries/LibSchedule/RecordCodec.h
@@ -25,20 +25,30 @@
   return buffer->getBufferAsString();
 }
 
+// Reads into a record that is as constructed. Records can only be copied, so that large ones are
+// read where they are used.
 template<typename T>
-absl::StatusOr<T>
-Decode(std::string_view aBytes)
+absl::Status
+DecodeInto(std::string_view aBytes, T& aRecord)
 {
   // The buffer does not own the bytes, and reading does not modify them.
   auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
   auto buffer = std::make_shared<RecordBuffer>(bytes, static_cast<std::uint32_t>(aBytes.size()));
   RecordProtocol protocol(buffer);
-  T record;
   try {
-    record.read(&protocol);
+    aRecord.read(&protocol);
   } catch (const apache::thrift::TException& error) {
     return MakeError(ErrorKind::RecordUnreadable, error.what());
   }
+  return absl::OkStatus();
+}
+
+template<typename T>
+absl::StatusOr<T>
+Decode(std::string_view aBytes)
+{
+  T record;
+  TRY(DecodeInto(aBytes, record));
   return record;
 }
 
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-using detail::Decode;
+using detail::DecodeInto;
 using detail::Encode;
 
 // The index of a type in a variant is its kind on the wire.
@@ -18,22 +18,33 @@
 constexpr std::size_t kStop = 2;
 constexpr std::size_t kThrottle = 3;
 
-record::RunName
-ToRecord(const TaskRun& aRun)
+// Records are filled in where they stand, since they can only be copied. Fields that have their
+// default value are left out.
+
+void
+Fill(const TaskRun& aRun, record::RunName& aRecord)
 {
-  record::RunName name;
-  name.job = aRun.mTask.mJob.mValue;
-  name.__set_occurrence(aRun.mTask.mOccurrence);
-  name.__set_step(aRun.mTask.mStep);
-  name.__set_index(aRun.mTask.mIndex);
-  name.run = aRun.mRun;
-  return name;
+  aRecord.job = aRun.mTask.mJob.mValue;
+  aRecord.occurrence = aRun.mTask.mOccurrence;
+  aRecord.step = aRun.mTask.mStep;
+  aRecord.index = aRun.mTask.mIndex;
+  aRecord.run = aRun.mRun;
+  aRecord.__isset.occurrence = aRecord.occurrence != 0;
+  aRecord.__isset.step = aRecord.step != 0;
+  aRecord.__isset.index = aRecord.index != 0;
+}
+
+void
+FillRun(const TaskRun& aRun, record::ExecutorCall& aRecord)
+{
+  Fill(aRun, aRecord.run);
+  aRecord.__isset.run = true;
 }
 
 TaskRun
-FromRecord(const record::RunName& aName)
+FromRecord(record::RunName&& aName)
 {
-  return { { JobId(aName.job), aName.occurrence, aName.step, aName.index }, aName.run };
+  return { { JobId(std::move(aName.job)), aName.occurrence, aName.step, aName.index }, aName.run };
 }
 
 void
@@ -47,7 +58,7 @@
 void
 Fill(const StartCall& aCall, record::ExecutorCall& aRecord)
 {
-  aRecord.__set_run(ToRecord(aCall.mRun));
+  FillRun(aCall.mRun, aRecord);
   aRecord.__set_spec(aCall.mSpec);
   aRecord.__set_lease_end_ms(aCall.mLeaseEnd.count());
   if (!aCall.mCheckpoint.empty()) {
@@ -58,53 +69,57 @@
 void
 Fill(const StopCall& aCall, record::ExecutorCall& aRecord)
 {
-  aRecord.__set_run(ToRecord(aCall.mRun));
+  FillRun(aCall.mRun, aRecord);
 }
 
 void
 Fill(const ThrottleCall& aCall, record::ExecutorCall& aRecord)
 {
-  aRecord.__set_run(ToRecord(aCall.mRun));
+  FillRun(aCall.mRun, aRecord);
   aRecord.__set_percent(aCall.mPercent);
 }
 
-record::ExecutorCall
-ToRecord(const NumberedCall& aCall)
+void
+Fill(const NumberedCall& aCall, record::ExecutorCall& aRecord)
 {
-  record::ExecutorCall out;
-  out.number = aCall.mNumber;
-  out.kind = static_cast<std::int32_t>(aCall.mCall.index());
+  aRecord.number = aCall.mNumber;
+  aRecord.kind = static_cast<std::int32_t>(aCall.mCall.index());
   std::visit(
     [&](const auto& aValue) {
-      out.executor = aValue.mTo.mExecutor.mValue;
-      out.address = aValue.mTo.mAddress;
-      out.epoch = aValue.mTo.mEpoch;
-      Fill(aValue, out);
+      aRecord.executor = aValue.mTo.mExecutor.mValue;
+      aRecord.address = aValue.mTo.mAddress;
+      aRecord.epoch = aValue.mTo.mEpoch;
+      Fill(aValue, aRecord);
     },
     aCall.mCall);
-  return out;
 }
 
 absl::StatusOr<NumberedCall>
-FromRecord(const record::ExecutorCall& aRecord)
+FromRecord(record::ExecutorCall&& aRecord)
 {
-  ExecutorAddress to{ ExecutorId(aRecord.executor), aRecord.address };
+  ExecutorAddress to{ ExecutorId(std::move(aRecord.executor)), std::move(aRecord.address) };
   to.mEpoch = aRecord.epoch;
   auto leaseEnd = std::chrono::milliseconds(aRecord.lease_end_ms);
-  auto run = FromRecord(aRecord.run);
+  auto run = FromRecord(std::move(aRecord.run));
   switch (static_cast<std::size_t>(aRecord.kind)) {
     case kHeartbeat: {
       auto wait = std::chrono::milliseconds(aRecord.wait_ms);
-      return NumberedCall{ aRecord.number, HeartbeatCall{ to, aRecord.last_seen, leaseEnd, wait } };
+      HeartbeatCall call{ std::move(to), aRecord.last_seen, leaseEnd, wait };
+      return NumberedCall{ aRecord.number, std::move(call) };
     }
     case kStart: {
-      StartCall call{ to, run, aRecord.spec, aRecord.checkpoint, leaseEnd };
+      StartCall call{ std::move(to),
+                      std::move(run),
+                      std::move(aRecord.spec),
+                      std::move(aRecord.checkpoint),
+                      leaseEnd };
       return NumberedCall{ aRecord.number, std::move(call) };
     }
     case kStop:
-      return NumberedCall{ aRecord.number, StopCall{ to, run } };
+      return NumberedCall{ aRecord.number, StopCall{ std::move(to), std::move(run) } };
     case kThrottle:
-      return NumberedCall{ aRecord.number, ThrottleCall{ to, run, aRecord.percent } };
+      return NumberedCall{ aRecord.number,
+                           ThrottleCall{ std::move(to), std::move(run), aRecord.percent } };
     default:
       return MakeError(ErrorKind::RecordUnreadable, "unknown kind of call");
   }
@@ -139,14 +154,14 @@
 }
 
 ExecutorAnswer
-AnswerTo(const HeartbeatCall& aCall, Instant aSentAt, const RelayedResult& aResult)
+AnswerTo(HeartbeatCall&& aCall, Instant aSentAt, RelayedResult&& aResult)
 {
-  HeartbeatAnswer answer{ aCall, aResult.mResult };
+  HeartbeatAnswer answer{ std::move(aCall), aResult.mResult };
   answer.mFenced = aResult.mFenced;
   answer.mIncarnation = aResult.mIncarnation;
   answer.mClock = aResult.mClock;
-  answer.mRunning = aResult.mRunning;
-  answer.mEnds = aResult.mEnds;
+  answer.mRunning = std::move(aResult.mRunning);
+  answer.mEnds = std::move(aResult.mEnds);
   answer.mUnreadable = aResult.mUnreadable;
   answer.mSentAt = aSentAt;
   answer.mAge = aResult.mAge;
@@ -155,58 +170,86 @@
 }
 
 ExecutorAnswer
-AnswerTo(const StartCall& aCall, Instant aSentAt, const RelayedResult& aResult)
+AnswerTo(StartCall&& aCall, Instant aSentAt, RelayedResult&& aResult)
 {
-  return StartAnswer{ aCall, aResult.mResult, aResult.mRefusal, aResult.mClock, aSentAt };
+  return StartAnswer{
+    std::move(aCall), aResult.mResult, aResult.mRefusal, aResult.mClock, aSentAt
+  };
 }
 
 ExecutorAnswer
-AnswerTo(const StopCall& aCall, Instant /*aSentAt*/, const RelayedResult& aResult)
+AnswerTo(StopCall&& aCall, Instant /*aSentAt*/, RelayedResult&& aResult)
 {
-  return StopAnswer{ aCall, aResult.mResult };
+  return StopAnswer{ std::move(aCall), aResult.mResult };
 }
 
 ExecutorAnswer
-AnswerTo(const ThrottleCall& aCall, Instant /*aSentAt*/, const RelayedResult& aResult)
+AnswerTo(ThrottleCall&& aCall, Instant /*aSentAt*/, RelayedResult&& aResult)
 {
-  return ThrottleAnswer{ aCall, aResult.mResult };
+  return ThrottleAnswer{ std::move(aCall), aResult.mResult };
 }
 
-record::ExecutorAnswer
-ToRecord(const RelayedResult& aResult)
+void
+Fill(const RunningTask& aRunning, record::RunningTask& aRecord)
 {
-  record::ExecutorAnswer out;
-  out.number = aResult.mNumber;
-  out.result = static_cast<std::int32_t>(aResult.mResult);
-  out.__set_age_us(aResult.mAge.count());
-  out.__set_refusal(static_cast<std::int32_t>(aResult.mRefusal));
-  out.__set_fenced(aResult.mFenced);
-  out.__set_incarnation(aResult.mIncarnation);
-  out.__set_clock_ms(aResult.mClock.count());
-  out.__set_unreadable(aResult.mUnreadable);
-  for (const auto& running : aResult.mRunning) {
-    record::RunningTask row;
-    row.run = ToRecord(running.mRun);
-    row.__set_percent(running.mPercent);
-    row.__set_load(running.mLoad);
-    row.__set_checkpoint(running.mCheckpoint);
-    out.running.push_back(std::move(row));
-  }
-  for (const auto& end : aResult.mEnds) {
-    record::TaskEnd row;
-    row.number = end.mNumber;
-    row.run = ToRecord(end.mRun);
-    row.kind = static_cast<std::int32_t>(end.mKind);
-    row.__set_checkpoint(end.mCheckpoint);
-    out.ends.push_back(std::move(row));
+  Fill(aRunning.mRun, aRecord.run);
+  aRecord.percent = aRunning.mPercent;
+  aRecord.load = aRunning.mLoad;
+  aRecord.checkpoint = aRunning.mCheckpoint;
+  aRecord.__isset.percent = aRecord.percent != 0;
+  aRecord.__isset.load = aRecord.load != 0;
+  aRecord.__isset.checkpoint = !aRecord.checkpoint.empty();
+}
+
+void
+Fill(const TaskEnd& aEnd, record::TaskEnd& aRecord)
+{
+  aRecord.number = aEnd.mNumber;
+  Fill(aEnd.mRun, aRecord.run);
+  aRecord.kind = static_cast<std::int32_t>(aEnd.mKind);
+  aRecord.checkpoint = aEnd.mCheckpoint;
+  aRecord.__isset.checkpoint = !aRecord.checkpoint.empty();
+}
+
+void
+Fill(const RelayedResult& aResult, record::ExecutorAnswer& aRecord);
+
+// Appends a record for each value.
+template<typename Value, typename Record>
+void
+FillEach(const std::vector<Value>& aValues, std::vector<Record>& aRecords)
+{
+  aRecords.reserve(aValues.size());
+  for (const auto& value : aValues) {
+    Fill(value, aRecords.emplace_back());
   }
-  out.__isset.running = !out.running.empty();
-  out.__isset.ends = !out.ends.empty();
-  return out;
+}
+
+void
+Fill(const RelayedResult& aResult, record::ExecutorAnswer& aRecord)
+{
+  aRecord.number = aResult.mNumber;
+  aRecord.result = static_cast<std::int32_t>(aResult.mResult);
+  aRecord.age_us = aResult.mAge.count();
+  aRecord.refusal = static_cast<std::int32_t>(aResult.mRefusal);
+  aRecord.fenced = aResult.mFenced;
+  aRecord.incarnation = aResult.mIncarnation;
+  aRecord.clock_ms = aResult.mClock.count();
+  aRecord.unreadable = aResult.mUnreadable;
+  FillEach(aResult.mRunning, aRecord.running);
+  FillEach(aResult.mEnds, aRecord.ends);
+  aRecord.__isset.age_us = aRecord.age_us != 0;
+  aRecord.__isset.refusal = aRecord.refusal != 0;
+  aRecord.__isset.fenced = aRecord.fenced;
+  aRecord.__isset.incarnation = aRecord.incarnation != 0;
+  aRecord.__isset.clock_ms = aRecord.clock_ms != 0;
+  aRecord.__isset.unreadable = aRecord.unreadable != 0;
+  aRecord.__isset.running = !aRecord.running.empty();
+  aRecord.__isset.ends = !aRecord.ends.empty();
 }
 
 RelayedResult
-FromRecord(const record::ExecutorAnswer& aRecord)
+FromRecord(record::ExecutorAnswer&& aRecord)
 {
   RelayedResult result;
   result.mNumber = aRecord.number;
@@ -217,12 +260,17 @@
   result.mIncarnation = aRecord.incarnation;
   result.mClock = std::chrono::milliseconds(aRecord.clock_ms);
   result.mUnreadable = aRecord.unreadable;
-  for (const auto& row : aRecord.running) {
-    result.mRunning.push_back({ FromRecord(row.run), row.checkpoint, row.percent, row.load });
+  result.mRunning.reserve(aRecord.running.size());
+  for (auto& row : aRecord.running) {
+    result.mRunning.push_back(
+      { FromRecord(std::move(row.run)), std::move(row.checkpoint), row.percent, row.load });
   }
-  for (const auto& row : aRecord.ends) {
-    result.mEnds.push_back(
-      { row.number, FromRecord(row.run), static_cast<EndKind>(row.kind), row.checkpoint });
+  result.mEnds.reserve(aRecord.ends.size());
+  for (auto& row : aRecord.ends) {
+    result.mEnds.push_back({ row.number,
+                             FromRecord(std::move(row.run)),
+                             static_cast<EndKind>(row.kind),
+                             std::move(row.checkpoint) });
   }
   return result;
 }
@@ -256,9 +304,10 @@
 }
 
 ExecutorAnswer
-ToExecutorAnswer(const ExecutorCall& aCall, Instant aSentAt, const RelayedResult& aResult)
+ToExecutorAnswer(ExecutorCall aCall, Instant aSentAt, RelayedResult aResult)
 {
-  return std::visit([&](const auto& aValue) { return AnswerTo(aValue, aSentAt, aResult); }, aCall);
+  return std::visit(
+    [&](auto& aValue) { return AnswerTo(std::move(aValue), aSentAt, std::move(aResult)); }, aCall);
 }
 
 std::string
@@ -269,9 +318,7 @@
   out.session = aRequest.mSession;
   out.decided_at_us = ToMicroseconds(aRequest.mDecidedAt);
   out.expires_at_us = ToMicroseconds(aRequest.mExpiresAt);
-  for (const auto& call : aRequest.mCalls) {
-    out.calls.push_back(ToRecord(call));
-  }
+  FillEach(aRequest.mCalls, out.calls);
   out.__isset.calls = !out.calls.empty();
   out.__set_received(aRequest.mReceived);
   return Encode(out);
@@ -280,15 +327,17 @@
 absl::StatusOr<RelayRequest>
 DecodeRelayRequest(std::string_view aBytes)
 {
-  auto record = TRY(Decode<record::RelayRequest>(aBytes));
+  record::RelayRequest record;
+  TRY(DecodeInto(aBytes, record));
   RelayRequest request;
-  request.mOwner = record.owner;
+  request.mOwner = std::move(record.owner);
   request.mSession = record.session;
   request.mDecidedAt = FromMicroseconds(record.decided_at_us);
   request.mExpiresAt = FromMicroseconds(record.expires_at_us);
   request.mReceived = record.received;
-  for (const auto& call : record.calls) {
-    request.mCalls.push_back(TRY(FromRecord(call)));
+  request.mCalls.reserve(record.calls.size());
+  for (auto& call : record.calls) {
+    request.mCalls.push_back(TRY(FromRecord(std::move(call))));
   }
   return request;
 }
@@ -301,9 +350,7 @@
   out.__set_stopping(aResponse.mIsStopping);
   out.__set_begun_at_us(ToMicroseconds(aResponse.mBegunAt));
   out.__set_first(aResponse.mFirst);
-  for (const auto& result : aResponse.mResults) {
-    out.answers.push_back(ToRecord(result));
-  }
+  FillEach(aResponse.mResults, out.answers);
   out.__isset.answers = !out.answers.empty();
   return Encode(out);
 }
@@ -311,14 +358,16 @@
 absl::StatusOr<RelayResponse>
 DecodeRelayResponse(std::string_view aBytes)
 {
-  auto record = TRY(Decode<record::RelayReply>(aBytes));
+  record::RelayReply record;
+  TRY(DecodeInto(aBytes, record));
   RelayResponse response;
   response.mClock = FromMicroseconds(record.clock_us);
   response.mIsStopping = record.stopping;
   response.mBegunAt = FromMicroseconds(record.begun_at_us);
   response.mFirst = record.first;
-  for (const auto& answer : record.answers) {
-    response.mResults.push_back(FromRecord(answer));
+  response.mResults.reserve(record.answers.size());
+  for (auto& answer : record.answers) {
+    response.mResults.push_back(FromRecord(std::move(answer)));
   }
   return response;
 }
--- a/Libraries/LibSchedule/RelayMessages.h
+++ b/Libraries/LibSchedule/RelayMessages.h
@@ -109,7 +109,7 @@
 // Restores the answer for the owner, which has kept the call and the time at which it handed it
 // over.
 ExecutorAnswer
-ToExecutorAnswer(const ExecutorCall& aCall, Instant aSentAt, const RelayedResult& aResult);
+ToExecutorAnswer(ExecutorCall aCall, Instant aSentAt, RelayedResult aResult);
 
 std::string
 EncodeRelayRequest(const RelayRequest& aRequest);
--- a/Libraries/LibSchedule/RelayService.cpp
+++ b/Libraries/LibSchedule/RelayService.cpp
@@ -29,14 +29,14 @@
 void
 MakeCall(RelayService& aService,
          const RelayRequest& aRequest,
-         const NumberedCall& aCall,
+         NumberedCall& aCall,
          Actions& aActions)
 {
   auto ticket = aService.mNextTicket++;
   aService.mOrigins[ticket] = { aRequest.mOwner, aRequest.mSession, aCall.mNumber };
   ++aService.mCalls;
   std::visit(
-    [&](auto aValue) {
+    [&](auto& aValue) {
       aValue.mTo.mRelayTicket = ticket;
       aActions.emplace_back(std::move(aValue));
     },
@@ -47,7 +47,7 @@
 void
 TakeCalls(RelayService& aService,
           const Now& aNow,
-          const RelayRequest& aRequest,
+          RelayRequest& aRequest,
           RelaySession& aSession,
           Actions& aActions)
 {
@@ -55,7 +55,7 @@
   // executor that has restarted and knows no fencing token.
   auto isExpired = aNow.mAt >= aRequest.mExpiresAt || aRequest.mDecidedAt < aService.mResumedAt;
   std::int64_t expired = 0;
-  for (const auto& call : aRequest.mCalls) {
+  for (auto& call : aRequest.mCalls) {
     if (call.mNumber <= aSession.mLastCall) {
       continue;
     }
@@ -85,6 +85,7 @@
   response.mClock = aNow;
   response.mBegunAt = aSession.mBegunAt;
   response.mFirst = aSession.mReceived;
+  response.mResults.reserve(aSession.mResults.size());
   for (const auto& kept : aSession.mResults) {
     response.mResults.push_back(kept.mResult);
     response.mResults.back().mAge = aNow - kept.mArrivedAt;
@@ -106,11 +107,11 @@
 void
 OnRelayIncoming(RelayService& aService,
                 const Now& aNow,
-                const RelayIncoming& aIncoming,
+                RelayIncoming aIncoming,
                 bool aIsStopping,
                 Actions& aActions)
 {
-  const auto& request = aIncoming.mRequest;
+  auto& request = aIncoming.mRequest;
   auto& session = aService.mSessions[request.mOwner];
   if (session.mId != request.mSession) {
     session = RelaySession{ request.mSession, aNow.mAt };
--- a/Libraries/LibSchedule/RelayService.h
+++ b/Libraries/LibSchedule/RelayService.h
@@ -62,7 +62,7 @@
 void
 OnRelayIncoming(RelayService& aService,
                 const Now& aNow,
-                const RelayIncoming& aIncoming,
+                RelayIncoming aIncoming,
                 bool aIsStopping,
                 Actions& aActions);
 
--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -308,9 +308,10 @@
   std::vector<ExecutorAnswer> answers;
   RelayedResult unanswered;
   unanswered.mIsRelayFailure = true;
-  for (const auto& [number, pending] : aRelay.mPending) {
+  answers.reserve(aRelay.mPending.size());
+  for (auto& [number, pending] : aRelay.mPending) {
     MakeOwn(aCalls, pending.mCall, aNow);
-    answers.push_back(ToExecutorAnswer(pending.mCall, pending.mSentAt, unanswered));
+    answers.push_back(ToExecutorAnswer(std::move(pending.mCall), pending.mSentAt, unanswered));
   }
   aCalls.mUnanswered += static_cast<std::int64_t>(answers.size());
   LogEntry entry{ LogLevel::Warning, "relay-lost", {}, aName };
@@ -402,6 +403,7 @@
 TakeResults(RelayedCalls& aCalls, Relay& aRelay, const Now& aNow, RelayAnswer aAnswer)
 {
   std::vector<ExecutorAnswer> answers;
+  answers.reserve(aAnswer.mResponse.mResults.size());
   auto sequence = aAnswer.mResponse.mFirst;
   for (auto& result : aAnswer.mResponse.mResults) {
     if (sequence++ < aRelay.mReceived) {
@@ -418,7 +420,8 @@
     }
     // The way back took the time of the exchange at most.
     result.mAge += aNow.mAt - aAnswer.mSentAt;
-    answers.push_back(ToExecutorAnswer(pending.mapped().mCall, pending.mapped().mSentAt, result));
+    auto& [call, sentAt] = pending.mapped();
+    answers.push_back(ToExecutorAnswer(std::move(call), sentAt, std::move(result)));
   }
   return answers;
 }
