Renew leases after a relay failed to bring a start to its executor

Cause: the start of a relay that failed counted as the silence of its executor, unlike a heartbeat: the next heartbeats renewed no lease until one was answered, so that several failures in a row let the lease lapse (AVAIL, LOST).

Change: the answer to a start tells that it is the relay's failure, and only the run is uncertain.

--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -117,6 +117,8 @@
   StartRefusal mRefusal = StartRefusal::None;
   std::chrono::milliseconds mClock{ 0 };
   Instant mSentAt;
+  // As in HeartbeatAnswer.
+  bool mIsRelayFailure = false;
 };
 
 struct StopCall
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -172,9 +172,8 @@
 ExecutorAnswer
 AnswerTo(StartCall&& aCall, Instant aSentAt, RelayedResult&& aResult)
 {
-  return StartAnswer{
-    std::move(aCall), aResult.mResult, aResult.mRefusal, aResult.mClock, aSentAt
-  };
+  return StartAnswer{ std::move(aCall), aResult.mResult, aResult.mRefusal,
+                      aResult.mClock,   aSentAt,         aResult.mIsRelayFailure };
 }
 
 ExecutorAnswer
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -347,7 +347,9 @@
   if (aAnswer.mResult == CallResult::Unanswered) {
     ++aShard.mCounters.mStartsUnanswered;
     run.mState = RunState::Uncertain;
-    executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
+    if (!aAnswer.mIsRelayFailure) {
+      executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
+    }
     detail::LogRun(
       "start-unanswered", aAnswer.mCall.mRun, *executor, "no answer in time", aActions);
     return;
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -279,4 +279,24 @@
   BOOST_TEST(owner.TheExecutor().mUnansweredCalls == 1);
 }
 
+// As above, where it is a start that the host failed to bring there.
+BOOST_AUTO_TEST_CASE(a_start_that_a_relay_failed_to_make_renews_leases_all_the_same)
+{
+  for (auto isRelayFailure : { true, false }) {
+    Owner owner;
+    TaskRun run{ { JobId("j"), 0, 0, 0 }, 1 };
+    owner.TheExecutor().mRuns[run] =
+      schedule::detail::MakeRun({}, MakeLongRunningStep(2, 1, 1), RunState::Starting, kNow.mAt);
+    StartAnswer answer;
+    answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+    answer.mCall.mRun = run;
+    answer.mIsRelayFailure = isRelayFailure;
+    OnStartAnswer(owner.mShard, Later(1s), answer, owner.mActions);
+    BOOST_TEST((owner.TheExecutor().mRuns.at(run).mState == RunState::Uncertain));
+    owner.Advance(Later(1s));
+    // Whether an executor that is silent itself has restarted is asked before a lease is renewed.
+    BOOST_TEST((owner.OnlyHeartbeat().mLeaseEnd.count() != 0) == isRelayFailure);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
