Give a late owner no calls back that relays fail to make

What callers see: too little served (SHORT), once a pool's owner has no processor time left.

Cause: work that grows with lateness. The calls of a relay that was lost, or that they reached too late, were the owner's own for a second, all at once; exchanges that seemed slow since their answers waited for the owner's processor had it make all calls itself; a single lost exchange counted as a lost relay if the owner noticed late.

Change: an owner whose timers are 50 ms late in the mean takes nothing back and is never alone; it rather uses a slow relay than none. One that is in time takes back as much as it would serve alone, and hands it over again once it is late. A relay is lost after two exchanges without an answer.

The test of a silent relay expected that the owner calls the executors itself, with an owner 500 ms late; it now does so with one in time, and the late one has its own test.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -17,6 +17,8 @@
 constexpr int kDelaysInMean = 4;
 // A single delay, as by a suspension, counts up to this.
 constexpr Duration kMaxDelay = 2s;
+// An owner whose timers are this late in the mean bears no more calls than it makes.
+constexpr Duration kLateDelay = 50ms;
 // How long an owner goes on sharing: its timers are in time once it shares, which tells nothing of
 // its load without that.
 constexpr Duration kShareTime = 5s;
@@ -59,12 +61,48 @@
   return aPerCore * aCapacityMillicores / kMillicoresPerCore;
 }
 
+// How many executors the host makes the calls to; its name is empty for this one.
+int&
+CountAssigned(RelayedCalls& aCalls, const std::string& aHost)
+{
+  return aHost.empty() ? aCalls.mOwnExecutors : aCalls.mRelays.at(aHost).mExecutors;
+}
+
+bool
+IsLate(const RelayedCalls& aCalls)
+{
+  return aCalls.mMeanDelay >= kLateDelay;
+}
+
+// The time by which an exchange may seem to take longer than it does, since its answer waits for
+// the owner's processor as its timers do.
+Duration
+OwnDelay(const RelayedCalls& aCalls)
+{
+  return 2 * std::max(aCalls.mMeanDelay, aCalls.mLastDelay);
+}
+
+bool
+IsAlone(const RelayedCalls& aCalls, Instant aNow)
+{
+  return aNow < aCalls.mAloneUntil && !IsLate(aCalls);
+}
+
+// Whether the owner makes the calls to an executor itself because a relay has failed to. It takes
+// back no more than it would make alone.
+bool
+TakesBack(const RelayedCalls& aCalls, const CallerAssignment& aAssignment, Instant aNow)
+{
+  auto limit = ScaleByCapacity(kExecutorsAlonePerCore, aCalls.mSettings.mCapacityMillicores);
+  return aNow < aAssignment.mOwnUntil && !IsLate(aCalls) && aCalls.mOwnExecutors < limit;
+}
+
 // Whether the owner has executors that it should hand over to a relay, aOwn being those that it
 // keeps.
 bool
 HasTooMany(const RelayedCalls& aCalls, int aOwn, Instant aNow)
 {
-  if (aNow < aCalls.mAloneUntil) {
+  if (IsAlone(aCalls, aNow)) {
     return false;
   }
   auto capacity = aCalls.mSettings.mCapacityMillicores;
@@ -86,11 +124,11 @@
   return aRelay.mClockReadAt && aNow - *aRelay.mClockReadAt < kMaxClockAge;
 }
 
-// How many executors the host makes the calls to; its name is empty for this one.
-int&
-CountAssigned(RelayedCalls& aCalls, const std::string& aHost)
+// A late owner rather uses a relay that is slow than none.
+bool
+IsLastResort(const RelayedCalls& aCalls, const Relay& aRelay, Instant aNow)
 {
-  return aHost.empty() ? aCalls.mOwnExecutors : aCalls.mRelays.at(aHost).mExecutors;
+  return IsLate(aCalls) && !aRelay.mIsLeaving && HasClock(aRelay, aNow);
 }
 
 struct RelayChoice
@@ -98,14 +136,18 @@
   std::string mName;
   int mExecutors = 0;
   bool mIsFull = true;
+  bool mIsAvoided = false;
 };
 
 // Few relays are filled rather than many used, so that each exchange carries many calls.
 bool
 IsBetter(const RelayChoice& aLeft, const RelayChoice& aRight)
 {
-  if (aRight.mName.empty() || aLeft.mIsFull != aRight.mIsFull) {
-    return aRight.mName.empty() || aRight.mIsFull;
+  if (aRight.mName.empty() || aLeft.mIsAvoided != aRight.mIsAvoided) {
+    return aRight.mName.empty() || aRight.mIsAvoided;
+  }
+  if (aLeft.mIsFull != aRight.mIsFull) {
+    return aRight.mIsFull;
   }
   return aLeft.mIsFull ? aLeft.mExecutors < aRight.mExecutors
                        : aLeft.mExecutors > aRight.mExecutors;
@@ -133,7 +175,8 @@
 {
   RelayChoice best;
   for (auto& [name, relay] : aCalls.mRelays) {
-    if (!IsUsable(relay, aNow)) {
+    auto isAvoided = !IsUsable(relay, aNow);
+    if (isAvoided && !IsLastResort(aCalls, relay, aNow)) {
       continue;
     }
     if (!HasClock(relay, aNow)) {
@@ -142,7 +185,7 @@
       continue;
     }
     auto limit = ScaleByCapacity(kRelayedExecutorsPerCore, relay.mCapacityMillicores);
-    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= limit };
+    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= limit, isAvoided };
     if (IsBetter(choice, best)) {
       best = choice;
     }
@@ -154,8 +197,7 @@
 Assign(RelayedCalls& aCalls, CallerAssignment& aAssignment, Instant aNow)
 {
   aAssignment.mRelay.clear();
-  auto mayRelay = aNow >= aAssignment.mOwnUntil;
-  if (mayRelay && HasTooMany(aCalls, aCalls.mOwnExecutors + 1, aNow)) {
+  if (!TakesBack(aCalls, aAssignment, aNow) && HasTooMany(aCalls, aCalls.mOwnExecutors + 1, aNow)) {
     aAssignment.mRelay = ChooseRelay(aCalls, aNow);
   }
   ++CountAssigned(aCalls, aAssignment.mRelay);
@@ -174,9 +216,10 @@
   auto relay = aCalls.mRelays.find(assignment.mRelay);
   auto isUsable =
     relay != aCalls.mRelays.end() && IsUsable(relay->second, aNow) && HasClock(relay->second, aNow);
+  auto takesBack = TakesBack(aCalls, assignment, aNow);
   auto keeps = assignment.mRelay.empty()
-                 ? aNow < assignment.mOwnUntil || !HasTooMany(aCalls, aCalls.mOwnExecutors, aNow)
-                 : isUsable && aNow >= assignment.mOwnUntil && aNow >= aCalls.mAloneUntil;
+                 ? takesBack || !HasTooMany(aCalls, aCalls.mOwnExecutors, aNow)
+                 : isUsable && !takesBack && !IsAlone(aCalls, aNow);
   if (!keeps && !isNew) {
     --CountAssigned(aCalls, assignment.mRelay);
     Assign(aCalls, assignment, aNow);
@@ -285,7 +328,7 @@
   }
 }
 
-// Has the owner make the next calls to an executor itself.
+// Has the owner make the next calls to an executor itself, if it bears them.
 void
 MakeOwn(RelayedCalls& aCalls, const ExecutorCall& aCall, Instant aNow)
 {
@@ -322,6 +365,7 @@
   aRelay.mQueue.clear();
   aRelay.mInExchange = 0;
   aRelay.mInFlight = false;
+  aRelay.mTimesUnanswered = 0;
   aRelay.mSession = 0;
   aRelay.mClockReadAt.reset();
   aRelay.mNeedsClock = false;
@@ -362,7 +406,7 @@
     slow += isSlow ? 1 : 0;
     inUse += isSlow || !relay.mPending.empty() ? 1 : 0;
   }
-  if (2 * slow < inUse || aNow < aCalls.mAloneUntil) {
+  if (2 * slow < inUse || aNow < aCalls.mAloneUntil || IsLate(aCalls)) {
     return;
   }
   auto wasLong = aNow - aCalls.mAloneUntil > kAvoidTime * (1 << kMaxAvoidDoublings);
@@ -382,9 +426,7 @@
 {
   aRelay.mMeanExchangeTime += (aTime - aRelay.mMeanExchangeTime) / kExchangesInMean;
   auto isAvoided = aNow < aRelay.mAvoidUntil;
-  // An answer waits for the owner's processor, as its timers do.
-  auto ownTime = 2 * std::max(aCalls.mMeanDelay, aCalls.mLastDelay);
-  if (isAvoided || aRelay.mMeanExchangeTime <= kMaxExchangeTime + ownTime) {
+  if (isAvoided || aRelay.mMeanExchangeTime <= kMaxExchangeTime + OwnDelay(aCalls)) {
     auto isProven = aNow - aRelay.mAvoidUntil > kAvoidTime * (1 << aRelay.mTimesSlow);
     aRelay.mTimesSlow = isProven ? 0 : aRelay.mTimesSlow;
     return;
@@ -398,6 +440,15 @@
   ShareNoCallsIfLinkIsBusy(aCalls, aNow);
 }
 
+// Whether an exchange without an answer shows that the relay is silent. A single one may have been
+// lost, of which a late owner takes notice late.
+bool
+IsSilent(const Relay& aRelay, Instant aSentAt, Instant aNow)
+{
+  auto isRepeated = aRelay.mTimesUnanswered > 1 || aNow - aSentAt >= kMaxSilence;
+  return isRepeated && aNow - aRelay.mHeardAt >= kMaxSilence;
+}
+
 // Returns the answers to the calls whose results are new.
 std::vector<ExecutorAnswer>
 TakeResults(RelayedCalls& aCalls, Relay& aRelay, const Now& aNow, RelayAnswer aAnswer)
@@ -480,6 +531,9 @@
   if (aCalls.mMeanDelay >= aCalls.mSettings.mShareCallsDelay) {
     aCalls.mSharesUntil = aNow + kShareTime;
   }
+  if (IsLate(aCalls)) {
+    aCalls.mAloneUntil = std::min(aCalls.mAloneUntil, aNow);
+  }
 }
 
 void
@@ -508,7 +562,8 @@
   }
   auto& relay = found->second;
   relay.mInFlight = false;
-  if (aAnswer.mResult != CallResult::Done && aNow.mAt - relay.mHeardAt >= kMaxSilence) {
+  relay.mTimesUnanswered = aAnswer.mResult == CallResult::Done ? 0 : relay.mTimesUnanswered + 1;
+  if (relay.mTimesUnanswered > 0 && IsSilent(relay, aAnswer.mSentAt, aNow.mAt)) {
     return GiveUp(aCalls, found->first, relay, "no answer", aNow.mAt, aActions);
   }
   RecordExchangeTime(aCalls, found->first, relay, aNow.mAt - aAnswer.mSentAt, aNow.mAt, aActions);
--- a/Libraries/LibSchedule/RelayedCalls.h
+++ b/Libraries/LibSchedule/RelayedCalls.h
@@ -18,7 +18,10 @@
 // exchanges take long, is avoided for a while. All calls that a silent relay has are unanswered;
 // those of a slow one are still answered. If half of the relays in use are slow, the owner's own
 // link is taken for the cause, and it makes all calls itself. What a relay fails to do tells
-// nothing of the executors: the owner makes their next calls itself.
+// nothing of the executors: the owner makes their next calls itself, or another relay does.
+//
+// An owner that is late takes no calls back, since its lateness would grow with the calls that it
+// makes: it uses a slow relay rather than none, and asks for results less often.
 namespace sesameseam::schedule {
 
 struct RelayedCallsSettings
@@ -62,6 +65,8 @@
   Instant mHeardAt;
   std::int64_t mNextNumber = 1;
   bool mInFlight = false;
+  // How many exchanges in a row were not answered.
+  int mTimesUnanswered = 0;
   bool mNeedsClock = false;
   Instant mNextExchangeAt;
   Instant mAvoidUntil;
@@ -76,7 +81,7 @@
   // The name of the relay; empty if this host makes them.
   std::string mRelay;
   Instant mLastCallAt;
-  // Until then this host makes them, since a relay has failed to.
+  // Until then this host makes them if it bears it, since a relay has failed to.
   Instant mOwnUntil;
 };
 
@@ -95,7 +100,7 @@
   Duration mLastDelay{ 0 };
   // The owner shares its calls until then, since it was short of processor time.
   Instant mSharesUntil;
-  // Until then the owner makes all calls itself, since its link bears no exchanges.
+  // Until then the owner makes all calls itself if it bears it, since its link bears no exchanges.
   Instant mAloneUntil;
   int mTimesAlone = 0;
   // Counters for the metrics.
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace sesameseam;
 using namespace sesameseam::schedule;
@@ -43,6 +44,13 @@
   return actions;
 }
 
+// What an owner sends to its relays.
+struct SentToRelays
+{
+  std::size_t mExchanges = 0;
+  std::size_t mBytes = 0;
+};
+
 // An owner, and two relays whose clocks differ from its own.
 struct Fixture
 {
@@ -93,6 +101,43 @@
     return answer;
   }
 
+  // Has the relay stay silent until the owner notices.
+  void Lose(const RelayCall& aExchange, Duration aTime)
+  {
+    RelayAnswer answer;
+    answer.mRelay = aExchange.mRelay;
+    answer.mSession = aExchange.mRequest.mSession;
+    Actions actions;
+    for (auto& each : OnRelayAnswer(mCalls, At(aTime), answer, actions)) {
+      mAnswers.push_back(std::move(each));
+    }
+  }
+
+  // Lets time pass in which the owner's timers are that late.
+  void PassTime(Duration aFrom, Duration aUntil, Duration aDelay)
+  {
+    for (auto time = aFrom; time < aUntil; time += 100ms) {
+      RecordDelay(mCalls, At(time).mAt, aDelay);
+    }
+  }
+
+  // Asks the relays for results as often as the owner wants, with answers at once.
+  SentToRelays Poll(Duration aFrom, Duration aUntil)
+  {
+    SentToRelays sent;
+    for (auto time = aFrom; time < aUntil; time += 5ms) {
+      Actions actions;
+      RelayCalls(mCalls, At(time), actions);
+      for (const auto& exchange : Select<RelayCall>(actions)) {
+        ++sent.mExchanges;
+        sent.mBytes += EncodeRelayRequest(exchange.mRequest).size();
+        Actions more;
+        OnRelayAnswer(mCalls, At(time), Answer(exchange, time), more);
+      }
+    }
+    return sent;
+  }
+
   // Makes the relays known, which an owner needs before it hands calls over.
   void ReadClocks()
   {
@@ -295,9 +340,10 @@
     BOOST_TEST((std::get<HeartbeatAnswer>(each).mResult == CallResult::Unanswered));
     BOOST_TEST(std::get<HeartbeatAnswer>(each).mIsRelayFailure);
   }
-  // The owner finds out itself how the executors are.
+  // The owner, which is no longer late, finds out itself how the executors are.
+  PassTime(1100ms, 3s, 0ms);
   auto own = HeartbeatsTo(kManyExecutors);
-  HandOver(1100ms, own);
+  RelayCalls(mCalls, At(1100ms), own);
   auto made = Select<HeartbeatCall>(own);
   for (const auto& call : lost.mRequest.mCalls) {
     const auto& to = std::get<HeartbeatCall>(call.mCall).mTo.mExecutor;
@@ -312,6 +358,119 @@
   }
 }
 
+// Guards against too little served (SHORT): the owner of a pool has no processor time left, and the
+// calls of a lost relay come back to it on top.
+BOOST_AUTO_TEST_CASE(a_late_owner_takes_no_calls_of_a_lost_relay_back)
+{
+  ReadClocks();
+  auto before = HeartbeatsTo(kManyExecutors);
+  HandOver(20ms, before);
+  auto lost = Select<RelayCall>(before).at(0);
+  Lose(lost, 1100ms);
+  BOOST_TEST(mAnswers.size() == lost.mRequest.mCalls.size());
+  auto after = HeartbeatsTo(kManyExecutors);
+  HandOver(1100ms, after);
+  BOOST_TEST(Select<HeartbeatCall>(after).size() <= Select<HeartbeatCall>(before).size());
+  BOOST_TEST(mCalls.mRelays.at(lost.mRelay).mPending.empty());
+}
+
+// As above, where the calls reach their relays too late since the owner hands them over late.
+BOOST_AUTO_TEST_CASE(a_late_owner_takes_no_calls_back_that_came_too_late)
+{
+  ReadClocks();
+  auto before = HeartbeatsTo(kManyExecutors);
+  HandOver(20ms, before);
+  for (const auto& exchange : Select<RelayCall>(before)) {
+    Actions actions;
+    auto answers = OnRelayAnswer(mCalls, At(2s), Answer(exchange, 2s), actions);
+    BOOST_TEST(answers.size() == exchange.mRequest.mCalls.size());
+  }
+  auto after = HeartbeatsTo(kManyExecutors);
+  HandOver(2s, after);
+  BOOST_TEST(Select<HeartbeatCall>(after).size() <= Select<HeartbeatCall>(before).size());
+}
+
+// As above, where exchanges seem slow since their answers wait for the owner.
+BOOST_AUTO_TEST_CASE(a_late_owner_does_not_give_all_its_relays_up_as_slow)
+{
+  ReadClocks();
+  auto before = HeartbeatsTo(kManyExecutors);
+  HandOver(20ms, before);
+  PassTime(100ms, 2s, 70ms);
+  for (const auto& exchange : Select<RelayCall>(before)) {
+    auto answer = Answer(exchange, 1100ms);
+    answer.mSentAt = At(20ms).mAt;
+    Actions actions;
+    OnRelayAnswer(mCalls, At(2s), answer, actions);
+  }
+  auto after = HeartbeatsTo(kManyExecutors);
+  RelayCalls(mCalls, At(2s), after);
+  BOOST_TEST(Select<HeartbeatCall>(after).size() <= Select<HeartbeatCall>(before).size());
+}
+
+// As above, where the owner was in time and is not for long if it calls so many executors itself.
+BOOST_AUTO_TEST_CASE(an_owner_takes_back_no_more_calls_than_it_would_make_alone)
+{
+  constexpr int kExecutors = 450;
+  ReadClocks();
+  auto before = HeartbeatsTo(kExecutors);
+  HandOver(20ms, before);
+  PassTime(100ms, 2s, 0ms);
+  auto lost = Select<RelayCall>(before).at(0);
+  Lose(lost, 2s);
+  auto after = HeartbeatsTo(kExecutors);
+  RelayCalls(mCalls, At(2s), after);
+  BOOST_TEST(Select<HeartbeatCall>(after).size() > Select<HeartbeatCall>(before).size());
+  BOOST_TEST(Select<HeartbeatCall>(after).size() <= std::size_t(kFewerExecutors));
+  // Once it is late, it hands them over again.
+  auto late = HeartbeatsTo(kExecutors);
+  HandOver(2100ms, late);
+  BOOST_TEST(Select<HeartbeatCall>(late).size() <= Select<HeartbeatCall>(before).size());
+}
+
+// Guards against calls that are all unanswered because a late owner notices late that one exchange
+// was lost.
+BOOST_AUTO_TEST_CASE(a_single_lost_exchange_is_repeated_however_late_the_owner_is)
+{
+  ReadClocks();
+  auto actions = HeartbeatsTo(kManyExecutors);
+  HandOver(20ms, actions);
+  auto lost = Select<RelayCall>(actions).at(0);
+  RelayAnswer answer;
+  answer.mRelay = lost.mRelay;
+  answer.mSession = lost.mRequest.mSession;
+  answer.mSentAt = At(550ms).mAt;
+  BOOST_TEST(OnRelayAnswer(mCalls, At(1100ms), answer, actions).empty());
+  Actions next;
+  HandOver(1100ms, next);
+  auto repeated = Select<RelayCall>(next);
+  BOOST_TEST(std::any_of(repeated.begin(), repeated.end(), [&](const RelayCall& aCall) {
+    return aCall.mRelay == lost.mRelay &&
+           aCall.mRequest.mCalls.size() == lost.mRequest.mCalls.size();
+  }));
+}
+
+// Guards against an owner that makes more exchanges, or sends more in them, the later it is.
+BOOST_AUTO_TEST_CASE(lateness_never_raises_the_number_of_exchanges_or_their_bytes)
+{
+  ReadClocks();
+  auto actions = HeartbeatsTo(kManyExecutors);
+  Exchange(20ms, actions);
+  auto start = Duration(1s);
+  auto exchanges = std::numeric_limits<std::size_t>::max();
+  auto bytes = exchanges;
+  for (auto delay : { 0ms, 10ms, 40ms, 60ms, 150ms, 1000ms }) {
+    PassTime(start - 1s, start, delay);
+    auto sent = Poll(start, start + 2s);
+    BOOST_TEST(sent.mExchanges > 0u);
+    BOOST_TEST(sent.mExchanges <= exchanges);
+    BOOST_TEST(sent.mBytes <= bytes);
+    exchanges = sent.mExchanges;
+    bytes = sent.mBytes;
+    start += 3s;
+  }
+}
+
 // Guards against exchanges that fill narrow links, so that leases lapse (AVAIL, LOST).
 BOOST_AUTO_TEST_CASE(
   a_relay_to_which_exchanges_take_long_is_avoided_and_its_calls_are_still_answered)
