Begin with another relay in each owner, and ask no more than are needed

Cause: all owners used relays in the order of their names, so that the first host made the calls of all of them; and an owner that began to share, being late, asked all hosts of the group for their clocks at once.

Change: owners begin with the host after themselves, and ask as many relays as have room for all their executors.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -126,9 +126,9 @@
 
 // A late owner rather uses a relay that is slow than none.
 bool
-IsLastResort(const RelayedCalls& aCalls, const Relay& aRelay, Instant aNow)
+IsLastResort(const RelayedCalls& aCalls, const Relay& aRelay)
 {
-  return IsLate(aCalls) && !aRelay.mIsLeaving && HasClock(aRelay, aNow);
+  return IsLate(aCalls) && !aRelay.mIsLeaving;
 }
 
 struct RelayChoice
@@ -169,26 +169,57 @@
   }
 }
 
+int
+RoomOf(const Relay& aRelay)
+{
+  return ScaleByCapacity(kRelayedExecutorsPerCore, aRelay.mCapacityMillicores);
+}
+
+// Calls the function with each relay. Each owner begins with another one, so that the first ones do
+// not get the calls of all owners.
+template<typename Function>
+void
+ForEachRelay(RelayedCalls& aCalls, Function aFunction)
+{
+  auto first = aCalls.mRelays.upper_bound(aCalls.mSettings.mHost);
+  std::for_each(first, aCalls.mRelays.end(), aFunction);
+  std::for_each(aCalls.mRelays.begin(), first, aFunction);
+}
+
+// Asks for the clocks of as many relays as have room for all executors.
+void
+AskForClocks(RelayedCalls& aCalls, Instant aNow)
+{
+  auto wanted = static_cast<int>(aCalls.mAssignments.size());
+  ForEachRelay(aCalls, [&](auto& aEntry) {
+    auto& relay = aEntry.second;
+    if (wanted <= 0 || !IsUsable(relay, aNow)) {
+      return;
+    }
+    wanted -= RoomOf(relay);
+    relay.mNeedsClock |= !HasClock(relay, aNow);
+    ScheduleExchange(aCalls, relay);
+  });
+}
+
 // Returns the name of the best relay; empty if none is usable.
 std::string
 ChooseRelay(RelayedCalls& aCalls, Instant aNow)
 {
   RelayChoice best;
-  for (auto& [name, relay] : aCalls.mRelays) {
+  ForEachRelay(aCalls, [&](const auto& aEntry) {
+    const auto& [name, relay] = aEntry;
     auto isAvoided = !IsUsable(relay, aNow);
-    if (isAvoided && !IsLastResort(aCalls, relay, aNow)) {
-      continue;
+    if (!HasClock(relay, aNow) || (isAvoided && !IsLastResort(aCalls, relay))) {
+      return;
     }
-    if (!HasClock(relay, aNow)) {
-      relay.mNeedsClock = true;
-      ScheduleExchange(aCalls, relay);
-      continue;
-    }
-    auto limit = ScaleByCapacity(kRelayedExecutorsPerCore, relay.mCapacityMillicores);
-    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= limit, isAvoided };
+    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= RoomOf(relay), isAvoided };
     if (IsBetter(choice, best)) {
       best = choice;
     }
+  });
+  if (best.mIsFull || best.mIsAvoided) {
+    AskForClocks(aCalls, aNow);
   }
   return best.mName;
 }
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <limits>
+#include <set>
 
 using namespace sesameseam;
 using namespace sesameseam::schedule;
@@ -450,6 +451,45 @@
   }));
 }
 
+// Guards against one host that makes the calls of all owners, because all begin with the first one.
+BOOST_AUTO_TEST_CASE(owners_of_smaller_pools_use_different_relays)
+{
+  std::set<std::string> used;
+  for (const auto* owner : { "e0", "e1", "e2" }) {
+    RelayedCalls calls;
+    calls.mSettings = { owner, kMillicores };
+    std::swap(calls, mCalls);
+    UpdateRelays(mCalls,
+                 { { "e0", kMillicores, "e0:1" },
+                   { "e1", kMillicores, "e1:1" },
+                   { "e2", kMillicores, "e2:1" } });
+    auto first = HeartbeatsTo(60);
+    Exchange(0ms, first);
+    auto actions = HeartbeatsTo(60);
+    HandOver(20ms, actions);
+    for (const auto& exchange : Select<RelayCall>(actions)) {
+      BOOST_TEST(exchange.mRequest.mCalls.size() == 35u);
+      used.insert(exchange.mRelay);
+    }
+  }
+  BOOST_TEST(used.size() == 3u);
+}
+
+// Guards against an owner that asks all hosts for their clocks because it is late.
+BOOST_AUTO_TEST_CASE(no_more_relays_are_asked_than_have_room_for_the_executors)
+{
+  std::vector<GroupOwner> owners;
+  constexpr int kHosts = 50;
+  owners.reserve(kHosts);
+  for (int i = 0; i < kHosts; ++i) {
+    owners.push_back({ "f" + std::to_string(i), kMillicores, "f:1" });
+  }
+  UpdateRelays(mCalls, owners);
+  auto actions = HeartbeatsTo(kManyExecutors);
+  HandOver(0ms, actions);
+  BOOST_TEST(Select<RelayCall>(actions).size() == 6u);
+}
+
 // Guards against an owner that makes more exchanges, or sends more in them, the later it is.
 BOOST_AUTO_TEST_CASE(lateness_never_raises_the_number_of_exchanges_or_their_bytes)
 {
