Ask relays that have nothing to tell less often

Cause: an owner exchanged messages with each relay in use every 10 ms or a little more, whether or not there was anything to tell: up to 333 exchanges a second, some 800 bytes each with their headers.

Change: after an exchange without calls and results the next question comes after twice the time, up to 40 ms; a late owner asks no sooner than it is late. Calls never wait for that.

The new test fails on the logic before: 200 exchanges a second with two relays that have nothing to tell, where 60 are the bound. Lateness does not raise the number of exchanges, before as after.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -34,6 +34,9 @@
 constexpr Duration kMinExchangeInterval = 10ms;
 // Bounds the exchanges of an owner, however many relays it uses.
 constexpr Duration kExchangeIntervalPerRelay = 3ms;
+// A relay that had nothing to tell is asked again after twice the time, up to this, and one of a
+// late owner after the time by which the owner is late.
+constexpr Duration kMaxPollInterval = 40ms;
 constexpr Duration kAvoidTime = 2s;
 // It doubles each time that a relay is found to be slow, since only trying tells that it no longer
 // is.
@@ -159,13 +162,20 @@
   return !aRelay.mInFlight && (!aRelay.mPending.empty() || aRelay.mNeedsClock);
 }
 
+Instant
+DueAt(const Relay& aRelay)
+{
+  auto onlyAsks = aRelay.mQueue.empty() && !aRelay.mNeedsClock;
+  return onlyAsks ? aRelay.mNextPollAt : aRelay.mNextExchangeAt;
+}
+
 // Has the exchange that the relay needs made in time.
 void
 ScheduleExchange(RelayedCalls& aCalls, const Relay& aRelay)
 {
   if (NeedsExchange(aRelay)) {
-    auto next = aCalls.mNextExchangeAt.value_or(aRelay.mNextExchangeAt);
-    aCalls.mNextExchangeAt = std::min(next, aRelay.mNextExchangeAt);
+    auto due = DueAt(aRelay);
+    aCalls.mNextExchangeAt = std::min(aCalls.mNextExchangeAt.value_or(due), due);
   }
 }
 
@@ -351,7 +361,7 @@
 {
   aCalls.mNextExchangeAt.reset();
   for (auto& [name, relay] : aCalls.mRelays) {
-    if (NeedsExchange(relay) && aNow.mAt >= relay.mNextExchangeAt) {
+    if (NeedsExchange(relay) && aNow.mAt >= DueAt(relay)) {
       aActions.emplace_back(MakeExchange(aCalls, name, relay, aNow));
       relay.mInFlight = true;
     }
@@ -471,6 +481,22 @@
   ShareNoCallsIfLinkIsBusy(aCalls, aNow);
 }
 
+// Plans the next exchange after an answer. One that carries calls is not put off.
+void
+PlanNextExchange(const RelayedCalls& aCalls,
+                 Relay& aRelay,
+                 const RelayResponse& aResponse,
+                 Instant aNow)
+{
+  auto interval = ExchangeInterval(aCalls);
+  auto isIdle = aRelay.mInExchange == 0 && aResponse.mResults.empty();
+  auto longest = std::max(interval, Duration(kMaxPollInterval));
+  auto wanted = std::max(isIdle ? 2 * aRelay.mPollInterval : interval, aCalls.mMeanDelay);
+  aRelay.mPollInterval = std::clamp(wanted, interval, longest);
+  aRelay.mNextExchangeAt = aNow + interval;
+  aRelay.mNextPollAt = aNow + aRelay.mPollInterval;
+}
+
 // Whether an exchange without an answer shows that the relay is silent. A single one may have been
 // lost, of which a late owner takes notice late.
 bool
@@ -600,6 +626,7 @@
   RecordExchangeTime(aCalls, found->first, relay, aNow.mAt - aAnswer.mSentAt, aNow.mAt, aActions);
   if (aAnswer.mResult != CallResult::Done) {
     relay.mNextExchangeAt = aNow.mAt;
+    relay.mNextPollAt = aNow.mAt;
     ScheduleExchange(aCalls, relay);
     return {};
   }
@@ -608,13 +635,13 @@
   }
   relay.mBegunAt = aAnswer.mResponse.mBegunAt;
   relay.mHeardAt = aNow.mAt;
+  PlanNextExchange(aCalls, relay, aAnswer.mResponse, aNow.mAt);
   relay.mQueue.erase(relay.mQueue.begin(),
                      relay.mQueue.begin() +
                        static_cast<std::ptrdiff_t>(std::exchange(relay.mInExchange, 0)));
   ReadClock(relay, aAnswer.mResponse.mClock, aNow.mAt);
   relay.mNeedsClock = false;
   relay.mIsLeaving |= aAnswer.mResponse.mIsStopping;
-  relay.mNextExchangeAt = aNow.mAt + ExchangeInterval(aCalls);
   auto answers = TakeResults(aCalls, relay, aNow, std::move(aAnswer));
   ScheduleExchange(aCalls, relay);
   return answers;
--- a/Libraries/LibSchedule/RelayedCalls.h
+++ b/Libraries/LibSchedule/RelayedCalls.h
@@ -69,6 +69,9 @@
   int mTimesUnanswered = 0;
   bool mNeedsClock = false;
   Instant mNextExchangeAt;
+  // When results are asked for if there is nothing else to exchange.
+  Instant mNextPollAt;
+  Duration mPollInterval{ 0 };
   Instant mAvoidUntil;
   // The mean time of the last exchanges, and how often in a row they were found to be slow.
   Duration mMeanExchangeTime{ 0 };
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -451,6 +451,21 @@
   }));
 }
 
+// Guards against owners that spend their time, and narrow links, on asking for results that are not
+// there (AVAIL, LOST).
+BOOST_AUTO_TEST_CASE(relays_that_have_nothing_to_tell_are_asked_less_often)
+{
+  ReadClocks();
+  auto actions = HeartbeatsTo(kManyExecutors);
+  Exchange(20ms, actions);
+  auto relays = mServices.size();
+  BOOST_TEST(Poll(1s, 2s).mExchanges <= relays * 30);
+  // Calls do not wait for the next such question.
+  auto next = HeartbeatsTo(kManyExecutors);
+  RelayCalls(mCalls, At(2s), next);
+  BOOST_TEST(Select<RelayCall>(next).size() == relays);
+}
+
 // Guards against one host that makes the calls of all owners, because all begin with the first one.
 BOOST_AUTO_TEST_CASE(owners_of_smaller_pools_use_different_relays)
 {
