--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -17,6 +17,8 @@
 constexpr int kDelaysInMean = 4;
 // A single delay, as by a suspension, counts up to this.
 constexpr Duration kMaxDelay = 2s;
+// An owner whose timers are this late in the mean bears no more calls than it makes.
+constexpr Duration kLateDelay = 50ms;
 // How long an owner goes on sharing: its timers are in time once it shares, which tells nothing of
 // its load without that.
 constexpr Duration kShareTime = 5s;
@@ -32,6 +34,9 @@
 constexpr Duration kMinExchangeInterval = 10ms;
 // Bounds the exchanges of an owner, however many relays it uses.
 constexpr Duration kExchangeIntervalPerRelay = 3ms;
+// A relay that had nothing to tell is asked again after twice the time, up to this, and one of a
+// late owner after the time by which the owner is late.
+constexpr Duration kMaxPollInterval = 40ms;
 constexpr Duration kAvoidTime = 2s;
 // It doubles each time that a relay is found to be slow, since only trying tells that it no longer
 // is.
@@ -59,12 +64,48 @@
   return aPerCore * aCapacityMillicores / kMillicoresPerCore;
 }
 
+// How many executors the host makes the calls to; its name is empty for this one.
+int&
+CountAssigned(RelayedCalls& aCalls, const std::string& aHost)
+{
+  return aHost.empty() ? aCalls.mOwnExecutors : aCalls.mRelays.at(aHost).mExecutors;
+}
+
+bool
+IsLate(const RelayedCalls& aCalls)
+{
+  return aCalls.mMeanDelay >= kLateDelay;
+}
+
+// The time by which an exchange may seem to take longer than it does, since its answer waits for
+// the owner's processor as its timers do.
+Duration
+OwnDelay(const RelayedCalls& aCalls)
+{
+  return 2 * std::max(aCalls.mMeanDelay, aCalls.mLastDelay);
+}
+
+bool
+IsAlone(const RelayedCalls& aCalls, Instant aNow)
+{
+  return aNow < aCalls.mAloneUntil && !IsLate(aCalls);
+}
+
+// Whether the owner makes the calls to an executor itself because a relay has failed to. It takes
+// back no more than it would make alone.
+bool
+TakesBack(const RelayedCalls& aCalls, const CallerAssignment& aAssignment, Instant aNow)
+{
+  auto limit = ScaleByCapacity(kExecutorsAlonePerCore, aCalls.mSettings.mCapacityMillicores);
+  return aNow < aAssignment.mOwnUntil && !IsLate(aCalls) && aCalls.mOwnExecutors < limit;
+}
+
 // Whether the owner has executors that it should hand over to a relay, aOwn being those that it
 // keeps.
 bool
 HasTooMany(const RelayedCalls& aCalls, int aOwn, Instant aNow)
 {
-  if (aNow < aCalls.mAloneUntil) {
+  if (IsAlone(aCalls, aNow)) {
     return false;
   }
   auto capacity = aCalls.mSettings.mCapacityMillicores;
@@ -86,11 +127,11 @@
   return aRelay.mClockReadAt && aNow - *aRelay.mClockReadAt < kMaxClockAge;
 }
 
-int
-CountAssigned(const RelayedCalls& aCalls, const std::string& aHost)
+// A late owner rather uses a relay that is slow than none.
+bool
+IsLastResort(const RelayedCalls& aCalls, const Relay& aRelay)
 {
-  auto found = aCalls.mAssigned.find(aHost);
-  return found == aCalls.mAssigned.end() ? 0 : found->second;
+  return IsLate(aCalls) && !aRelay.mIsLeaving;
 }
 
 struct RelayChoice
@@ -98,38 +139,97 @@
   std::string mName;
   int mExecutors = 0;
   bool mIsFull = true;
+  bool mIsAvoided = false;
 };
 
 // Few relays are filled rather than many used, so that each exchange carries many calls.
 bool
 IsBetter(const RelayChoice& aLeft, const RelayChoice& aRight)
 {
-  if (aRight.mName.empty() || aLeft.mIsFull != aRight.mIsFull) {
-    return aRight.mName.empty() || aRight.mIsFull;
+  if (aRight.mName.empty() || aLeft.mIsAvoided != aRight.mIsAvoided) {
+    return aRight.mName.empty() || aRight.mIsAvoided;
+  }
+  if (aLeft.mIsFull != aRight.mIsFull) {
+    return aRight.mIsFull;
   }
   return aLeft.mIsFull ? aLeft.mExecutors < aRight.mExecutors
                        : aLeft.mExecutors > aRight.mExecutors;
 }
 
+bool
+NeedsExchange(const Relay& aRelay)
+{
+  return !aRelay.mInFlight && (!aRelay.mPending.empty() || aRelay.mNeedsClock);
+}
+
+Instant
+DueAt(const Relay& aRelay)
+{
+  auto onlyAsks = aRelay.mQueue.empty() && !aRelay.mNeedsClock;
+  return onlyAsks ? aRelay.mNextPollAt : aRelay.mNextExchangeAt;
+}
+
+// Has the exchange that the relay needs made in time.
+void
+ScheduleExchange(RelayedCalls& aCalls, const Relay& aRelay)
+{
+  if (NeedsExchange(aRelay)) {
+    auto due = DueAt(aRelay);
+    aCalls.mNextExchangeAt = std::min(aCalls.mNextExchangeAt.value_or(due), due);
+  }
+}
+
+int
+RoomOf(const Relay& aRelay)
+{
+  return ScaleByCapacity(kRelayedExecutorsPerCore, aRelay.mCapacityMillicores);
+}
+
+// Calls the function with each relay. Each owner begins with another one, so that the first ones do
+// not get the calls of all owners.
+template<typename Function>
+void
+ForEachRelay(RelayedCalls& aCalls, Function aFunction)
+{
+  auto first = aCalls.mRelays.upper_bound(aCalls.mSettings.mHost);
+  std::for_each(first, aCalls.mRelays.end(), aFunction);
+  std::for_each(aCalls.mRelays.begin(), first, aFunction);
+}
+
+// Asks for the clocks of as many relays as have room for all executors.
+void
+AskForClocks(RelayedCalls& aCalls, Instant aNow)
+{
+  auto wanted = static_cast<int>(aCalls.mAssignments.size());
+  ForEachRelay(aCalls, [&](auto& aEntry) {
+    auto& relay = aEntry.second;
+    if (wanted <= 0 || !IsUsable(relay, aNow)) {
+      return;
+    }
+    wanted -= RoomOf(relay);
+    relay.mNeedsClock |= !HasClock(relay, aNow);
+    ScheduleExchange(aCalls, relay);
+  });
+}
+
 // Returns the name of the best relay; empty if none is usable.
 std::string
 ChooseRelay(RelayedCalls& aCalls, Instant aNow)
 {
   RelayChoice best;
-  for (auto& [name, relay] : aCalls.mRelays) {
-    if (!IsUsable(relay, aNow)) {
-      continue;
+  ForEachRelay(aCalls, [&](const auto& aEntry) {
+    const auto& [name, relay] = aEntry;
+    auto isAvoided = !IsUsable(relay, aNow);
+    if (!HasClock(relay, aNow) || (isAvoided && !IsLastResort(aCalls, relay))) {
+      return;
     }
-    if (!HasClock(relay, aNow)) {
-      relay.mNeedsClock = true;
-      continue;
-    }
-    auto executors = CountAssigned(aCalls, name);
-    auto limit = ScaleByCapacity(kRelayedExecutorsPerCore, relay.mCapacityMillicores);
-    RelayChoice choice{ name, executors, executors >= limit };
+    RelayChoice choice{ name, relay.mExecutors, relay.mExecutors >= RoomOf(relay), isAvoided };
     if (IsBetter(choice, best)) {
       best = choice;
     }
+  });
+  if (best.mIsFull || best.mIsAvoided) {
+    AskForClocks(aCalls, aNow);
   }
   return best.mName;
 }
@@ -138,11 +238,10 @@
 Assign(RelayedCalls& aCalls, CallerAssignment& aAssignment, Instant aNow)
 {
   aAssignment.mRelay.clear();
-  auto mayRelay = aNow >= aAssignment.mOwnUntil;
-  if (mayRelay && HasTooMany(aCalls, CountAssigned(aCalls, {}) + 1, aNow)) {
+  if (!TakesBack(aCalls, aAssignment, aNow) && HasTooMany(aCalls, aCalls.mOwnExecutors + 1, aNow)) {
     aAssignment.mRelay = ChooseRelay(aCalls, aNow);
   }
-  ++aCalls.mAssigned[aAssignment.mRelay];
+  ++CountAssigned(aCalls, aAssignment.mRelay);
 }
 
 // Returns the relay that makes the calls to an executor, or null if this host does.
@@ -158,12 +257,12 @@
   auto relay = aCalls.mRelays.find(assignment.mRelay);
   auto isUsable =
     relay != aCalls.mRelays.end() && IsUsable(relay->second, aNow) && HasClock(relay->second, aNow);
-  auto keeps =
-    assignment.mRelay.empty()
-      ? aNow < assignment.mOwnUntil || !HasTooMany(aCalls, CountAssigned(aCalls, {}), aNow)
-      : isUsable && aNow >= assignment.mOwnUntil && aNow >= aCalls.mAloneUntil;
+  auto takesBack = TakesBack(aCalls, assignment, aNow);
+  auto keeps = assignment.mRelay.empty()
+                 ? takesBack || !HasTooMany(aCalls, aCalls.mOwnExecutors, aNow)
+                 : isUsable && !takesBack && !IsAlone(aCalls, aNow);
   if (!keeps && !isNew) {
-    --aCalls.mAssigned[assignment.mRelay];
+    --CountAssigned(aCalls, assignment.mRelay);
     Assign(aCalls, assignment, aNow);
   }
   return assignment.mRelay.empty() ? nullptr : &aCalls.mRelays.at(assignment.mRelay);
@@ -197,15 +296,10 @@
   auto number = aRelay.mNextNumber++;
   aRelay.mPending[number] = { std::move(aCall), aNow.mAt };
   aRelay.mQueue.push_back(number);
+  ScheduleExchange(aCalls, aRelay);
   ++aCalls.mHandedOver;
 }
 
-bool
-NeedsExchange(const Relay& aRelay)
-{
-  return !aRelay.mInFlight && (!aRelay.mPending.empty() || aRelay.mNeedsClock);
-}
-
 Duration
 ExchangeInterval(const RelayedCalls& aCalls)
 {
@@ -261,7 +355,21 @@
   return call;
 }
 
-// Has the owner make the next calls to an executor itself.
+// Makes the exchanges that are due.
+void
+MakeExchanges(RelayedCalls& aCalls, const Now& aNow, Actions& aActions)
+{
+  aCalls.mNextExchangeAt.reset();
+  for (auto& [name, relay] : aCalls.mRelays) {
+    if (NeedsExchange(relay) && aNow.mAt >= DueAt(relay)) {
+      aActions.emplace_back(MakeExchange(aCalls, name, relay, aNow));
+      relay.mInFlight = true;
+    }
+    ScheduleExchange(aCalls, relay);
+  }
+}
+
+// Has the owner make the next calls to an executor itself, if it bears them.
 void
 MakeOwn(RelayedCalls& aCalls, const ExecutorCall& aCall, Instant aNow)
 {
@@ -284,9 +392,10 @@
   std::vector<ExecutorAnswer> answers;
   RelayedResult unanswered;
   unanswered.mIsRelayFailure = true;
-  for (const auto& [number, pending] : aRelay.mPending) {
+  answers.reserve(aRelay.mPending.size());
+  for (auto& [number, pending] : aRelay.mPending) {
     MakeOwn(aCalls, pending.mCall, aNow);
-    answers.push_back(ToExecutorAnswer(pending.mCall, pending.mSentAt, unanswered));
+    answers.push_back(ToExecutorAnswer(std::move(pending.mCall), pending.mSentAt, unanswered));
   }
   aCalls.mUnanswered += static_cast<std::int64_t>(answers.size());
   LogEntry entry{ LogLevel::Warning, "relay-lost", {}, aName };
@@ -297,6 +406,7 @@
   aRelay.mQueue.clear();
   aRelay.mInExchange = 0;
   aRelay.mInFlight = false;
+  aRelay.mTimesUnanswered = 0;
   aRelay.mSession = 0;
   aRelay.mClockReadAt.reset();
   aRelay.mNeedsClock = false;
@@ -337,7 +447,7 @@
     slow += isSlow ? 1 : 0;
     inUse += isSlow || !relay.mPending.empty() ? 1 : 0;
   }
-  if (2 * slow < inUse || aNow < aCalls.mAloneUntil) {
+  if (2 * slow < inUse || aNow < aCalls.mAloneUntil || IsLate(aCalls)) {
     return;
   }
   auto wasLong = aNow - aCalls.mAloneUntil > kAvoidTime * (1 << kMaxAvoidDoublings);
@@ -357,9 +467,7 @@
 {
   aRelay.mMeanExchangeTime += (aTime - aRelay.mMeanExchangeTime) / kExchangesInMean;
   auto isAvoided = aNow < aRelay.mAvoidUntil;
-  // An answer waits for the owner's processor, as its timers do.
-  auto ownTime = 2 * std::max(aCalls.mMeanDelay, aCalls.mLastDelay);
-  if (isAvoided || aRelay.mMeanExchangeTime <= kMaxExchangeTime + ownTime) {
+  if (isAvoided || aRelay.mMeanExchangeTime <= kMaxExchangeTime + OwnDelay(aCalls)) {
     auto isProven = aNow - aRelay.mAvoidUntil > kAvoidTime * (1 << aRelay.mTimesSlow);
     aRelay.mTimesSlow = isProven ? 0 : aRelay.mTimesSlow;
     return;
@@ -373,11 +481,37 @@
   ShareNoCallsIfLinkIsBusy(aCalls, aNow);
 }
 
+// Plans the next exchange after an answer. One that carries calls is not put off.
+void
+PlanNextExchange(const RelayedCalls& aCalls,
+                 Relay& aRelay,
+                 const RelayResponse& aResponse,
+                 Instant aNow)
+{
+  auto interval = ExchangeInterval(aCalls);
+  auto isIdle = aRelay.mInExchange == 0 && aResponse.mResults.empty();
+  auto longest = std::max(interval, Duration(kMaxPollInterval));
+  auto wanted = std::max(isIdle ? 2 * aRelay.mPollInterval : interval, aCalls.mMeanDelay);
+  aRelay.mPollInterval = std::clamp(wanted, interval, longest);
+  aRelay.mNextExchangeAt = aNow + interval;
+  aRelay.mNextPollAt = aNow + aRelay.mPollInterval;
+}
+
+// Whether an exchange without an answer shows that the relay is silent. A single one may have been
+// lost, of which a late owner takes notice late.
+bool
+IsSilent(const Relay& aRelay, Instant aSentAt, Instant aNow)
+{
+  auto isRepeated = aRelay.mTimesUnanswered > 1 || aNow - aSentAt >= kMaxSilence;
+  return isRepeated && aNow - aRelay.mHeardAt >= kMaxSilence;
+}
+
 // Returns the answers to the calls whose results are new.
 std::vector<ExecutorAnswer>
 TakeResults(RelayedCalls& aCalls, Relay& aRelay, const Now& aNow, RelayAnswer aAnswer)
 {
   std::vector<ExecutorAnswer> answers;
+  answers.reserve(aAnswer.mResponse.mResults.size());
   auto sequence = aAnswer.mResponse.mFirst;
   for (auto& result : aAnswer.mResponse.mResults) {
     if (sequence++ < aRelay.mReceived) {
@@ -394,7 +528,8 @@
     }
     // The way back took the time of the exchange at most.
     result.mAge += aNow.mAt - aAnswer.mSentAt;
-    answers.push_back(ToExecutorAnswer(pending.mapped().mCall, pending.mapped().mSentAt, result));
+    auto& [call, sentAt] = pending.mapped();
+    answers.push_back(ToExecutorAnswer(std::move(call), sentAt, std::move(result)));
   }
   return answers;
 }
@@ -433,12 +568,12 @@
   aCalls.mNextCleanUpAt = aNow + kCleanUpInterval;
   std::erase_if(aCalls.mAssignments, [&](const auto& aEntry) {
     auto isOver = aNow - aEntry.second.mLastCallAt > kAssignmentLifetime;
-    aCalls.mAssigned[aEntry.second.mRelay] -= isOver ? 1 : 0;
+    CountAssigned(aCalls, aEntry.second.mRelay) -= isOver ? 1 : 0;
     return isOver;
   });
   std::erase_if(aCalls.mRelays, [](const auto& aEntry) {
     const auto& relay = aEntry.second;
-    return relay.mIsLeaving && relay.mPending.empty() && !relay.mInFlight;
+    return relay.mIsLeaving && relay.mExecutors == 0 && relay.mPending.empty() && !relay.mInFlight;
   });
 }
 
@@ -453,6 +588,9 @@
   if (aCalls.mMeanDelay >= aCalls.mSettings.mShareCallsDelay) {
     aCalls.mSharesUntil = aNow + kShareTime;
   }
+  if (IsLate(aCalls)) {
+    aCalls.mAloneUntil = std::min(aCalls.mAloneUntil, aNow);
+  }
 }
 
 void
@@ -481,12 +619,15 @@
   }
   auto& relay = found->second;
   relay.mInFlight = false;
-  if (aAnswer.mResult != CallResult::Done && aNow.mAt - relay.mHeardAt >= kMaxSilence) {
+  relay.mTimesUnanswered = aAnswer.mResult == CallResult::Done ? 0 : relay.mTimesUnanswered + 1;
+  if (relay.mTimesUnanswered > 0 && IsSilent(relay, aAnswer.mSentAt, aNow.mAt)) {
     return GiveUp(aCalls, found->first, relay, "no answer", aNow.mAt, aActions);
   }
   RecordExchangeTime(aCalls, found->first, relay, aNow.mAt - aAnswer.mSentAt, aNow.mAt, aActions);
   if (aAnswer.mResult != CallResult::Done) {
     relay.mNextExchangeAt = aNow.mAt;
+    relay.mNextPollAt = aNow.mAt;
+    ScheduleExchange(aCalls, relay);
     return {};
   }
   if (relay.mBegunAt && relay.mBegunAt != aAnswer.mResponse.mBegunAt) {
@@ -494,14 +635,16 @@
   }
   relay.mBegunAt = aAnswer.mResponse.mBegunAt;
   relay.mHeardAt = aNow.mAt;
+  PlanNextExchange(aCalls, relay, aAnswer.mResponse, aNow.mAt);
   relay.mQueue.erase(relay.mQueue.begin(),
                      relay.mQueue.begin() +
                        static_cast<std::ptrdiff_t>(std::exchange(relay.mInExchange, 0)));
   ReadClock(relay, aAnswer.mResponse.mClock, aNow.mAt);
   relay.mNeedsClock = false;
   relay.mIsLeaving |= aAnswer.mResponse.mIsStopping;
-  relay.mNextExchangeAt = aNow.mAt + ExchangeInterval(aCalls);
-  return TakeResults(aCalls, relay, aNow, std::move(aAnswer));
+  auto answers = TakeResults(aCalls, relay, aNow, std::move(aAnswer));
+  ScheduleExchange(aCalls, relay);
+  return answers;
 }
 
 void
@@ -510,33 +653,21 @@
   CleanUp(aCalls, aNow.mAt);
   std::erase_if(aActions,
                 [&](Action& aAction) { return HandOverIfRelayed(aCalls, aNow, aAction); });
-  for (auto& [name, relay] : aCalls.mRelays) {
-    if (NeedsExchange(relay) && aNow.mAt >= relay.mNextExchangeAt) {
-      aActions.emplace_back(MakeExchange(aCalls, name, relay, aNow));
-      relay.mInFlight = true;
-    }
+  if (aCalls.mNextExchangeAt && aNow.mAt >= *aCalls.mNextExchangeAt) {
+    MakeExchanges(aCalls, aNow, aActions);
   }
 }
 
 std::optional<Instant>
 NextExchangeAt(const RelayedCalls& aCalls)
 {
-  std::optional<Instant> next;
-  for (const auto& [name, relay] : aCalls.mRelays) {
-    if (NeedsExchange(relay) && (!next || relay.mNextExchangeAt < *next)) {
-      next = relay.mNextExchangeAt;
-    }
-  }
-  return next;
+  return aCalls.mNextExchangeAt;
 }
 
 int
 CountRelayedExecutors(const RelayedCalls& aCalls)
 {
-  return static_cast<int>(
-    std::count_if(aCalls.mAssignments.begin(), aCalls.mAssignments.end(), [](const auto& aEntry) {
-      return !aEntry.second.mRelay.empty();
-    }));
+  return static_cast<int>(aCalls.mAssignments.size()) - aCalls.mOwnExecutors;
 }
 
 }
--- a/Libraries/LibSchedule/RelayedCalls.h
+++ b/Libraries/LibSchedule/RelayedCalls.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 // Shares the calls of an owner to its executors among the entry hosts that own shards. An owner
@@ -17,7 +18,10 @@
 // exchanges take long, is avoided for a while. All calls that a silent relay has are unanswered;
 // those of a slow one are still answered. If half of the relays in use are slow, the owner's own
 // link is taken for the cause, and it makes all calls itself. What a relay fails to do tells
-// nothing of the executors: the owner makes their next calls itself.
+// nothing of the executors: the owner makes their next calls itself, or another relay does.
+//
+// An owner that is late takes no calls back, since its lateness would grow with the calls that it
+// makes: it uses a slow relay rather than none, and asks for results less often.
 namespace sesameseam::schedule {
 
 struct RelayedCallsSettings
@@ -42,6 +46,8 @@
   int mCapacityMillicores = 0;
   // It is no longer listed, or about to stop: it gets no new calls.
   bool mIsLeaving = false;
+  // How many executors it makes the calls to.
+  int mExecutors = 0;
   // 0 while there is none.
   std::int64_t mSession = 0;
   // A lower bound of how far the relay's clock is ahead of this host's, and when it was found.
@@ -59,8 +65,13 @@
   Instant mHeardAt;
   std::int64_t mNextNumber = 1;
   bool mInFlight = false;
+  // How many exchanges in a row were not answered.
+  int mTimesUnanswered = 0;
   bool mNeedsClock = false;
   Instant mNextExchangeAt;
+  // When results are asked for if there is nothing else to exchange.
+  Instant mNextPollAt;
+  Duration mPollInterval{ 0 };
   Instant mAvoidUntil;
   // The mean time of the last exchanges, and how often in a row they were found to be slow.
   Duration mMeanExchangeTime{ 0 };
@@ -73,7 +84,7 @@
   // The name of the relay; empty if this host makes them.
   std::string mRelay;
   Instant mLastCallAt;
-  // Until then this host makes them, since a relay has failed to.
+  // Until then this host makes them if it bears it, since a relay has failed to.
   Instant mOwnUntil;
 };
 
@@ -81,16 +92,18 @@
 {
   RelayedCallsSettings mSettings;
   std::map<std::string, Relay> mRelays;
-  std::map<ExecutorId, CallerAssignment> mAssignments;
-  // How many of them each host has.
-  std::map<std::string, int> mAssigned;
+  std::unordered_map<ExecutorId, CallerAssignment> mAssignments;
+  // How many of the executors this host calls itself.
+  int mOwnExecutors = 0;
+  // No exchange is due before; empty if none is needed.
+  std::optional<Instant> mNextExchangeAt;
   Instant mNextCleanUpAt;
   // The mean delay of this host's timers over the last ones.
   Duration mMeanDelay{ 0 };
   Duration mLastDelay{ 0 };
   // The owner shares its calls until then, since it was short of processor time.
   Instant mSharesUntil;
-  // Until then the owner makes all calls itself, since its link bears no exchanges.
+  // Until then the owner makes all calls itself if it bears it, since its link bears no exchanges.
   Instant mAloneUntil;
   int mTimesAlone = 0;
   // Counters for the metrics.
