End the runs of an executor once another one has its address

An owner that finds no note of a silent executor waits from its own take-over for the longest lease (10.5 s), and owners of less than two seconds leave no note, so that each waits anew. Nothing used that the machine had another executor by then: it answers every call for the former one with 421, which was taken for silence.

Such an answer now ends the runs that were there when the call was made; they count as crashed unless the executor had announced that it leaves. It comes through relays too. So that an owner can ask at all after the entry is gone from the list, the address of each executor with runs is kept in the progress stream, under '@' and its id: one record for each life of an executor.

Safe since a machine runs one executor at a time, orders that the former one received late are lost with its process, and a run whose start is newer than the call is left alone.

--- a/Libraries/LibSchedule/CrashIsolation.cpp
+++ b/Libraries/LibSchedule/CrashIsolation.cpp
@@ -77,8 +77,10 @@
   }
   auto hasRestarted = aRun.mIncarnation != 0 && aExecutor.mListedIncarnation != 0 &&
                       aRun.mIncarnation != aExecutor.mListedIncarnation;
-  auto hasVanished = aExecutor.mEntry.mState == ExecutorState::Gone &&
-                     !aExecutor.mHasAnnouncedLeave && aExecutor.mDrainReason == DrainReason::None;
+  auto hasLeft = aExecutor.mEntry.mState == ExecutorState::Gone ||
+                 (aExecutor.mIsReplaced && aExecutor.mEntry.mState != ExecutorState::Draining);
+  auto hasVanished =
+    hasLeft && !aExecutor.mHasAnnouncedLeave && aExecutor.mDrainReason == DrainReason::None;
   return hasRestarted || hasVanished;
 }
 
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -85,6 +85,8 @@
 struct Executor
 {
   ExecutorEntry mEntry;
+  // Its address in the log; empty if the log has none.
+  std::string mRecordedAddress;
   std::optional<ClockReading> mClockReading;
   // By this time every run there has ended, unless a lease is renewed.
   Instant mLeasesExpiredAt;
@@ -110,6 +112,8 @@
   DrainReason mDrainReason = DrainReason::None;
   // Its entry said that it drains before it was removed.
   bool mHasAnnouncedLeave = false;
+  // Another executor has answered at its address: its process has ended, and all runs with it.
+  bool mIsReplaced = false;
   // It takes no work but suspects, until none waits.
   bool mIsReservedForSuspects = false;
   // Its host is still due for maintenance in a wave, so that a long-running task would soon
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -71,6 +71,9 @@
   HeartbeatCall mCall;
   CallResult mResult = CallResult::Unanswered;
   bool mFenced = false;
+  // Another executor answered at the address, so that the process of the one that was called has
+  // ended.
+  bool mIsFromAnother = false;
   std::int64_t mIncarnation = 0;
   std::chrono::milliseconds mClock{ 0 };
   std::vector<RunningTask> mRunning;
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -14,6 +14,7 @@
 
 constexpr char kCancellationPrefix = 'x';
 constexpr char kLeaseExpiryPrefix = '!';
+constexpr char kExecutorAddressPrefix = '@';
 
 record::Step
 ToRecord(const Step& aStep)
@@ -207,6 +208,18 @@
   return ExecutorId(std::string(aKey.substr(1)));
 }
 
+std::string
+ExecutorAddressKey(const ExecutorId& aExecutor)
+{
+  return kExecutorAddressPrefix + aExecutor.mValue;
+}
+
+bool
+IsExecutorAddressKey(std::string_view aKey)
+{
+  return !aKey.empty() && aKey.front() == kExecutorAddressPrefix;
+}
+
 std::string
 EncodeLeaseExpiry(TimePoint aLapsedAt)
 {
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -80,6 +80,7 @@
 LeaseExpiryKey(const ExecutorId& aExecutor);
 bool
 IsLeaseExpiryKey(std::string_view aKey);
+// The executor that a lease expiry or an address is recorded of.
 ExecutorId
 ExecutorOfKey(std::string_view aKey);
 std::string
@@ -87,6 +88,13 @@
 absl::StatusOr<TimePoint>
 DecodeLeaseExpiry(std::string_view aBytes);
 
+// The owner also records the address of each executor that it places tasks on. When the executor is
+// no longer listed, a later owner learns there whether its runs go on or its process has ended.
+std::string
+ExecutorAddressKey(const ExecutorId& aExecutor);
+bool
+IsExecutorAddressKey(std::string_view aKey);
+
 std::string
 EncodeProgress(const JobProgress& aProgress);
 absl::StatusOr<JobProgress>
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -114,6 +114,7 @@
 Fill(const HeartbeatAnswer& aAnswer, RelayedResult& aResult)
 {
   aResult.mFenced = aAnswer.mFenced;
+  aResult.mRefusal = aAnswer.mIsFromAnother ? StartRefusal::OtherIncarnation : StartRefusal::None;
   aResult.mIncarnation = aAnswer.mIncarnation;
   aResult.mClock = aAnswer.mClock;
   aResult.mRunning = aAnswer.mRunning;
@@ -143,6 +144,7 @@
 {
   HeartbeatAnswer answer{ aCall, aResult.mResult };
   answer.mFenced = aResult.mFenced;
+  answer.mIsFromAnother = aResult.mRefusal == StartRefusal::OtherIncarnation;
   answer.mIncarnation = aResult.mIncarnation;
   answer.mClock = aResult.mClock;
   answer.mRunning = aResult.mRunning;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -1,6 +1,7 @@
 #include "LibSchedule/Shard.h"
 
 #include "LibSchedule/CrashIsolation.h"
+#include "LibSchedule/ExecutorAddresses.h"
 
 #include <algorithm>
 
@@ -24,6 +25,7 @@
     found->second.mEntry.mState = ExecutorState::Gone;
     found->second.mLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, aId, aNow);
     found->second.mIsUnresponsive = aShard.mLoadedUnresponsive.contains(aId);
+    detail::ApplyLoadedAddress(aShard, found->second);
   }
   return found->second;
 }
@@ -116,6 +118,11 @@
   if (aEntry.mState == ExecutorState::Gone) {
     executor.mHasAnnouncedLeave |= executor.mEntry.mState == ExecutorState::Draining;
     executor.mEntry.mState = ExecutorState::Gone;
+    if (executor.mEntry.mAddress.empty()) {
+      // Whether its runs go on, or its process has ended, is asked there.
+      executor.mEntry.mAddress = aEntry.mAddress;
+    }
+    detail::RemoveAddressOnceEmpty(aShard, executor);
     return;
   }
   executor.mHasAnnouncedLeave = false;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -115,6 +115,10 @@
   std::set<ExecutorId> mResponsivenessToRecord;
   // Executors that the log records as unresponsive, and when the last lease on each has expired.
   std::map<ExecutorId, TimePoint> mLoadedUnresponsive;
+  // The addresses of executors in the log, as this owner found them.
+  std::map<ExecutorId, std::string> mLoadedAddresses;
+  // Executors that are gone and whose address in the log is removed once they have no runs.
+  std::set<ExecutorId> mAddressesToRemove;
   // The last processed end of each executor that waits for the next write.
   std::map<ExecutorId, std::int64_t> mEndsToRecord;
   std::int64_t mSequence = 0;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -161,6 +161,26 @@
   }
 }
 
+// Drops the runs of an executor whose address another executor has, provided that they were there
+// when that one was called.
+void
+DropRunsOfReplaced(Shard& aShard, Executor& aExecutor, Instant aCalledAt, Actions& aActions)
+{
+  aExecutor.mIsReplaced = true;
+  std::vector<TaskRun> names;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    if (run.mState != RunState::Recording && run.mStateSince < aCalledAt) {
+      names.push_back(name);
+    }
+  }
+  for (const auto& name : names) {
+    MarkRunLost(aShard, aExecutor, name, "another executor has its address", aActions);
+  }
+  if (!names.empty() && aExecutor.mIsUnresponsive) {
+    aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
+  }
+}
+
 // A new incarnation numbers its ends from 1 again. Only its list decides which runs remain, because
 // a run may have been started after the restart.
 void
@@ -289,6 +309,9 @@
       aActions.emplace_back(std::move(entry));
     }
     RecordUnansweredHeartbeat(*executor, aNow.mAt);
+    if (aAnswer.mIsFromAnother) {
+      DropRunsOfReplaced(aShard, *executor, aAnswer.mSentAt, aActions);
+    }
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
       aShard.mResponsivenessToRecord.insert(executor->mEntry.mId);
     }
@@ -299,6 +322,7 @@
   }
   aShard.mNeedsPlacementPass |= !executor->mHasAnsweredHeartbeat || executor->mUnansweredCalls > 0;
   executor->mUnansweredCalls = 0;
+  executor->mIsReplaced = false;
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
   if (!executor->mHasAnsweredHeartbeat) {
     // The former owner is fenced off, and the last lease that it renewed expires by itself.
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -1,3 +1,4 @@
+#include "LibSchedule/ExecutorAddresses.h"
 #include "LibSchedule/Shard.h"
 
 #include <algorithm>
@@ -100,6 +101,7 @@
   aShard.mLoadedProgress.clear();
   aShard.mNeedsPlacementPass = true;
   RecordUnlistedExecutors(aShard);
+  detail::RemoveUnlistedAddresses(aShard);
   LogEntry entry{ LogLevel::Info, "shard-owned" };
   entry.mSubject = std::to_string(aShard.mPartition);
   entry.mOutcome = std::to_string(aShard.mJobs.size()) + " unfinished jobs";
@@ -138,6 +140,10 @@
     ApplyUnresponsiveRecord(aShard, aNow, aRecord, aActions);
     return;
   }
+  if (IsExecutorAddressKey(aRecord.mKey)) {
+    detail::OnLoadedAddress(aShard, aRecord);
+    return;
+  }
   auto progress = DecodeProgress(aRecord.mValue);
   if (!progress.ok()) {
     LogEntry entry{ LogLevel::Warning, "progress-unreadable", aRecord.mKey };
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -1,3 +1,4 @@
+#include "LibSchedule/ExecutorAddresses.h"
 #include "LibSchedule/Shard.h"
 
 #include <algorithm>
@@ -89,6 +90,7 @@
   }
   write.mStarts.swap(aShard.mRunsToRecord);
   write.mEnds.swap(aShard.mEndsToRecord);
+  detail::AddAddressRecords(aShard, write);
   return write;
 }
 
--- a/Libraries/LibStandIn/FakeExecutor.cpp
+++ b/Libraries/LibStandIn/FakeExecutor.cpp
@@ -95,6 +95,7 @@
   answer.mIncarnation = aExecutor.mEntry.mIncarnation;
   if (aCall.mTo.mExecutor != aExecutor.mEntry.mId) {
     answer.mResult = CallResult::Refused;
+    answer.mIsFromAnother = true;
     return answer;
   }
   if (aCall.mTo.mEpoch < aExecutor.mFence) {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -35,6 +35,8 @@
   double mLateOrders = 0;
   // Of a hundred jobs that a test with random faults submits, how many crash their executors.
   int mDeadlyJobs = 0;
+  // The time that the store takes for each call.
+  Duration mStoreLatency = 4ms;
   // The processor time that a host takes for each event. It handles one event after the other.
   Duration mEventCost{ 0 };
   // The part of it that is left for each answer that a relay brings: the transport of the call is
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -15,7 +15,6 @@
 using schedule::Stream;
 
 constexpr Duration kNetworkLatency = 1ms;
-constexpr Duration kStoreLatency = 4ms;
 constexpr Duration kCallTimeout = 900ms;
 constexpr Duration kLongPollInterval = 5ms;
 // The size of a call without its records or specification, with all headers.
@@ -80,7 +79,7 @@
     return;
   }
   auto sentIn = Transfer(aHost, aBytes);
-  ScheduleAfter(kNetworkLatency + kStoreLatency + sentIn, [=, this] {
+  ScheduleAfter(kNetworkLatency + mSettings.mStoreLatency + sentIn, [=, this] {
     auto answer = aWork();
     if (sentIn > kCallTimeout || Chance(mSettings.mAnswerLoss)) {
       ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, aWithoutAnswer); });
@@ -256,7 +255,8 @@
     ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, lost); });
   } else {
     auto until = mNow + aCall.mWait;
-    ScheduleAfter(kStoreLatency, [=, this] { AnswerRead(aHost, incarnation, aCall, until); });
+    ScheduleAfter(mSettings.mStoreLatency,
+                  [=, this] { AnswerRead(aHost, incarnation, aCall, until); });
   }
 }
 
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -456,6 +456,9 @@
   response.mResults.push_back(ToRelayedResult(1, answer));
   StartAnswer refused{ start, CallResult::Refused, StartRefusal::StaleRun, 16ms };
   response.mResults.push_back(ToRelayedResult(2, refused));
+  HeartbeatAnswer fromAnother{ heartbeat, CallResult::Refused };
+  fromAnother.mIsFromAnother = true;
+  response.mResults.push_back(ToRelayedResult(3, fromAnother));
   auto returned = DecodeRelayResponse(EncodeRelayResponse(response)).value();
   BOOST_TEST((returned.mClock == Instant(15s)));
   auto back =
@@ -467,6 +470,9 @@
   BOOST_TEST(back.mUnreadable == 1);
   auto start2 = std::get<StartAnswer>(ToExecutorAnswer(start, Instant(1s), returned.mResults[1]));
   BOOST_TEST((start2.mRefusal == StartRefusal::StaleRun && start2.mClock == 16ms));
+  BOOST_TEST(!back.mIsFromAnother);
+  auto third = ToExecutorAnswer(heartbeat, Instant(1s), returned.mResults[2]);
+  BOOST_TEST(std::get<HeartbeatAnswer>(third).mIsFromAnother);
 }
 
 BOOST_AUTO_TEST_CASE(a_truncated_message_is_a_typed_error)
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -279,4 +279,74 @@
   BOOST_TEST(owner.TheExecutor().mUnansweredCalls == 1);
 }
 
+// Guards against tasks that stay away until a lease has expired although their executor's process
+// has ended for certain (LOST), and against one that crashes its executors uncounted (BUDGET).
+BOOST_AUTO_TEST_CASE(runs_end_with_their_executor_once_another_one_has_its_address)
+{
+  for (auto state : { ExecutorState::Ready, ExecutorState::Draining, ExecutorState::Gone }) {
+    Owner owner;
+    owner.AddJob(Later(10ms));
+    owner.Advance(Later(10ms));
+    auto& executor = owner.TheExecutor();
+    BOOST_REQUIRE(executor.mRuns.size() == 1u);
+    executor.mRuns.begin()->second.mState = RunState::Running;
+    executor.mEntry.mState = state;
+    HeartbeatAnswer answer;
+    answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+    answer.mResult = CallResult::Refused;
+    answer.mIsFromAnother = true;
+    // A call that was sent before the start says nothing about the run.
+    answer.mSentAt = Later(10ms).mAt;
+    OnHeartbeatAnswer(owner.mShard, Later(30ms), answer, owner.mActions);
+    BOOST_TEST(executor.mRuns.size() == 1u);
+    answer.mSentAt = Later(20ms).mAt;
+    OnHeartbeatAnswer(owner.mShard, Later(40ms), answer, owner.mActions);
+    BOOST_TEST(executor.mRuns.empty());
+    // It did not say that it would leave, or it did.
+    auto crashes = state == ExecutorState::Draining ? 0 : 1;
+    BOOST_TEST(owner.mShard.mCounters.mTasksCrashed == crashes);
+    BOOST_TEST(!IsSchedulable(executor, Later(40ms).mAt));
+  }
+}
+
+// Guards against an owner that cannot ask an executor that is no longer listed (LOST), and against
+// addresses that stay in the log for ever.
+BOOST_AUTO_TEST_CASE(the_addresses_of_executors_with_runs_are_kept_in_the_log)
+{
+  auto addressRecords = [](const Actions& aActions) {
+    std::vector<LogRecord> records;
+    for (const auto& call : Select<AppendCall>(aActions)) {
+      std::copy_if(call.mRecords.begin(),
+                   call.mRecords.end(),
+                   std::back_inserter(records),
+                   [](const LogRecord& aRecord) { return IsExecutorAddressKey(aRecord.mKey); });
+    }
+    return records;
+  };
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto added = addressRecords(owner.mActions);
+  BOOST_REQUIRE(added.size() == 1u);
+  BOOST_TEST(added[0].mKey == ExecutorAddressKey(kExecutor));
+  BOOST_TEST(added[0].mValue == "10.0.0.1:80");
+  // It is removed once the executor is gone and has no runs.
+  auto entry = owner.TheExecutor().mEntry;
+  entry.mState = ExecutorState::Gone;
+  owner.mShard.mWrite.reset();
+  UpdateExecutor(owner.mShard, Later(20ms), entry);
+  owner.AddJob(Later(30ms), "0000000000000002");
+  auto* job = schedule::detail::FindJob(owner.mShard, JobId("0000000000000002"));
+  schedule::detail::MarkDirty(owner.mShard, *job);
+  owner.Advance(Later(30ms));
+  BOOST_TEST(addressRecords(owner.mActions).empty());
+  owner.TheExecutor().mRuns.clear();
+  owner.mShard.mWrite.reset();
+  schedule::detail::MarkDirty(owner.mShard, *job);
+  owner.Advance(Later(50ms));
+  auto removed = addressRecords(owner.mActions);
+  BOOST_REQUIRE(removed.size() == 1u);
+  BOOST_TEST(removed[0].mValue.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -37,6 +37,17 @@
   return -1;
 }
 
+// Returns the executor that has a run, or -1.
+int
+ExecutorOf(const Simulation& aSimulation)
+{
+  const auto& executors = aSimulation.mExecutors;
+  auto found = std::find_if(executors.begin(), executors.end(), [](const FakeExecutor& aExecutor) {
+    return !aExecutor.mRuns.empty();
+  });
+  return found == executors.end() ? -1 : static_cast<int>(found - executors.begin());
+}
+
 JobPhase
 QueryPhase(Simulation& aSimulation, int aHost, const JobId& aJob)
 {
@@ -374,6 +385,34 @@
   CheckInvariants(simulation);
 }
 
+// Guards against a long-running task that is away for too long (LOST): its machine had another
+// executor, but owner after owner waited for the longest lease from its own take-over on, because
+// none before it had lived long enough to record that the old one was silent.
+BOOST_AUTO_TEST_CASE(a_long_running_task_runs_again_once_another_executor_has_its_address)
+{
+  for (auto storeLatency : { 4ms, 400ms }) {
+    Simulation simulation({ .mStoreLatency = storeLatency });
+    simulation.RunFor(6 * kStart);
+    auto job = simulation.Submit(0, { MakeLongRunningStep(1, 1, 0) }, "lasts");
+    simulation.RunFor(6 * kStart);
+    auto former = ExecutorOf(simulation);
+    BOOST_REQUIRE(former >= 0);
+    simulation.CrashExecutorFor(former, 5s, false);
+    // Each owner is replaced at once, by a process that has never seen the former executor listed.
+    for (auto until = simulation.Time().mAt + 6s; simulation.Time().mAt < until;) {
+      if (auto owner = OwnerOf(simulation); owner >= 0) {
+        simulation.Kill(owner);
+        simulation.RunFor(300ms);
+        simulation.Revive(owner);
+      }
+      simulation.RunFor(100ms);
+    }
+    simulation.RunFor(6s);
+    BOOST_TEST(simulation.CountRuns(job) == 2, "store latency " << storeLatency.count() << " ms");
+    CheckInvariants(simulation);
+  }
+}
+
 // During rolling restarts of entry hosts, a new owner did not count the resources of a finished
 // job's tasks that were still being stopped.
 BOOST_AUTO_TEST_CASE(a_new_owner_counts_the_resources_of_tasks_that_it_does_not_know)
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -120,6 +120,13 @@
   HeartbeatAnswer fenced;
   DecodeHeartbeat(409, R"({"clockMs":1,"reason":"fence"})", fenced);
   BOOST_TEST(fenced.mFenced);
+  BOOST_TEST(!fenced.mIsFromAnother);
+  // Only this status says that the executor's process has ended.
+  for (auto status : { 400, 404, 421, 429, 500, 503 }) {
+    HeartbeatAnswer refused;
+    DecodeHeartbeat(status, R"({"clockMs":1})", refused);
+    BOOST_TEST(refused.mIsFromAnother == (status == 421));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(start_refusals_are_decoded)
