--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -129,6 +129,7 @@
 Fill(const HeartbeatAnswer& aAnswer, RelayedResult& aResult)
 {
   aResult.mFenced = aAnswer.mFenced;
+  aResult.mRefusal = aAnswer.mIsFromAnother ? StartRefusal::OtherIncarnation : StartRefusal::None;
   aResult.mIncarnation = aAnswer.mIncarnation;
   aResult.mClock = aAnswer.mClock;
   aResult.mRunning = aAnswer.mRunning;
@@ -158,6 +159,7 @@
 {
   HeartbeatAnswer answer{ std::move(aCall), aResult.mResult };
   answer.mFenced = aResult.mFenced;
+  answer.mIsFromAnother = aResult.mRefusal == StartRefusal::OtherIncarnation;
   answer.mIncarnation = aResult.mIncarnation;
   answer.mClock = aResult.mClock;
   answer.mRunning = std::move(aResult.mRunning);
