Take over only the rows of the list of machines that have changed

MachineList updates its entries in place and counts the changes.

Tests: a property against taking over the whole list, over pages that lose, repeat and change rows; one of the decoder against one that remembers nothing. DecodeMachines() takes the remembered pages, so that the test with any bytes passes some; it asks for the same as before.

No profile was taken.

--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -239,11 +240,15 @@
   std::string mPage;
 };
 
+// A row of the list of machines. A row that is as in the last answer for the same page is the same
+// object, so that it needn't be compared again.
+using MachineRow = std::shared_ptr<const Machine>;
+
 struct MachinesAnswer
 {
   MachinesCall mCall;
   CallResult mResult = CallResult::Unanswered;
-  std::vector<Machine> mMachines;
+  std::vector<MachineRow> mMachines;
   std::string mNextPage;
 };
 
--- a/Libraries/LibSchedule/MachineList.cpp
+++ b/Libraries/LibSchedule/MachineList.cpp
@@ -1,11 +1,75 @@
 #include "LibSchedule/MachineList.h"
 
+#include <algorithm>
+#include <string_view>
+
 namespace sesameseam::schedule {
 
 namespace {
 
 constexpr Duration kListInterval = 500ms;
 
+// Takes a row over that differs from what is known of its machine.
+void
+ApplyRow(MachineList& aList, Instant aNow, const Machine& aMachine)
+{
+  auto [known, isNew] = aList.mMachines.try_emplace(aMachine.mId);
+  if (!isNew && known->second == aMachine) {
+    return;
+  }
+  auto isNewHere = isNew || known->second.mPool != aMachine.mPool;
+  if (isNewHere) {
+    aList.mInPoolSince[aMachine.mId] = aNow;
+  }
+  if (aMachine.mState != MachineState::Up) {
+    aList.mUpSince.erase(aMachine.mId);
+  } else if (isNewHere || !aList.mUpSince.contains(aMachine.mId)) {
+    aList.mUpSince[aMachine.mId] = aList.mFirstPageAt;
+  }
+  known->second = aMachine;
+  ++aList.mChanges;
+}
+
+// Whether the next list has the machines of the current one, in the same order.
+bool
+HasSameMachines(const MachineList& aList)
+{
+  return !aList.mHasRepeatedRows && std::equal(aList.mRows.begin(),
+                                               aList.mRows.end(),
+                                               aList.mNextRows.begin(),
+                                               aList.mNextRows.end(),
+                                               [](const MachineRow& aOld, const MachineRow& aNew) {
+                                                 return aOld == aNew || aOld->mId == aNew->mId;
+                                               });
+}
+
+void
+ApplyChangedRows(MachineList& aList, Instant aNow)
+{
+  for (std::size_t i = 0; i < aList.mRows.size(); ++i) {
+    if (aList.mRows[i] != aList.mNextRows[i]) {
+      ApplyRow(aList, aNow, *aList.mNextRows[i]);
+    }
+  }
+}
+
+// Of a machine that moved to another page while the list was read, the last row counts.
+void
+ApplyAllRows(MachineList& aList, Instant aNow)
+{
+  std::map<std::string_view, const Machine*> listed;
+  for (const auto& row : aList.mNextRows) {
+    listed[row->mId.mValue] = row.get();
+  }
+  aList.mHasRepeatedRows = listed.size() != aList.mNextRows.size();
+  for (const auto& [id, machine] : listed) {
+    ApplyRow(aList, aNow, *machine);
+  }
+  auto gone = std::erase_if(
+    aList.mMachines, [&](const auto& aEntry) { return !listed.contains(aEntry.first.mValue); });
+  aList.mChanges += static_cast<std::int64_t>(gone);
+}
+
 }
 
 void
@@ -16,31 +80,22 @@
   aList.mNextReadAt = aNow.mAt + kListInterval;
   if (aAnswer.mResult != CallResult::Done) {
     aList.mNextPage.clear();
-    aList.mNextMachines.clear();
+    aList.mNextRows.clear();
     return;
   }
-  for (const auto& machine : aAnswer.mMachines) {
-    aList.mNextMachines[machine.mId] = machine;
-  }
+  aList.mNextRows.insert(aList.mNextRows.end(), aAnswer.mMachines.begin(), aAnswer.mMachines.end());
   aList.mNextPage = aAnswer.mNextPage;
   if (!aAnswer.mNextPage.empty()) {
     aList.mNextReadAt = aNow.mAt;
     return;
   }
-  for (const auto& [id, machine] : aList.mNextMachines) {
-    const auto* known = FindMachine(aList, id);
-    auto isNewHere = known == nullptr || known->mPool != machine.mPool;
-    if (isNewHere) {
-      aList.mInPoolSince[id] = aNow.mAt;
-    }
-    if (machine.mState != MachineState::Up) {
-      aList.mUpSince.erase(id);
-    } else if (isNewHere || !aList.mUpSince.contains(id)) {
-      aList.mUpSince[id] = aList.mFirstPageAt;
-    }
+  if (HasSameMachines(aList)) {
+    ApplyChangedRows(aList, aNow.mAt);
+  } else {
+    ApplyAllRows(aList, aNow.mAt);
   }
-  aList.mMachines.swap(aList.mNextMachines);
-  aList.mNextMachines.clear();
+  aList.mRows.swap(aList.mNextRows);
+  aList.mNextRows.clear();
   aList.mRequestedAt = aList.mFirstPageAt;
   aList.mIsKnown = true;
 }
--- a/Libraries/LibSchedule/MachineList.h
+++ b/Libraries/LibSchedule/MachineList.h
@@ -3,12 +3,15 @@
 #include "LibSchedule/Dependency.h"
 
 #include <map>
+#include <vector>
 
-// The platform's list of machines, polled while this entry host owns shards.
+// The platform's list of machines, polled while this entry host owns shards. A list that is read
+// again costs a look at each row, and more only for rows that differ from the last list.
 namespace sesameseam::schedule {
 
 struct MachineList
 {
+  // Entries stay where they are while their machine is listed.
   std::map<MachineId, Machine> mMachines;
   // When a machine was first known to be in its pool.
   std::map<MachineId, Instant> mInPoolSince;
@@ -17,9 +20,15 @@
   bool mIsKnown = false;
   // When the current list was requested.
   Instant mRequestedAt;
+  // How many machines came, changed or went over all lists.
+  std::int64_t mChanges = 0;
 
-  // Machines from the pages of the next list that were read so far.
-  std::map<MachineId, Machine> mNextMachines;
+  // The rows of the current list. No machine is in two of them unless mHasRepeatedRows is set.
+  std::vector<MachineRow> mRows;
+  bool mHasRepeatedRows = false;
+
+  // Rows from the pages of the next list that were read so far.
+  std::vector<MachineRow> mNextRows;
   std::string mNextPage;
   Instant mFirstPageAt;
   Dependency mDependency;
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -224,6 +224,8 @@
   ServiceName mPool;
   MachineState mState = MachineState::Down;
   ExecutorId mExecutor;
+
+  bool operator==(const Machine&) const = default;
 };
 
 enum class ExecutorState
--- a/Libraries/LibStandIn/OwnerModel.cpp
+++ b/Libraries/LibStandIn/OwnerModel.cpp
@@ -322,7 +322,7 @@
   answer.mCall = aCall;
   answer.mResult = CallResult::Done;
   for (int i = 0; i < aModel.mSettings.mExecutors; ++i) {
-    answer.mMachines.push_back(MakeMachine(i));
+    answer.mMachines.push_back(std::make_shared<const Machine>(MakeMachine(i)));
   }
   Apply(aModel, answer);
 }
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -468,7 +468,7 @@
   answer.mCall = aCall;
   answer.mResult = CallResult::Done;
   for (const auto& [id, machine] : mMachines) {
-    answer.mMachines.push_back(machine);
+    answer.mMachines.push_back(std::make_shared<const schedule::Machine>(machine));
   }
   ScheduleAfter(kNetworkLatency, [=, this] { Deliver(aHost, incarnation, answer); });
 }
--- a/Tests/platform/TestWire.cpp
+++ b/Tests/platform/TestWire.cpp
@@ -191,13 +191,68 @@
     DecodeNewest(status, bytes, newest);
     JoinAnswer join;
     DecodeJoin(status, bytes, join);
+    MachinePages pages;
     MachinesAnswer machines;
-    DecodeMachines(status, bytes, machines);
+    DecodeMachines(status, bytes, pages, machines);
     DecodeSubmission(bytes).IgnoreError();
   });
   BOOST_TEST(holds);
 }
 
+// Guards against a page of machines that is taken for the last one though a row differs, and
+// against processor time for rows that are as before: they are to be the same objects.
+BOOST_AUTO_TEST_CASE(a_page_of_machines_is_decoded_as_if_it_were_the_first)
+{
+  auto holds = rc::check([] {
+    MachinePages known;
+    std::vector<int> versions(8, 0);
+    MachinesAnswer last;
+    for (int k = 0; k < 6; ++k) {
+      std::string rows;
+      for (std::size_t i = 0; i < versions.size(); ++i) {
+        versions[i] += *rc::gen::inRange(0, 4) == 0 ? 1 : 0;
+        if (*rc::gen::inRange(0, 6) != 0) {
+          rows += std::string(rows.empty() ? "" : ",") + R"({"machine":"m)" + std::to_string(i) +
+                  R"(","pool":"p","state":"up","id":"x)" + std::to_string(versions[i]) + R"("})";
+        }
+      }
+      auto body = R"({"machines":[)" + rows + R"(],"nextToken":"t"})";
+      MachinePages none;
+      MachinesAnswer fresh;
+      MachinesAnswer answer;
+      DecodeMachines(200, body, none, fresh);
+      DecodeMachines(200, body, known, answer);
+      RC_ASSERT(answer.mNextPage == fresh.mNextPage);
+      RC_ASSERT(answer.mMachines.size() == fresh.mMachines.size());
+      for (std::size_t i = 0; i < fresh.mMachines.size(); ++i) {
+        RC_ASSERT(*answer.mMachines[i] == *fresh.mMachines[i]);
+      }
+      MachinesAnswer again;
+      DecodeMachines(200, body, known, again);
+      RC_ASSERT(again.mMachines == answer.mMachines);
+      for (std::size_t i = 0; i < answer.mMachines.size() && i < last.mMachines.size(); ++i) {
+        RC_ASSERT(answer.mMachines[i] == last.mMachines[i] ||
+                  !(*answer.mMachines[i] == *last.mMachines[i]));
+      }
+      last = answer;
+    }
+  });
+  BOOST_TEST(holds);
+}
+
+// Guards against an unreadable answer that is taken for an empty list of machines.
+BOOST_AUTO_TEST_CASE(an_unreadable_page_of_machines_is_no_list)
+{
+  MachinePages pages;
+  for (const auto* body : { "", "{", R"({"machines":[{"machine":"m1"}]})", "" }) {
+    MachinesAnswer answer;
+    DecodeMachines(200, body, pages, answer);
+    auto isReadable = std::string(body).size() > 1;
+    BOOST_TEST((answer.mResult == (isReadable ? CallResult::Done : CallResult::Unanswered)));
+    BOOST_TEST(answer.mMachines.size() == (isReadable ? 1u : 0u));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(log_entry_is_formatted_as_one_json_object)
 {
   LogEntry entry{ LogLevel::Info, "job-refused", "5c0e7a21d94b36f8" };
