--- a/Libraries/LibSchedule/Demand.cpp
+++ b/Libraries/LibSchedule/Demand.cpp
@@ -1,10 +1,10 @@
 #include "LibSchedule/Demand.h"
 
-#include "LibSchedule/CrashIsolation.h"
 #include "LibSchedule/Placement.h"
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace sesameseam::schedule {
 
@@ -18,9 +18,6 @@
 // Suspects are to be cleared within this time. They are late already, and hosts that wait for them
 // are kept from pools whose work can still be in time.
 constexpr double kIsolationSeconds = 10.0;
-// Jobs that arrived within this window give the rate of arriving work; the window before it gives
-// the growth of that rate.
-constexpr Duration kArrivalWindow = 500ms;
 // A host whose move is decided now accepts work after this time.
 constexpr Duration kLeadTime = 2s;
 // Limit of the extrapolated growth factor, since a few random arrivals look like growth.
@@ -28,127 +25,217 @@
 constexpr double kMilliseconds = 1000.0;
 constexpr double kMillicores = 1000.0;
 
-struct PoolWorkload
-{
-  // Cores of a host of the pool; 0 while it has none.
-  double mHostCores = 0;
-  // Cores taken by running and placed tasks, and by waiting long-running tasks once they are
-  // placed.
-  double mRunning = 0;
-  // Cores needed by waiting tasks that can still be in time.
-  double mWaiting = 0;
-  // CPU time of waiting tasks of late jobs, in core-seconds.
-  double mLate = 0;
-  // CPU time that waiting tasks will keep from others since they are isolated, in core-seconds.
-  double mIsolated = 0;
-  // CPU time of the jobs that arrived in the last window and in the one before, in core-seconds.
-  double mArrived = 0;
-  double mArrivedBefore = 0;
-  // Unfinished long-running tasks, and those of them that wait.
-  int mLongRunning = 0;
-  int mLongRunningWaiting = 0;
-  // The most hosts that a step needs because of its limit of tasks per executor.
-  int mMinHosts = 0;
-};
+using detail::kArrivalWindow;
 
 double
-CoresOf(const Step& aStep)
+CoresOf(std::int64_t aMillicores)
 {
-  return static_cast<double>(NeedsOf(aStep).mCpuMillicores) / kMillicores;
+  return static_cast<double>(aMillicores) / kMillicores;
 }
 
+// Work is counted in millicores for a millisecond.
 double
-SecondsOf(const Step& aStep)
+CoreSecondsOf(std::int64_t aWork)
 {
-  return static_cast<double>(aStep.mEstimate.count()) / kMilliseconds;
+  return static_cast<double>(aWork) / (kMillicores * kMilliseconds);
 }
 
-// Cores that the tasks of a step in the given state keep from others beyond what they need, since
-// they are isolated.
 double
-IsolatedCores(const Step& aStep, const StepState& aState, TaskState aTasks, double aHostCores)
+MeanHostCores(const PoolSums& aSums)
 {
-  double sum = 0;
-  for (const auto& task : aState.mTasks) {
-    auto occupied = OccupiedShare(IsolationOf(aStep, task)) * aHostCores;
-    sum += task.mState == aTasks ? std::max(0.0, occupied - CoresOf(aStep)) : 0;
+  return aSums.mPresent == 0 ? 0 : CoresOf(aSums.mMillicores) / aSums.mPresent;
+}
+
+// Cores needed by arriving work at the rate expected when a host that moves now accepts work.
+double
+CoresForArrivals(const JobDemand& aJobs)
+{
+  auto window = std::chrono::duration<double>(kArrivalWindow).count();
+  auto lead = std::chrono::duration<double>(kLeadTime).count();
+  auto arrived = CoreSecondsOf(aJobs.mArrivedWork);
+  auto rate = arrived / window;
+  auto growth = std::max(0.0, arrived - CoreSecondsOf(aJobs.mArrivedBeforeWork)) / window / window;
+  return std::min(rate + growth * lead, rate * kMaxGrowth);
+}
+
+// Cores needed to keep up with arriving work and to start waiting work in time, plus those for late
+// work and for the isolation of suspects.
+double
+CoresNeeded(const JobDemand& aJobs, const IsolatedDemand& aIsolated)
+{
+  auto running = CoresOf(aJobs.mRunningMillicores) + aIsolated.mRunning;
+  auto inTime = std::max({ running,
+                           CoresForArrivals(aJobs),
+                           CoresOf(aJobs.mWaitingMillicores) + kStillRunningShare * running });
+  return inTime + CoreSecondsOf(aJobs.mLateWork) / kBacklogSeconds +
+         aIsolated.mWaiting / kIsolationSeconds;
+}
+
+bool
+AcceptsWork(const Executor& aExecutor)
+{
+  return aExecutor.mEntry.mState == ExecutorState::Ready &&
+         aExecutor.mDrainReason == DrainReason::None;
+}
+
+PoolDemand
+DemandFrom(const Shard& aShard, const PoolSums& aSums, const Now& aNow)
+{
+  IsolatedDemand isolated;
+  for (const auto& id : aSums.mSuspects) {
+    auto job = aShard.mJobs.find(id);
+    if (job != aShard.mJobs.end()) {
+      AddIsolatedDemand(job->second, aNow, MeanHostCores(aSums), isolated);
+    }
   }
-  return sum;
+  PoolDemand demand;
+  demand.mAt = aNow.mWall;
+  demand.mPresent = aSums.mPresent;
+  auto needed = CoresNeeded(aSums.mDemand, isolated);
+  if (aSums.mPresent == 0 || aSums.mMillicores <= 0) {
+    demand.mWanted = needed > 0 ? 1 : 0;
+    return demand;
+  }
+  auto perHost = MeanHostCores(aSums) * kTargetUtilization;
+  auto minHosts = aSums.mMinHosts.empty() ? 0 : *aSums.mMinHosts.rbegin();
+  demand.mWanted = std::max({ 1, minHosts, static_cast<int>(std::ceil(needed / perHost)) });
+  if (aShard.mHasUnplacedTasks && aSums.mDemand.mLongRunningWaiting > 0) {
+    // There are enough cores, but memory or other tasks leave no capacity for a long-running task.
+    // One host for each such task bounds the demand.
+    auto enough = demand.mWanted + aSums.mDemand.mLongRunning;
+    demand.mWanted = std::max(demand.mWanted, std::min(demand.mPresent + 1, enough));
+  }
+  return demand;
 }
 
 void
-AddStep(const Job& aJob, int aOccurrence, int aStep, const Now& aNow, PoolWorkload& aSums)
-{
-  const auto& step = aJob.mDefinition.mSteps[static_cast<std::size_t>(aStep)];
-  const auto& state = aJob.mOccurrences[static_cast<std::size_t>(aOccurrence)]
-                        .mSteps[static_cast<std::size_t>(aStep)];
-  auto open = static_cast<int>(state.mTasks.size()) - state.mDone;
-  aSums.mRunning += (open - state.mWaiting) * CoresOf(step);
-  if (state.mSuspects > 0) {
-    aSums.mRunning += IsolatedCores(step, state, TaskState::Placed, aSums.mHostCores);
-    aSums.mIsolated +=
-      IsolatedCores(step, state, TaskState::Waiting, aSums.mHostCores) * SecondsOf(step);
-  }
-  aSums.mLongRunning += step.mLongRunning ? open : 0;
-  if (step.mMaxPerExecutor > 0) {
-    aSums.mMinHosts =
-      std::max(aSums.mMinHosts, (open + step.mMaxPerExecutor - 1) / step.mMaxPerExecutor);
-  }
-  if (state.mWaiting == 0 || !IsReady(aJob, aOccurrence, aStep, aNow.mWall)) {
-    return;
+AddJob(PoolSums& aSums, const JobId& aId, const MeasuredJob& aMeasured)
+{
+  aSums.mDemand = aSums.mDemand + aMeasured.mDemand;
+  if (aMeasured.mMinHosts > 0) {
+    aSums.mMinHosts.insert(aMeasured.mMinHosts);
   }
-  auto cores = state.mWaiting * CoresOf(step);
-  if (step.mLongRunning) {
-    aSums.mRunning += cores;
-    aSums.mLongRunningWaiting += state.mWaiting;
-  } else if (LatestStart(aJob, aOccurrence, aStep) < aNow.mWall) {
-    aSums.mLate += cores * SecondsOf(step);
-  } else {
-    aSums.mWaiting += cores;
+  if (aMeasured.mHasSuspects) {
+    aSums.mSuspects.insert(aId);
   }
 }
 
 void
-AddJob(const Job& aJob, const Now& aNow, PoolWorkload& aSums)
+RemoveJob(DemandSums& aSums, const SummedJob& aJob)
 {
-  for (std::size_t k = 0; k < aJob.mOccurrences.size(); ++k) {
-    if (aNow.mWall < aJob.mOccurrences[k].mDueAt) {
-      continue;
-    }
-    for (std::size_t s = 0; s < aJob.mDefinition.mSteps.size(); ++s) {
-      AddStep(aJob, static_cast<int>(k), static_cast<int>(s), aNow, aSums);
-    }
+  const auto& measured = aJob.mMeasured;
+  auto& pool = aSums.mPools[aJob.mPool];
+  pool.mDemand = pool.mDemand - measured.mDemand;
+  auto minHosts = pool.mMinHosts.find(measured.mMinHosts);
+  if (minHosts != pool.mMinHosts.end()) {
+    pool.mMinHosts.erase(minHosts);
   }
-  auto age = aNow.mAt - aJob.mArrivedAt;
-  if (age >= 2 * kArrivalWindow || aJob.mDefinition.mRunCount > 0) {
+  pool.mSuspects.erase(aJob.mId);
+  aSums.mWallChanges.erase({ measured.mChangesAtWall, &aJob });
+  aSums.mClockChanges.erase({ measured.mChangesAt, &aJob });
+}
+
+// Measures a job that came, changed or went.
+void
+UpdateJob(Shard& aShard, const JobId& aId, const Now& aNow)
+{
+  auto& sums = aShard.mDemand;
+  auto [summed, isNew] = sums.mJobs.try_emplace(aId);
+  if (!isNew) {
+    RemoveJob(sums, summed->second);
+  }
+  auto job = aShard.mJobs.find(aId);
+  if (job == aShard.mJobs.end()) {
+    sums.mJobs.erase(summed);
     return;
   }
-  auto& arrived = age < kArrivalWindow ? aSums.mArrived : aSums.mArrivedBefore;
-  for (const auto& step : aJob.mDefinition.mSteps) {
-    arrived += step.mLongRunning ? 0 : step.mCount * CoresOf(step) * SecondsOf(step);
+  ++sums.mJobVisits;
+  job->second.mIsDemandChanged = false;
+  summed->second = { aId, job->second.mDefinition.mService, MeasureJob(job->second, aNow) };
+  const auto& measured = summed->second.mMeasured;
+  AddJob(sums.mPools[summed->second.mPool], aId, measured);
+  if (measured.mChangesAtWall != TimePoint::max()) {
+    sums.mWallChanges.emplace(measured.mChangesAtWall, &summed->second);
+  }
+  if (measured.mChangesAt != Instant::max()) {
+    sums.mClockChanges.emplace(measured.mChangesAt, &summed->second);
   }
 }
 
-// Cores needed by arriving work at the rate expected when a host that moves now accepts work.
-double
-CoresForArrivals(const PoolWorkload& aSums)
+void
+MeasureAllJobs(Shard& aShard, const Now& aNow)
 {
-  auto window = std::chrono::duration<double>(kArrivalWindow).count();
-  auto lead = std::chrono::duration<double>(kLeadTime).count();
-  auto rate = aSums.mArrived / window;
-  auto growth = std::max(0.0, aSums.mArrived - aSums.mArrivedBefore) / window / window;
-  return std::min(rate + growth * lead, rate * kMaxGrowth);
+  auto& sums = aShard.mDemand;
+  for (auto& [name, pool] : sums.mPools) {
+    pool.mDemand = {};
+    pool.mMinHosts.clear();
+    pool.mSuspects.clear();
+  }
+  sums.mJobs.clear();
+  sums.mWallChanges.clear();
+  sums.mClockChanges.clear();
+  for (const auto& [id, job] : aShard.mJobs) {
+    UpdateJob(aShard, id, aNow);
+  }
 }
 
-// Cores needed to keep up with arriving work and to start waiting work in time, plus those for late
-// work and for the isolation of suspects.
-double
-CoresNeeded(const PoolWorkload& aSums)
+template<typename Time>
+void
+UpdateDueJobs(Shard& aShard,
+              const std::set<std::pair<Time, const SummedJob*>>& aChanges,
+              Time aTime,
+              const Now& aNow)
 {
-  auto inTime = std::max({ aSums.mRunning,
-                           CoresForArrivals(aSums),
-                           aSums.mWaiting + kStillRunningShare * aSums.mRunning });
-  return inTime + aSums.mLate / kBacklogSeconds + aSums.mIsolated / kIsolationSeconds;
+  while (!aChanges.empty() && aChanges.begin()->first <= aTime) {
+    UpdateJob(aShard, JobId(aChanges.begin()->second->mId), aNow);
+  }
+}
+
+void
+UpdateJobs(Shard& aShard, const Now& aNow)
+{
+  auto& sums = aShard.mDemand;
+  for (const auto& id : std::exchange(sums.mChangedJobs, {})) {
+    UpdateJob(aShard, id, aNow);
+  }
+  // A clock that was set back makes work wait again that counted as late.
+  auto isSetBack = aNow.mWall < sums.mUpdatedAt.mWall || aNow.mAt < sums.mUpdatedAt.mAt;
+  if (isSetBack || sums.mJobs.size() != aShard.mJobs.size()) {
+    MeasureAllJobs(aShard, aNow);
+  }
+  UpdateDueJobs(aShard, sums.mWallChanges, aNow.mWall, aNow);
+  UpdateDueJobs(aShard, sums.mClockChanges, aNow.mAt, aNow);
+  sums.mUpdatedAt = aNow;
+}
+
+void
+AddExecutor(PoolSums& aSums, const Executor& aExecutor)
+{
+  if (AcceptsWork(aExecutor)) {
+    ++aSums.mPresent;
+    aSums.mMillicores += aExecutor.mEntry.mCapacity.mCpuMillicores;
+  }
+}
+
+void
+UpdateExecutors(Shard& aShard)
+{
+  auto& sums = aShard.mDemand;
+  auto isCurrent =
+    sums.mCapacityChanges == aShard.mCapacityChanges && sums.mExecutors == aShard.mExecutors.size();
+  if (isCurrent) {
+    return;
+  }
+  sums.mCapacityChanges = aShard.mCapacityChanges;
+  sums.mExecutors = aShard.mExecutors.size();
+  for (auto& [name, pool] : sums.mPools) {
+    pool.mPresent = 0;
+    pool.mMillicores = 0;
+  }
+  for (const auto& [id, executor] : aShard.mExecutors) {
+    ++sums.mExecutorVisits;
+    AddExecutor(sums.mPools[executor.mEntry.mService], executor);
+  }
 }
 
 }
@@ -156,38 +243,26 @@
 PoolDemand
 EstimateDemand(const Shard& aShard, const ServiceName& aPool, const Now& aNow)
 {
-  PoolDemand demand;
-  demand.mAt = aNow.mWall;
-  double cores = 0;
+  PoolSums sums;
   for (const auto& [id, executor] : aShard.mExecutors) {
-    auto isOfPool = executor.mEntry.mService == aPool;
-    if (isOfPool && executor.mEntry.mState == ExecutorState::Ready &&
-        executor.mDrainReason == DrainReason::None) {
-      ++demand.mPresent;
-      cores += static_cast<double>(executor.mEntry.mCapacity.mCpuMillicores) / kMillicores;
+    if (executor.mEntry.mService == aPool) {
+      AddExecutor(sums, executor);
     }
   }
-  PoolWorkload sums;
-  sums.mHostCores = demand.mPresent == 0 ? 0 : cores / demand.mPresent;
   for (const auto& [id, job] : aShard.mJobs) {
-    if (job.mDefinition.mService == aPool && !IsFinal(job.mPhase)) {
-      AddJob(job, aNow, sums);
+    if (job.mDefinition.mService == aPool) {
+      AddJob(sums, id, MeasureJob(job, aNow));
     }
   }
-  auto needed = CoresNeeded(sums);
-  if (demand.mPresent == 0 || cores <= 0) {
-    demand.mWanted = needed > 0 ? 1 : 0;
-    return demand;
-  }
-  auto perHost = cores / demand.mPresent * kTargetUtilization;
-  demand.mWanted = std::max({ 1, sums.mMinHosts, static_cast<int>(std::ceil(needed / perHost)) });
-  if (aShard.mHasUnplacedTasks && sums.mLongRunningWaiting > 0) {
-    // There are enough cores, but memory or other tasks leave no capacity for a long-running task.
-    // One host for each such task bounds the demand.
-    auto enough = demand.mWanted + sums.mLongRunning;
-    demand.mWanted = std::max(demand.mWanted, std::min(demand.mPresent + 1, enough));
-  }
-  return demand;
+  return DemandFrom(aShard, sums, aNow);
+}
+
+PoolDemand
+UpdateDemand(Shard& aShard, const ServiceName& aPool, const Now& aNow)
+{
+  UpdateJobs(aShard, aNow);
+  UpdateExecutors(aShard);
+  return DemandFrom(aShard, aShard.mDemand.mPools[aPool], aNow);
 }
 
 }
--- a/Libraries/LibSchedule/FleetContext.cpp
+++ b/Libraries/LibSchedule/FleetContext.cpp
@@ -10,6 +10,12 @@
   return static_cast<int>(StableHash(aService.mValue) % static_cast<std::uint64_t>(aPartitions));
 }
 
+bool
+IsFleetKnown(const FleetContext& aContext)
+{
+  return aContext.mLog->mHostCursor.mLoaded && aContext.mMachines->mIsKnown;
+}
+
 Shard*
 FindShard(const FleetContext& aContext, const ServiceName& aPool)
 {
--- a/Libraries/LibSchedule/FleetLog.cpp
+++ b/Libraries/LibSchedule/FleetLog.cpp
@@ -57,6 +57,8 @@
   aLog.mMaintenanceRecords[key] = { phase,
                                     ExecutorId(std::move(record.former_executor)),
                                     FromUnixMilliseconds(record.at_ms) };
+  ++aLog.mMaintenanceChanges;
+  ++aLog.mHostChanges;
   return absl::OkStatus();
 }
 
@@ -76,6 +78,7 @@
 ApplyMove(FleetLog& aLog, std::string_view aName, std::string_view aValue)
 {
   MachineId machine{ std::string(aName) };
+  ++aLog.mHostChanges;
   if (aValue.empty()) {
     aLog.mMoves.erase(machine);
     return absl::OkStatus();
@@ -320,6 +323,7 @@
 {
   aLog.mBatch.push_back(std::move(aRecord));
   aLog.mBatchHosts.insert(aHost);
+  ++aLog.mHostChanges;
 }
 
 void
@@ -330,6 +334,7 @@
   }
   auto call = FleetAppend(aLog.mHostCursor, std::exchange(aLog.mBatch, {}));
   aLog.mBatchHosts.clear();
+  ++aLog.mHostChanges;
   call.mExpectedEnd = aLog.mHostCursor.mPosition;
   aLog.mAppendPending = true;
   aActions.emplace_back(std::move(call));
--- a/Libraries/LibSchedule/FleetLog.h
+++ b/Libraries/LibSchedule/FleetLog.h
@@ -71,8 +71,12 @@
 struct FleetLog
 {
   std::map<MaintenanceKey, MaintenanceRecord> mMaintenanceRecords;
+  // How many records of maintenance were applied.
+  std::int64_t mMaintenanceChanges = 0;
   std::map<ServiceName, PoolDemand> mDemands;
   std::map<MachineId, HostMove> mMoves;
+  // How often a record of maintenance or of a move was applied, or added to the batch.
+  std::int64_t mHostChanges = 0;
 
   // Maintenance and moves, in the order in which they were recorded.
   FleetLogCursor mHostCursor{ 0 };
--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -96,6 +96,7 @@
     auto seenAt = isNew ? aNow.mAt : known->second.mSeenAt;
     known->second = wave;
     known->second.mSeenAt = seenAt;
+    ++aFollower.mWaveChanges;
   }
   for (const auto& entry : aRecords.mExecutors) {
     ApplyExecutorEntry(aFollower, entry, aChanges);
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -57,6 +57,8 @@
   // The manifest in force may be older than its deadline allows, and the log says so.
   bool mIsManifestUnconfirmed = false;
   std::map<std::int64_t, Wave> mWaves;
+  // How many records of waves were applied.
+  std::int64_t mWaveChanges = 0;
   std::map<ExecutorId, ExecutorEntry> mExecutors;
 };
 
--- a/Libraries/LibSchedule/HostOrders.cpp
+++ b/Libraries/LibSchedule/HostOrders.cpp
@@ -32,16 +32,17 @@
 // between orders of two owners has passed since: the time of the move and the time for which the
 // host is known to be up.
 bool
-HasArrived(const FleetContext& aContext, const MachineId& aMachine, Instant aNow)
+HasArrived(const FleetContext& aContext, const Machine& aMachine, Instant aNow)
 {
-  auto move = aContext.mLog->mMoves.find(aMachine);
-  const auto* machine = FindMachine(*aContext.mMachines, aMachine);
-  auto upSince = aContext.mMachines->mUpSince.find(aMachine);
-  if (move == aContext.mLog->mMoves.end() || machine == nullptr ||
-      upSince == aContext.mMachines->mUpSince.end() || machine->mPool != move->second.mTo) {
+  auto move = aContext.mLog->mMoves.find(aMachine.mId);
+  if (move == aContext.mLog->mMoves.end() || aMachine.mPool != move->second.mTo) {
     return false;
   }
-  auto records = MaintenanceOf(*aContext.mLog, aMachine);
+  auto upSince = aContext.mMachines->mUpSince.find(aMachine.mId);
+  if (upSince == aContext.mMachines->mUpSince.end()) {
+    return false;
+  }
+  auto records = MaintenanceOf(*aContext.mLog, aMachine.mId);
   auto hasMaintenance = std::any_of(records.begin(), records.end(), [&](const auto* aRecord) {
     return aRecord->mAt > move->second.mAt;
   });
@@ -52,21 +53,16 @@
 }
 
 bool
-MayOrder(const FleetContext& aContext,
-         const Shard& aShard,
-         const MachineId& aMachine,
-         const Now& aNow)
+MayOrder(const FleetContext& aContext, const IndexedHost& aHost, const Now& aNow)
 {
-  if (!detail::MayActAsOwner(aShard, aNow.mAt)) {
+  if (!detail::MayActAsOwner(*aHost.mShard, aNow.mAt)) {
     return false;
   }
   auto wait = aContext.mHolderLease + kHolderMargin;
-  auto since = aContext.mMachines->mInPoolSince.find(aMachine);
-  auto hasWaited = aNow.mAt - aShard.mTakenOverAt > wait &&
-                   since != aContext.mMachines->mInPoolSince.end() &&
-                   aNow.mAt - since->second > wait;
-  return hasWaited || HasArrived(aContext, aMachine, aNow.mAt) ||
-         !HasRecentOrder(*aContext.mLog, aMachine, aNow.mWall);
+  auto hasWaited = aNow.mAt - aHost.mShard->mTakenOverAt > wait && aHost.mInPoolSince != nullptr &&
+                   aNow.mAt - *aHost.mInPoolSince > wait;
+  return hasWaited || HasArrived(aContext, *aHost.mMachine, aNow.mAt) ||
+         !HasRecentOrder(*aContext.mLog, aHost.mMachine->mId, aNow.mWall);
 }
 
 bool
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -76,6 +76,8 @@
   // Its steps in the ready queue, and the time for which it stands there as due.
   std::vector<ReadyStep> mReadySteps;
   std::optional<TimePoint> mNextDueAt;
+  // It is in DemandSums::mChangedJobs.
+  bool mIsDemandChanged = false;
 };
 
 // Restores the progress from the log, if there is any. Rows that match no task are ignored.
--- a/Libraries/LibSchedule/Maintenance.cpp
+++ b/Libraries/LibSchedule/Maintenance.cpp
@@ -11,28 +11,6 @@
 
 constexpr Duration kRetryPause = 200ms;
 
-int
-CountHostsInMaintenance(const FleetContext& aContext, std::int64_t aWave)
-{
-  int count = 0;
-  for (const auto& [key, record] : aContext.mLog->mMaintenanceRecords) {
-    auto isDown = key.mWave == aWave && record.mPhase == MaintenancePhase::Begun &&
-                  FindMachine(*aContext.mMachines, key.mMachine) != nullptr;
-    count += isDown ? 1 : 0;
-  }
-  return count;
-}
-
-// Whether each host of the wave has finished its maintenance or is no longer listed.
-bool
-IsWaveDone(const FleetContext& aContext, const Wave& aWave)
-{
-  return std::all_of(aWave.mMachines.begin(), aWave.mMachines.end(), [&](const MachineId& aId) {
-    return IsMaintenanceFinished(*aContext.mLog, { aWave.mNumber, aId }) ||
-           FindMachine(*aContext.mMachines, aId) == nullptr;
-  });
-}
-
 // Whether a list that was requested after the order was acknowledged shows the host up.
 bool
 HasReturned(const FleetContext& aContext, const Machine& aMachine, const MaintenanceOrder& aOrder)
@@ -57,67 +35,91 @@
 }
 
 bool
-IsDrained(const Shard& aShard, const ExecutorId& aId)
+IsDrained(const IndexedHost& aHost)
 {
-  auto found = aShard.mExecutors.find(aId);
-  return found == aShard.mExecutors.end() ||
-         (found->second.mDrainReason == DrainReason::ForMaintenance && found->second.mRuns.empty());
+  const auto* executor = aHost.mExecutor;
+  return executor == nullptr ||
+         (executor->mDrainReason == DrainReason::ForMaintenance && executor->mRuns.empty());
 }
 
-// Advances the maintenance of one host: drained, recorded, ordered, returned. aDown counts the
-// hosts that are down for the wave, including those whose record is in the batch.
-void
-AdvanceMachine(Maintenance& aMaintenance,
-               const Now& aNow,
-               const FleetContext& aContext,
-               const Wave& aWave,
-               const Machine& aMachine,
-               const Shard& aShard,
-               int& aDown,
-               Actions& aActions)
+// Returns this owner's order for the host. One from another time as the owner is void.
+MaintenanceOrder&
+OrderFor(Maintenance& aMaintenance, WaveHost& aHost)
 {
-  MaintenanceKey key{ aWave.mNumber, aMachine.mId };
-  if (IsMaintenanceFinished(*aContext.mLog, key)) {
-    return;
+  if (aHost.mOrder == nullptr) {
+    aHost.mOrder = &aMaintenance.mOrders[aHost.mKey];
   }
-  auto& order = aMaintenance.mOrders[key];
-  if (order.mEpoch != aShard.mEpoch) {
-    order = {};
-    order.mEpoch = aShard.mEpoch;
+  auto epoch = aHost.mHost->mShard->mEpoch;
+  if (aHost.mOrder->mEpoch != epoch) {
+    *aHost.mOrder = {};
+    aHost.mOrder->mEpoch = epoch;
   }
+  return *aHost.mOrder;
+}
+
+// Sends the order that this owner has recorded, and records that the host is back.
+void
+AdvanceOrder(MaintenanceOrder& aOrder,
+             const Now& aNow,
+             const FleetContext& aContext,
+             const WaveHost& aHost,
+             Actions& aActions)
+{
+  const auto& machine = *aHost.mHost->mMachine;
   // This owner may send an order that it has recorded: no other owner has recorded one since.
-  auto mayOrder = order.mFence != 0 ? detail::MayActAsOwner(aShard, aNow.mAt)
-                                    : MayOrder(aContext, aShard, aMachine.mId, aNow);
-  if (!mayOrder) {
+  if (!detail::MayActAsOwner(*aHost.mHost->mShard, aNow.mAt)) {
     return;
   }
-  if (order.mFence != 0) {
-    if (!HasReturned(aContext, aMachine, order)) {
-      // Another executor may have started on the host since the record, and taken work.
-      if (IsDrained(aShard, aMachine.mExecutor)) {
-        SendMaintenanceOrder(order, aNow, key, aShard, aActions);
-      }
-    } else if (MayAppend(*aContext.mLog, aMachine.mId)) {
-      auto record = ToRecord(key, { MaintenancePhase::Finished, aMachine.mExecutor, aNow.mWall });
-      AddToBatch(*aContext.mLog, aMachine.mId, std::move(record));
+  if (!HasReturned(aContext, machine, aOrder)) {
+    // Another executor may have started on the host since the record, and taken work.
+    if (IsDrained(*aHost.mHost)) {
+      SendMaintenanceOrder(aOrder, aNow, aHost.mKey, *aHost.mHost->mShard, aActions);
     }
+  } else if (MayAppend(*aContext.mLog, machine.mId)) {
+    AddToBatch(*aContext.mLog,
+               machine.mId,
+               ToRecord(aHost.mKey, { MaintenancePhase::Finished, machine.mExecutor, aNow.mWall }));
+  }
+}
+
+// Advances the maintenance of one host: drained, recorded, ordered, returned. aDown counts the
+// hosts that are down for the wave, including those whose record is in the batch.
+void
+AdvanceHost(Maintenance& aMaintenance,
+            const Now& aNow,
+            const FleetContext& aContext,
+            const Wave& aWave,
+            WaveHost& aHost,
+            int& aDown,
+            Actions& aActions)
+{
+  if (IsMaintenanceFinished(aHost)) {
     return;
   }
-  if (!MayAppend(*aContext.mLog, aMachine.mId)) {
+  auto& order = OrderFor(aMaintenance, aHost);
+  if (order.mFence != 0) {
+    AdvanceOrder(order, aNow, aContext, aHost, aActions);
     return;
   }
   // A host that a former owner has recorded already counts towards the wave's limit, but tasks may
   // run on it again.
-  auto isRecorded = FindMaintenance(*aContext.mLog, key) != nullptr;
+  auto isRecorded = aHost.mRecord != nullptr;
+  auto isDrained = IsDrained(*aHost.mHost);
+  if (!isRecorded && !isDrained) {
+    return;
+  }
+  const auto& machine = *aHost.mHost->mMachine;
+  if (!MayAppend(*aContext.mLog, machine.mId) || !MayOrder(aContext, *aHost.mHost, aNow)) {
+    return;
+  }
   auto hasPlace = isRecorded || aDown < aWave.mMaxConcurrent;
-  auto isIdle =
-    IsDrained(aShard, aMachine.mExecutor) && !IsMoving(*aContext.mLog, aMachine.mId, aNow.mWall);
-  auto isDown = isRecorded && aMachine.mState == MachineState::Maintenance;
-  if (isDown || (aMachine.mState == MachineState::Up && isIdle && hasPlace)) {
+  auto isIdle = isDrained && !IsMoving(*aContext.mLog, machine.mId, aNow.mWall);
+  auto isDown = isRecorded && machine.mState == MachineState::Maintenance;
+  if (isDown || (machine.mState == MachineState::Up && isIdle && hasPlace)) {
     aDown += isRecorded ? 0 : 1;
     AddToBatch(*aContext.mLog,
-               aMachine.mId,
-               ToRecord(key, { MaintenancePhase::Begun, aMachine.mExecutor, aNow.mWall }));
+               machine.mId,
+               ToRecord(aHost.mKey, { MaintenancePhase::Begun, machine.mExecutor, aNow.mWall }));
   }
 }
 
@@ -126,14 +128,18 @@
            const Now& aNow,
            const FleetContext& aContext,
            const Wave& aWave,
+           IndexedWave& aIndexed,
            Actions& aActions)
 {
   if (aMaintenance.mPendingReport || aNow.mAt < aMaintenance.mNextReportAt) {
     return;
   }
-  auto isDone = IsWaveDone(aContext, aWave);
   auto reported = aMaintenance.mReported.find(aWave.mNumber);
-  if (reported != aMaintenance.mReported.end() && (reported->second || !isDone)) {
+  if (reported != aMaintenance.mReported.end() && reported->second) {
+    return;
+  }
+  auto isDone = IsWaveDone(aIndexed, *aContext.mLog, aWave.mNumber);
+  if (reported != aMaintenance.mReported.end() && !isDone) {
     return;
   }
   aMaintenance.mPendingReport = WaveStatusCall{ aWave.mNumber, isDone };
@@ -218,25 +224,20 @@
                    const FleetContext& aContext,
                    Actions& aActions)
 {
-  if (!aContext.mLog->mHostCursor.mLoaded || !aContext.mMachines->mIsKnown) {
+  if (!IsFleetKnown(aContext)) {
     return;
   }
+  auto& index = *aContext.mHosts;
+  UpdateHostIndex(index, aContext);
   for (const auto& [number, wave] : *aContext.mWaves) {
-    for (auto& [partition, shard] : *aContext.mShards) {
-      if (shard.mPhase == ShardPhase::Active) {
-        ChooseHostsToDrain(aMaintenance, aNow, aContext, wave, shard);
-      }
-    }
-    auto down = CountHostsInMaintenance(aContext, number);
-    for (const auto& id : wave.mMachines) {
-      const auto* machine = FindMachine(*aContext.mMachines, id);
-      const auto* shard = machine == nullptr ? nullptr : FindShard(aContext, machine->mPool);
-      if (shard != nullptr) {
-        AdvanceMachine(aMaintenance, aNow, aContext, wave, *machine, *shard, down, aActions);
-      }
+    auto& indexed = index.mWaves.at(number);
+    ChooseHostsToDrain(aMaintenance, aNow, aContext, wave, indexed);
+    auto down = indexed.mDown;
+    for (auto& host : indexed.mHosts) {
+      AdvanceHost(aMaintenance, aNow, aContext, wave, host, down, aActions);
     }
     if (aContext.mShards->contains(aContext.mReportingShard)) {
-      ReportWave(aMaintenance, aNow, aContext, wave, aActions);
+      ReportWave(aMaintenance, aNow, aContext, wave, indexed, aActions);
     }
   }
 }
--- a/Libraries/LibSchedule/Maintenance.h
+++ b/Libraries/LibSchedule/Maintenance.h
@@ -52,6 +52,7 @@
              const WaveStatusAnswer& aAnswer,
              Actions& aActions);
 
+// Chooses hosts to drain, records and orders their maintenance, and records that they are back.
 void
 AdvanceMaintenance(Maintenance& aMaintenance,
                    const Now& aNow,
--- a/Libraries/LibSchedule/MovableHosts.h
+++ b/Libraries/LibSchedule/MovableHosts.h
@@ -11,15 +11,35 @@
 bool
 HasNoRuns(const Shard& aShard, const Machine& aMachine);
 
-// Returns the hosts that may move now: those of a standby pool, idle ones, and those that have
-// drained for a move.
-std::vector<MachineId>
+// Returns how many hosts of the pool are up.
+int
+CountHostsUp(const FleetContext& aContext, const ServiceName& aPool);
+
+struct ReadyHosts
+{
+  std::vector<MachineId> mIds;
+  // The time may change which hosts are ready.
+  bool mDependsOnTime = false;
+};
+
+// Returns the first hosts that may move now, at most aLimit: those of a standby pool, idle ones,
+// and those that have drained for a move.
+ReadyHosts
 HostsReadyToMove(const FleetContext& aContext,
                  const Rebalance& aRebalance,
-                 const Shard& aShard,
                  const Service& aPool,
+                 int aLimit,
                  const Now& aNow);
 
+// Returns how many hosts may move now, at most aLimit. The hosts are looked at only if the count
+// may have changed.
+int
+CountHostsReadyToMove(const FleetContext& aContext,
+                      Rebalance& aRebalance,
+                      const Service& aPool,
+                      int aLimit,
+                      const Now& aNow);
+
 struct BusyHost
 {
   MachineId mId;
@@ -31,7 +51,6 @@
 std::vector<BusyHost>
 HostsToDrain(const FleetContext& aContext,
              const Rebalance& aRebalance,
-             const Shard& aShard,
              const ServiceName& aPool,
              const Now& aNow);
 
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -124,9 +124,11 @@
   auto inUse = PartitionsInUse(aNode);
   FleetContext context;
   context.mWaves = &aNode.mFollower.mWaves;
+  context.mWaveChanges = aNode.mFollower.mWaveChanges;
   context.mShards = &aNode.mShards;
   context.mLog = &aNode.mFleetLog;
   context.mMachines = &aNode.mMachines;
+  context.mHosts = &aNode.mHosts;
   context.mPartitions = aNode.mSettings.mPartitions;
   context.mReportingShard = inUse.empty() ? -1 : *inUse.begin();
   context.mHolderLease = aNode.mSettings.mHolderLease;
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -2,6 +2,7 @@
 
 #include "LibSchedule/Follower.h"
 #include "LibSchedule/GroupMembership.h"
+#include "LibSchedule/HostIndex.h"
 #include "LibSchedule/Intake.h"
 #include "LibSchedule/Maintenance.h"
 #include "LibSchedule/QuotaKeeping.h"
@@ -54,6 +55,7 @@
   Intake mIntake;
   FleetLog mFleetLog;
   MachineList mMachines;
+  HostIndex mHosts;
   Maintenance mMaintenance;
   Rebalance mRebalance;
   QuotaKeeping mQuotas;
--- a/Libraries/LibSchedule/PlacementPreview.cpp
+++ b/Libraries/LibSchedule/PlacementPreview.cpp
@@ -32,6 +32,7 @@
   auto copy = aShard;
   copy.mExecutorsToCheck.clear();
   copy.mChecks.clear();
+  copy.mDemand = {};
   for (auto& [id, executor] : copy.mExecutors) {
     executor.mIsCheckScheduled = false;
   }
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -1,9 +1,11 @@
 #include "LibSchedule/Rebalance.h"
 
+#include "LibSchedule/HostIndex.h"
 #include "LibSchedule/MovableHosts.h"
 
 #include <algorithm>
 #include <cstdlib>
+#include <limits>
 
 namespace sesameseam::schedule {
 
@@ -24,6 +26,7 @@
 constexpr Duration kDrainCancelDelay = 500ms;
 // Preferred donors have this long to cover a shortage before the other pools do.
 constexpr Duration kDonorPriorityTime = 600ms;
+constexpr int kNoLimit = std::numeric_limits<int>::max();
 
 int
 ShortageOf(const PoolDemand& aDemand)
@@ -89,7 +92,7 @@
   std::vector<Shortage> shortages;
   Shortage greatest;
   for (const auto& [pool, demand] : aLog.mDemands) {
-    if (aNow - demand.mAt > kDemandLifetime) {
+    if (aNow - demand.mAt > kDemandLifetime || ShortageOf(demand) <= 0) {
       continue;
     }
     Shortage shortage{ pool,
@@ -108,18 +111,14 @@
 
 int
 CountSurplusHosts(const FleetContext& aContext,
-                  const Shard& aShard,
+                  Shard& aShard,
                   const Service& aPool,
                   const Now& aNow)
 {
   if (aPool.mStandby) {
-    const auto& machines = aContext.mMachines->mMachines;
-    return static_cast<int>(
-      std::count_if(machines.begin(), machines.end(), [&](const auto& aEntry) {
-        return aEntry.second.mPool == aPool.mName && aEntry.second.mState == MachineState::Up;
-      }));
+    return CountHostsUp(aContext, aPool.mName);
   }
-  auto demand = EstimateDemand(aShard, aPool.mName, aNow);
+  auto demand = UpdateDemand(aShard, aPool.mName, aNow);
   return demand.mPresent - demand.mWanted;
 }
 
@@ -133,7 +132,7 @@
   }
   auto found = shard->mExecutors.find(machine->mExecutor);
   if (found != shard->mExecutors.end()) {
-    found->second.mDrainReason = aReason;
+    detail::SetDrainReason(*shard, found->second, aReason);
   }
 }
 
@@ -236,12 +235,11 @@
 DrainHosts(Rebalance& aRebalance,
            const Now& aNow,
            const FleetContext& aContext,
-           const Shard& aShard,
            const ServiceName& aFrom,
            const ServiceName& aTo,
            int aCount)
 {
-  auto hosts = HostsToDrain(aContext, aRebalance, aShard, aFrom, aNow);
+  auto hosts = HostsToDrain(aContext, aRebalance, aFrom, aNow);
   hosts.resize(std::min(hosts.size(), static_cast<std::size_t>(aCount)));
   for (const auto& host : hosts) {
     SetDrainReason(aContext, host.mId, DrainReason::ForMove);
@@ -256,22 +254,27 @@
               const Now& aNow,
               const FleetContext& aContext,
               const Service& aPool,
-              const Shard& aShard,
+              Shard& aShard,
               const Shortage& aShortage,
               int aShare,
               Actions& aActions)
 {
+  if (aShare <= 0) {
+    return 0;
+  }
   auto draining = CountDraining(aRebalance, aPool.mName);
   // Draining hosts don't count as present.
   auto spare = CountSurplusHosts(aContext, aShard, aPool, aNow) + draining;
   auto wanted = std::max(0, std::min(aShare, spare));
-  auto idle = HostsReadyToMove(aContext, aRebalance, aShard, aPool, aNow);
-  idle.resize(std::min(idle.size(), static_cast<std::size_t>(wanted)));
+  if (wanted == 0) {
+    return 0;
+  }
+  auto idle = HostsReadyToMove(aContext, aRebalance, aPool, wanted, aNow).mIds;
   RecordMoves(aRebalance, aNow, aContext, aShard, aShortage, idle);
   auto moved = static_cast<int>(idle.size());
   auto toDrain = aPool.mStandby ? 0 : std::max(0, wanted - moved - draining);
   if (toDrain > 0) {
-    DrainHosts(aRebalance, aNow, aContext, aShard, aPool.mName, aShortage.mPool, toDrain);
+    DrainHosts(aRebalance, aNow, aContext, aPool.mName, aShortage.mPool, toDrain);
   }
   if (moved > 0 || toDrain > 0) {
     LogEntry entry{ LogLevel::Info, "hosts-given", {}, aPool.mName.mValue };
@@ -294,7 +297,7 @@
 {
   aRebalance.mShortageSince.try_emplace(aShortage.mPool, aNow.mAt);
   for (const auto& pool : aServices) {
-    const auto* shard = FindShard(aContext, pool.mName);
+    auto* shard = FindShard(aContext, pool.mName);
     if (pool.mName == aShortage.mPool || shard == nullptr) {
       continue;
     }
@@ -368,6 +371,39 @@
   }
 }
 
+void
+DecideOnMoves(Rebalance& aRebalance,
+              const RebalanceSettings& aSettings,
+              const Now& aNow,
+              const FleetContext& aContext,
+              const std::vector<Service>& aServices,
+              Actions& aActions)
+{
+  UpdateHostIndex(*aContext.mHosts, aContext);
+  // Orders whose append was not stored are dropped, and their hosts accept work again.
+  if (MayAppend(*aContext.mLog)) {
+    std::erase_if(aRebalance.mOrders, [&](const auto& aEntry) {
+      auto isDropped = aEntry.second.mFence == 0;
+      if (isDropped) {
+        SetDrainReason(aContext, aEntry.first, DrainReason::None);
+      }
+      return isDropped;
+    });
+  }
+  for (const auto& pool : aServices) {
+    auto* shard = FindShard(aContext, pool.mName);
+    if (shard == nullptr) {
+      continue;
+    }
+    auto demand = pool.mStandby ? PoolDemand() : UpdateDemand(*shard, pool.mName, aNow);
+    demand.mAt = aNow.mWall;
+    auto limit = pool.mStandby ? kNoLimit : demand.mPresent - demand.mWanted;
+    demand.mIdle = CountHostsReadyToMove(aContext, aRebalance, pool, limit, aNow);
+    PublishIfChanged(aRebalance, *aContext.mLog, pool.mName, demand, aNow, aActions);
+  }
+  CoverShortages(aRebalance, aSettings, aNow, aContext, aServices, aActions);
+}
+
 }
 
 void
@@ -430,36 +466,11 @@
                  const std::vector<Service>& aServices,
                  Actions& aActions)
 {
-  auto isKnown = aContext.mLog->mHostCursor.mLoaded && aContext.mMachines->mIsKnown;
-  if (!isKnown || aNow.mAt < aRebalance.mNextCheckAt) {
+  if (!IsFleetKnown(aContext) || aNow.mAt < aRebalance.mNextCheckAt) {
     return;
   }
   aRebalance.mNextCheckAt = aNow.mAt + kCheckInterval;
-  // Orders whose append was not stored are dropped, and their hosts accept work again.
-  if (MayAppend(*aContext.mLog)) {
-    std::erase_if(aRebalance.mOrders, [&](const auto& aEntry) {
-      auto isDropped = aEntry.second.mFence == 0;
-      if (isDropped) {
-        SetDrainReason(aContext, aEntry.first, DrainReason::None);
-      }
-      return isDropped;
-    });
-  }
-  for (const auto& pool : aServices) {
-    const auto* shard = FindShard(aContext, pool.mName);
-    if (shard == nullptr) {
-      continue;
-    }
-    auto demand = pool.mStandby ? PoolDemand() : EstimateDemand(*shard, pool.mName, aNow);
-    demand.mAt = aNow.mWall;
-    auto idle = HostsReadyToMove(aContext, aRebalance, *shard, pool, aNow);
-    demand.mIdle = static_cast<int>(idle.size());
-    if (!pool.mStandby) {
-      demand.mIdle = std::clamp(demand.mPresent - demand.mWanted, 0, demand.mIdle);
-    }
-    PublishIfChanged(aRebalance, *aContext.mLog, pool.mName, demand, aNow, aActions);
-  }
-  CoverShortages(aRebalance, aSettings, aNow, aContext, aServices, aActions);
+  DecideOnMoves(aRebalance, aSettings, aNow, aContext, aServices, aActions);
   SendMoveOrders(aRebalance, aNow, aContext, aActions);
 }
 
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -39,6 +39,28 @@
   Instant mAt;
 };
 
+// Counts of the changes that may make hosts of a pool ready to move, or no longer so.
+struct HostChanges
+{
+  // Of the index of hosts.
+  std::int64_t mGeneration = 0;
+  std::int64_t mRecords = 0;
+  std::int64_t mCapacities = 0;
+  std::int64_t mAnswers = 0;
+  std::int64_t mRuns = 0;
+
+  bool operator==(const HostChanges&) const = default;
+};
+
+// How many hosts of a pool were ready to move, of at most mLimit. It holds until something changes;
+// a limit of 0 stands for a count that is not known.
+struct ReadyCount
+{
+  HostChanges mChanges;
+  int mLimit = 0;
+  int mCount = 0;
+};
+
 struct Rebalance
 {
   std::map<ServiceName, PublishedDemand> mPublished;
@@ -46,6 +68,7 @@
   std::map<ServiceName, Instant> mShortageSince;
   std::map<MachineId, DrainingHost> mDraining;
   std::map<MachineId, MoveOrder> mOrders;
+  std::map<ServiceName, ReadyCount> mReadyCounts;
   Instant mNextCheckAt;
   std::int64_t mMoves = 0;
 };
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -108,6 +108,7 @@
 UpdateExecutor(Shard& aShard, const Now& aNow, const ExecutorEntry& aEntry)
 {
   auto& executor = FindOrAddExecutor(aShard, aEntry.mId, aNow);
+  ++aShard.mCapacityChanges;
   if (aEntry.mState == ExecutorState::Gone) {
     executor.mHasAnnouncedLeave |= executor.mEntry.mState == ExecutorState::Draining;
     executor.mEntry.mState = ExecutorState::Gone;
@@ -223,6 +224,7 @@
   aJob.mDirty = true;
   aShard.mDirty.insert(aJob.mId);
   NoteChange(aShard.mPlacement, aJob);
+  NoteDemandChange(aShard, aJob);
 }
 
 void
@@ -245,6 +247,7 @@
   auto id = aJob.mId;
   auto& job = aShard.mJobs.emplace(id, std::move(aJob)).first->second;
   NoteChange(aShard.mPlacement, job);
+  NoteDemandChange(aShard, job);
   return job;
 }
 
@@ -252,9 +255,26 @@
 RemoveJob(Shard& aShard, Job& aJob)
 {
   ForgetJob(aShard.mPlacement, aJob);
+  NoteDemandChange(aShard, aJob);
   aShard.mJobs.erase(JobId(aJob.mId));
 }
 
+void
+NoteDemandChange(Shard& aShard, Job& aJob)
+{
+  if (!aJob.mIsDemandChanged) {
+    aJob.mIsDemandChanged = true;
+    aShard.mDemand.mChangedJobs.push_back(aJob.mId);
+  }
+}
+
+void
+SetDrainReason(Shard& aShard, Executor& aExecutor, DrainReason aReason)
+{
+  aShard.mCapacityChanges += aExecutor.mDrainReason == aReason ? 0 : 1;
+  aExecutor.mDrainReason = aReason;
+}
+
 void
 ApplyJobRecord(Shard& aShard, const Now& aNow, const KeyedRecord& aRecord, Actions& aActions)
 {
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibSchedule/DemandSums.h"
 #include "LibSchedule/Dependency.h"
 #include "LibSchedule/EndedJobs.h"
 #include "LibSchedule/Executor.h"
@@ -110,6 +111,11 @@
 
   std::map<ExecutorId, Executor> mExecutors;
   TenantUsage mUsage;
+  // How often the entry or the drain of an executor has changed.
+  std::int64_t mCapacityChanges = 0;
+  // How often an executor has begun or ceased to answer.
+  std::int64_t mAnswerChanges = 0;
+  DemandSums mDemand;
   // Executors that may need a call at once; all others are checked when their time has come.
   std::vector<Executor*> mExecutorsToCheck;
   std::vector<ExecutorCheck> mChecks;
@@ -203,6 +209,13 @@
 FindJob(Shard& aShard, const JobId& aId);
 void
 MarkDirty(Shard& aShard, Job& aJob);
+// Has the job measured anew for the demand of its pool, since it came, changed or goes.
+void
+NoteDemandChange(Shard& aShard, Job& aJob);
+
+// Sets why an executor that reports itself as ready gets no new work.
+void
+SetDrainReason(Shard& aShard, Executor& aExecutor, DrainReason aReason);
 
 // Adds a run to its executor, or removes it.
 void
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -396,6 +396,7 @@
       aActions.emplace_back(std::move(entry));
     }
     RecordUnansweredHeartbeat(*executor, aNow.mAt);
+    ++aShard.mAnswerChanges;
     if (aAnswer.mIsFromAnother) {
       DropRunsOfReplaced(aShard, *executor, aAnswer.mSentAt, aActions);
     }
@@ -407,7 +408,9 @@
   if (executor->mIsUnresponsive) {
     aShard.mResponsivenessToRecord.insert(executor->mEntry.mId);
   }
-  aShard.mNeedsPlacementPass |= !executor->mHasAnsweredHeartbeat || executor->mUnansweredCalls > 0;
+  auto hasBegunToAnswer = !executor->mHasAnsweredHeartbeat || executor->mUnansweredCalls > 0;
+  aShard.mNeedsPlacementPass |= hasBegunToAnswer;
+  aShard.mAnswerChanges += hasBegunToAnswer ? 1 : 0;
   executor->mUnansweredCalls = 0;
   executor->mIsReplaced = false;
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -141,6 +141,7 @@
     auto found = aShard.mExecutors.find(id);
     if (found != aShard.mExecutors.end() && found->second.mUnansweredCalls == 0) {
       found->second.mIsUnresponsive = false;
+      ++aShard.mAnswerChanges;
       aShard.mNeedsPlacementPass = true;
     }
   }
--- a/Libraries/LibSchedule/TenantUsage.cpp
+++ b/Libraries/LibSchedule/TenantUsage.cpp
@@ -94,6 +94,7 @@
 void
 AddRun(TenantUsage& aUsage, Executor& aExecutor, const TaskRun& aName, const PlacedRun& aRun)
 {
+  ++aUsage.mRunChanges;
   if (aExecutor.mRuns.emplace(aName, aRun).second && !aRun.mTenant.mValue.empty()) {
     auto& running = aUsage.mTenants[aRun.mTenant].mRunning;
     running = running + aRun.mCounted;
@@ -112,6 +113,7 @@
     running = running - found->second.mCounted;
   }
   aExecutor.mRuns.erase(found);
+  ++aUsage.mRunChanges;
 }
 
 }
--- a/Libraries/LibSchedule/TenantUsage.h
+++ b/Libraries/LibSchedule/TenantUsage.h
@@ -33,6 +33,8 @@
   std::map<TenantName, TenantUse> mTenants;
   // The tenants for which the last placement pass held tasks back.
   std::set<TenantName> mLacking;
+  // How often a run was added or removed.
+  std::int64_t mRunChanges = 0;
 };
 
 // The part of an amount for which the quota sets a limit.
--- a/Libraries/LibSchedule/WaveDrain.cpp
+++ b/Libraries/LibSchedule/WaveDrain.cpp
@@ -29,12 +29,13 @@
   bool mHasLongRunning = false;
 };
 
+// The hosts of one shard that the wave has yet to take down.
 struct WaveDrainState
 {
   // Draining hosts, those of them with long-running tasks, and hosts that could drain next.
   int mDraining = 0;
   int mDrainingWithLongRunning = 0;
-  std::vector<DrainCandidate> mCandidates;
+  std::vector<Executor*> mCandidates;
 };
 
 bool
@@ -61,60 +62,71 @@
 }
 
 bool
-HasAcknowledgedOrder(const Maintenance& aMaintenance,
-                     const MaintenanceKey& aKey,
-                     const Shard& aShard)
+HasAcknowledgedOrder(Maintenance& aMaintenance, WaveHost& aHost)
 {
-  auto order = aMaintenance.mOrders.find(aKey);
-  return order != aMaintenance.mOrders.end() && order->second.mEpoch == aShard.mEpoch &&
-         order->second.mAcknowledged;
+  if (aHost.mOrder == nullptr) {
+    auto found = aMaintenance.mOrders.find(aHost.mKey);
+    aHost.mOrder = found == aMaintenance.mOrders.end() ? nullptr : &found->second;
+  }
+  return aHost.mOrder != nullptr && aHost.mOrder->mEpoch == aHost.mHost->mShard->mEpoch &&
+         aHost.mOrder->mAcknowledged;
 }
 
 // A host that drains for a move to another pool continues to.
 void
-SetDrainReason(Executor& aExecutor, bool aForMaintenance)
+SetDraining(const IndexedHost& aHost, bool aForMaintenance)
 {
-  if (aExecutor.mDrainReason != DrainReason::ForMove) {
-    aExecutor.mDrainReason = aForMaintenance ? DrainReason::ForMaintenance : DrainReason::None;
+  auto& executor = *aHost.mExecutor;
+  if (executor.mDrainReason != DrainReason::ForMove) {
+    auto reason = aForMaintenance ? DrainReason::ForMaintenance : DrainReason::None;
+    detail::SetDrainReason(*aHost.mShard, executor, reason);
   }
 }
 
-WaveDrainState
-RefreshDrainState(const Maintenance& aMaintenance,
-                  const FleetContext& aContext,
-                  const Wave& aWave,
-                  Shard& aShard)
+// Updates what the executor of a host knows of the wave.
+void
+RefreshHost(Maintenance& aMaintenance, WaveHost& aHost, WaveDrainState& aState)
 {
-  WaveDrainState state;
-  for (const auto& id : aWave.mMachines) {
-    const auto* machine = FindMachine(*aContext.mMachines, id);
-    if (machine == nullptr || FindShard(aContext, machine->mPool) != &aShard) {
-      continue;
-    }
-    auto found = aShard.mExecutors.find(machine->mExecutor);
-    if (found == aShard.mExecutors.end()) {
-      continue;
-    }
-    MaintenanceKey key{ aWave.mNumber, id };
-    found->second.mIsDueForMaintenance = !IsMaintenanceFinished(*aContext.mLog, key);
-    if (FindMaintenance(*aContext.mLog, key) != nullptr) {
-      // A host whose order was acknowledged to this owner is down, or back with another executor.
-      auto isBack = HasAcknowledgedOrder(aMaintenance, key, aShard) &&
-                    found->second.mDrainReason == DrainReason::None;
-      auto needsOrder = !isBack && !IsMaintenanceFinished(*aContext.mLog, key);
-      SetDrainReason(found->second, needsOrder && machine->mState == MachineState::Up);
-      continue;
-    }
-    if (found->second.mDrainReason == DrainReason::ForMaintenance) {
-      ++state.mDraining;
-      state.mDrainingWithLongRunning += HasLongRunningTasks(found->second) ? 1 : 0;
-    } else if (found->second.mDrainReason == DrainReason::None &&
-               machine->mState == MachineState::Up) {
-      state.mCandidates.push_back(
-        { &found->second, ReservedCpu(found->second), HasLongRunningTasks(found->second) });
+  auto& executor = *aHost.mHost->mExecutor;
+  auto isUp = aHost.mHost->mMachine->mState == MachineState::Up;
+  executor.mIsDueForMaintenance = !IsMaintenanceFinished(aHost);
+  if (aHost.mRecord != nullptr) {
+    // A host whose order was acknowledged to this owner is down, or back with another executor.
+    auto isBack =
+      HasAcknowledgedOrder(aMaintenance, aHost) && executor.mDrainReason == DrainReason::None;
+    auto needsOrder = !isBack && !IsMaintenanceFinished(aHost);
+    SetDraining(*aHost.mHost, needsOrder && isUp);
+    return;
+  }
+  if (executor.mDrainReason == DrainReason::ForMaintenance) {
+    ++aState.mDraining;
+    aState.mDrainingWithLongRunning += HasLongRunningTasks(executor) ? 1 : 0;
+  } else if (executor.mDrainReason == DrainReason::None && isUp) {
+    aState.mCandidates.push_back(&executor);
+  }
+}
+
+// The states by shard.
+using WaveDrainStates = std::map<Shard*, WaveDrainState>;
+
+// Looks at each host that the wave has yet to finish, and for a last time at those that it has.
+WaveDrainStates
+RefreshHosts(Maintenance& aMaintenance,
+             const FleetContext& aContext,
+             const Wave& aWave,
+             IndexedWave& aIndexed)
+{
+  WaveDrainStates states;
+  aContext.mHosts->mVisits += static_cast<std::int64_t>(aIndexed.mHosts.size());
+  for (auto& host : aIndexed.mHosts) {
+    if (host.mHost->mExecutor != nullptr) {
+      RefreshHost(aMaintenance, host, states[host.mHost->mShard]);
     }
   }
-  return state;
+  std::erase_if(aIndexed.mHosts, [&](const WaveHost& aHost) {
+    return IsMaintenanceFinished(aHost) && RemoveDueWave(*aHost.mHost, aWave);
+  });
+  return states;
 }
 
 // Returns how many hosts may drain concurrently: busy ones have the lower limit.
@@ -127,46 +139,62 @@
   return std::min(aWave.mMaxConcurrent, aBusyAtOnce);
 }
 
+std::vector<DrainCandidate>
+OrderCandidates(const std::vector<Executor*>& aExecutors)
+{
+  std::vector<DrainCandidate> candidates;
+  candidates.reserve(aExecutors.size());
+  for (auto* executor : aExecutors) {
+    candidates.push_back({ executor, ReservedCpu(*executor), HasLongRunningTasks(*executor) });
+  }
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [](const DrainCandidate& aLeft, const DrainCandidate& aRight) {
+              return aLeft.mReservedCpu < aRight.mReservedCpu;
+            });
+  return candidates;
 }
 
 void
-ChooseHostsToDrain(const Maintenance& aMaintenance,
-                   const Now& aNow,
-                   const FleetContext& aContext,
-                   const Wave& aWave,
-                   Shard& aShard)
+DrainCandidates(const Now& aNow, const Wave& aWave, Shard& aShard, WaveDrainState& aState)
 {
-  auto state = RefreshDrainState(aMaintenance, aContext, aWave, aShard);
-  auto left = state.mDraining + static_cast<int>(state.mCandidates.size());
+  auto left = aState.mDraining + static_cast<int>(aState.mCandidates.size());
   auto busyAtOnce = ParallelDrains(aWave, left, aNow.mAt);
-  std::sort(state.mCandidates.begin(),
-            state.mCandidates.end(),
-            [](const DrainCandidate& aLeft, const DrainCandidate& aRight) {
-              return aLeft.mReservedCpu < aRight.mReservedCpu;
-            });
-  for (auto& host : state.mCandidates) {
+  for (auto& host : OrderCandidates(aState.mCandidates)) {
     auto isNeeded = host.mHasLongRunning &&
-                    state.mDrainingWithLongRunning < kMaxLongRunningDrains &&
-                    state.mDraining < aWave.mMaxConcurrent;
-    if (!isNeeded && state.mDraining >= DrainLimitFor(host, aWave, busyAtOnce)) {
+                    aState.mDrainingWithLongRunning < kMaxLongRunningDrains &&
+                    aState.mDraining < aWave.mMaxConcurrent;
+    if (!isNeeded && aState.mDraining >= DrainLimitFor(host, aWave, busyAtOnce)) {
       continue;
     }
-    host.mExecutor->mDrainReason = DrainReason::ForMaintenance;
-    ++state.mDraining;
-    state.mDrainingWithLongRunning += host.mHasLongRunning ? 1 : 0;
+    detail::SetDrainReason(aShard, *host.mExecutor, DrainReason::ForMaintenance);
+    ++aState.mDraining;
+    aState.mDrainingWithLongRunning += host.mHasLongRunning ? 1 : 0;
+  }
+}
+
+}
+
+void
+ChooseHostsToDrain(Maintenance& aMaintenance,
+                   const Now& aNow,
+                   const FleetContext& aContext,
+                   const Wave& aWave,
+                   IndexedWave& aIndexed)
+{
+  for (auto& [shard, state] : RefreshHosts(aMaintenance, aContext, aWave, aIndexed)) {
+    if (state.mDraining < aWave.mMaxConcurrent) {
+      DrainCandidates(aNow, aWave, *shard, state);
+    }
   }
 }
 
 bool
-IsPinnedForMaintenance(const FleetContext& aContext, const MachineId& aMachine, Instant aNow)
+IsPinnedForMaintenance(const FleetContext& aContext, const IndexedHost& aHost, Instant aNow)
 {
-  return std::any_of(aContext.mWaves->begin(), aContext.mWaves->end(), [&](const auto& aEntry) {
-    const auto& [number, wave] = aEntry;
-    // The search through the wave comes last, since it takes the longest.
-    return aNow - wave.mSeenAt > ShareOf(wave.mTimeLimit, kMoveTimeShare) &&
-           !IsMaintenanceFinished(*aContext.mLog, { number, aMachine }) &&
-           std::find(wave.mMachines.begin(), wave.mMachines.end(), aMachine) !=
-             wave.mMachines.end();
+  return std::any_of(aHost.mDueIn.begin(), aHost.mDueIn.end(), [&](const Wave* aWave) {
+    return aNow - aWave->mSeenAt > ShareOf(aWave->mTimeLimit, kMoveTimeShare) &&
+           !IsMaintenanceFinished(*aContext.mLog, { aWave->mNumber, aHost.mMachine->mId });
   });
 }
 
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -261,6 +261,8 @@
   // Checks that the owners' counts of what tenants have running match their runs.
   void CheckUsage();
   void CheckPlacement();
+  // Checks that the sums of demand that owners keep match their jobs and executors.
+  void CheckDemand();
   // Ends the process of the executor if the run that has just started is one that crashes it.
   void CrashUnder(FakeExecutor& aExecutor, const schedule::StartCall& aCall);
   // Executes an order that takes a machine out of service and returns it to a pool after a time.
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -190,6 +190,7 @@
   CheckQuota(text);
   CheckUsage();
   CheckPlacement();
+  CheckDemand();
   std::int64_t reserved = 0;
   for (auto& executor : mExecutors) {
     Advance(executor, mNow);
@@ -303,6 +304,22 @@
   }
 }
 
+void
+Simulation::CheckDemand()
+{
+  for (auto& host : mHosts) {
+    for (auto& [partition, shard] : host.mNode.mShards) {
+      for (const auto& [pool, sums] : shard.mDemand.mPools) {
+        auto kept = UpdateDemand(shard, pool, Time());
+        auto estimate = EstimateDemand(shard, pool, Time());
+        if (kept.mWanted != estimate.mWanted || kept.mPresent != estimate.mPresent) {
+          mViolations.push_back("host " + host.mName + " keeps sums of demand that are wrong");
+        }
+      }
+    }
+  }
+}
+
 void
 Simulation::CheckUsage()
 {
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -1,4 +1,5 @@
 #include "LibSchedule/ExecutorDrain.h"
+#include "LibSchedule/HostIndex.h"
 #include "LibSchedule/Rebalance.h"
 #include "Steps.h"
 
@@ -19,6 +20,7 @@
   std::map<int, Shard> mShards;
   FleetLog mLog;
   MachineList mMachines;
+  HostIndex mHosts;
   Maintenance mMaintenance;
   Rebalance mRebalance;
   std::vector<Service> mServices;
@@ -60,6 +62,7 @@
     context.mShards = &mShards;
     context.mLog = &mLog;
     context.mMachines = &mMachines;
+    context.mHosts = &mHosts;
     context.mPartitions = kPartitions;
     return context;
   }
