Let a late owner decide on waves and moves less often

Cause: an owner whose processor has no time left made its decisions about hosts as often as an idle one.

Orders that are recorded are sent and repeated at their usual pace, so that moves are not given up and waves go on.

Tests: with timers late by 0 to 1,000 ms the numbers of rounds, appends and orders never rise, and rounds fall to a fourth at least; an order follows its record as soon as that of an owner in time.

--- a/Libraries/LibSchedule/Maintenance.cpp
+++ b/Libraries/LibSchedule/Maintenance.cpp
@@ -82,6 +82,14 @@
   }
 }
 
+// Whether this owner has recorded its order for the host, and the maintenance is not finished.
+bool
+IsOrdered(const WaveHost& aHost)
+{
+  return aHost.mOrder != nullptr && aHost.mOrder->mFence != 0 &&
+         aHost.mOrder->mEpoch == aHost.mHost->mShard->mEpoch && !IsMaintenanceFinished(aHost);
+}
+
 // Advances the maintenance of one host: drained, recorded, ordered, returned. aDown counts the
 // hosts that are down for the wave, including those whose record is in the batch.
 void
@@ -242,4 +250,21 @@
   }
 }
 
+void
+AdvanceMaintenanceOrders(const Now& aNow, const FleetContext& aContext, Actions& aActions)
+{
+  if (!IsFleetKnown(aContext)) {
+    return;
+  }
+  auto& index = *aContext.mHosts;
+  UpdateHostIndex(index, aContext);
+  for (auto& [number, wave] : index.mWaves) {
+    for (auto& host : wave.mHosts) {
+      if (IsOrdered(host)) {
+        AdvanceOrder(*host.mOrder, aNow, aContext, host, aActions);
+      }
+    }
+  }
+}
+
 }
--- a/Libraries/LibSchedule/Maintenance.h
+++ b/Libraries/LibSchedule/Maintenance.h
@@ -59,4 +59,8 @@
                    const FleetContext& aContext,
                    Actions& aActions);
 
+// Sends the orders that are recorded, and records that hosts are back. No host is chosen.
+void
+AdvanceMaintenanceOrders(const Now& aNow, const FleetContext& aContext, Actions& aActions);
+
 }
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -2,7 +2,6 @@
 
 #include "LibSchedule/CallerRequests.h"
 
-#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -12,10 +11,6 @@
 
 // A host that has had no answer from the log for this long reports that it is not ready.
 constexpr Duration kReadinessTimeout = 3s;
-// Decisions about hosts examine every host of a wave, so they are not made on every event, and the
-// less often the more hosts there are.
-constexpr Duration kMinFleetCheckInterval = 40ms;
-constexpr Duration kFleetCheckIntervalPerHost = 60us;
 
 std::set<int>
 PartitionsInUse(const Node& aNode)
@@ -359,16 +354,22 @@
   }
   AdvanceFleetLog(aNode.mFleetLog, aNow, aActions);
   AdvanceMachineList(aNode.mMachines, aNow, aActions);
-  if (aNow.mAt < aNode.mNextFleetCheckAt) {
+  auto lateness = aNode.mRelayedCalls.mMeanDelay;
+  auto hosts = aNode.mMachines.mMachines.size();
+  auto due = NextFleetCheck(aNode.mFleetPace, hosts, lateness, aNow.mAt);
+  if (due == FleetCheck::None) {
     return;
   }
-  auto hosts = static_cast<std::int64_t>(aNode.mMachines.mMachines.size());
-  aNode.mNextFleetCheckAt =
-    aNow.mAt + std::max(kMinFleetCheckInterval, kFleetCheckIntervalPerHost * hosts);
   auto context = MakeFleetContext(aNode);
-  AdvanceMaintenance(aNode.mMaintenance, aNow, context, aActions);
   const auto& services = aNode.mFollower.mManifest->mServices;
-  AdvanceRebalance(aNode.mRebalance, aNode.mSettings.mRebalance, aNow, context, services, aActions);
+  const auto& settings = aNode.mSettings.mRebalance;
+  if (due == FleetCheck::Decisions) {
+    AdvanceMaintenance(aNode.mMaintenance, aNow, context, aActions);
+    AdvanceRebalance(aNode.mRebalance, settings, aNow, context, services, aActions);
+  } else {
+    AdvanceMaintenanceOrders(aNow, context, aActions);
+    AdvanceMoveOrders(aNode.mRebalance, settings, aNow, context, services, aActions);
+  }
   AppendBatch(aNode.mFleetLog, aActions);
 }
 
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibSchedule/FleetPace.h"
 #include "LibSchedule/Follower.h"
 #include "LibSchedule/GroupMembership.h"
 #include "LibSchedule/HostIndex.h"
@@ -59,7 +60,7 @@
   Maintenance mMaintenance;
   Rebalance mRebalance;
   QuotaKeeping mQuotas;
-  Instant mNextFleetCheckAt;
+  FleetPace mFleetPace;
   std::map<int, Shard> mShards;
   std::map<int, StatusView> mViews;
   // Calls of this host's shards that other hosts make, and the other way round.
--- a/Libraries/LibSchedule/Rebalance.cpp
+++ b/Libraries/LibSchedule/Rebalance.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <limits>
+#include <utility>
 
 namespace sesameseam::schedule {
 
@@ -465,12 +466,26 @@
                  const FleetContext& aContext,
                  const std::vector<Service>& aServices,
                  Actions& aActions)
+{
+  aRebalance.mIsDecisionDue = true;
+  AdvanceMoveOrders(aRebalance, aSettings, aNow, aContext, aServices, aActions);
+}
+
+void
+AdvanceMoveOrders(Rebalance& aRebalance,
+                  const RebalanceSettings& aSettings,
+                  const Now& aNow,
+                  const FleetContext& aContext,
+                  const std::vector<Service>& aServices,
+                  Actions& aActions)
 {
   if (!IsFleetKnown(aContext) || aNow.mAt < aRebalance.mNextCheckAt) {
     return;
   }
   aRebalance.mNextCheckAt = aNow.mAt + kCheckInterval;
-  DecideOnMoves(aRebalance, aSettings, aNow, aContext, aServices, aActions);
+  if (std::exchange(aRebalance.mIsDecisionDue, false)) {
+    DecideOnMoves(aRebalance, aSettings, aNow, aContext, aServices, aActions);
+  }
   SendMoveOrders(aRebalance, aNow, aContext, aActions);
 }
 
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -70,6 +70,8 @@
   std::map<MachineId, MoveOrder> mOrders;
   std::map<ServiceName, ReadyCount> mReadyCounts;
   Instant mNextCheckAt;
+  // Moves are to be decided at the next check, which is not for orders only.
+  bool mIsDecisionDue = false;
   std::int64_t mMoves = 0;
 };
 
@@ -99,4 +101,14 @@
                  const std::vector<Service>& aServices,
                  Actions& aActions);
 
+// Sends the orders for moves that are recorded, and decides on moves only if that could not be done
+// when AdvanceRebalance() was last called.
+void
+AdvanceMoveOrders(Rebalance& aRebalance,
+                  const RebalanceSettings& aSettings,
+                  const Now& aNow,
+                  const FleetContext& aContext,
+                  const std::vector<Service>& aServices,
+                  Actions& aActions);
+
 }
--- a/Tests/LibSchedule/TestFleetCost.cpp
+++ b/Tests/LibSchedule/TestFleetCost.cpp
@@ -1,5 +1,6 @@
 #include "FleetPlay.h"
 #include "LibSchedule/Demand.h"
+#include "LibSchedule/Node.h"
 
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
@@ -142,6 +143,121 @@
   }
 };
 
+// What an owner does about hosts in some seconds.
+struct OwnerWork
+{
+  std::int64_t mChecks = 0;
+  std::int64_t mAppends = 0;
+  std::int64_t mOrders = 0;
+  // The longest time from the record of an order to the order.
+  Duration mLongestToOrder{ 0 };
+};
+
+// An owner whose timers are late, with a wave and a pool elsewhere that is short of hosts. Orders
+// are refused, so that they are repeated.
+class LateOwner
+{
+public:
+  explicit LateOwner(Duration aLateness)
+    : mLateness(aLateness)
+  {
+    NodeSettings settings;
+    settings.mName = "e1";
+    mNode = MakeNode(settings);
+    Manifest manifest;
+    manifest.mServices = { { ServiceName("pool"), false }, { ServiceName("short"), false } };
+    mNode.mFollower.mManifest = manifest;
+    mNode.mFleetLog.mHostCursor.mLoaded = true;
+    mNode.mMachines.mIsKnown = true;
+    mNode.mMachines.mNextReadAt = Instant::max();
+    auto partition = PartitionOf(ServiceName("pool"), settings.mPartitions);
+    auto& shard = mNode.mShards.emplace(partition, MakeShard(partition, {}, {})).first->second;
+    shard.mPhase = ShardPhase::Active;
+    auto& wave = mNode.mFollower.mWaves[1];
+    wave.mNumber = 1;
+    wave.mTimeLimit = 20s;
+    wave.mMaxConcurrent = 5;
+    wave.mSeenAt = kStart;
+    for (int i = 0; i < 40; ++i) {
+      AddHost("m" + std::to_string(i), shard, i < 20 ? &wave : nullptr);
+    }
+  }
+
+  OwnerWork RunFor(Duration aTime)
+  {
+    for (Duration elapsed{ 0 }; elapsed < aTime; elapsed += 10ms) {
+      Now now{ kStart + elapsed, kWallStart + elapsed };
+      for (auto& [partition, shard] : mNode.mShards) {
+        shard.mConfirmedAt = now.mAt;
+      }
+      mNode.mFleetLog.mDemands[ServiceName("short")] = { 30, 20, now.mWall };
+      Count(Handle(mNode, now, Tick{ now.mAt - mLateness }), now);
+      for (const auto& answer : std::exchange(mAnswers, {})) {
+        Count(Handle(mNode, now, answer), now);
+      }
+    }
+    mWork.mChecks = mNode.mFleetPace.mDecisions;
+    return mWork;
+  }
+
+private:
+  void AddHost(const std::string& aName, Shard& aShard, Wave* aWave)
+  {
+    Machine machine{ MachineId(aName), ServiceName("pool"), MachineState::Up, ExecutorId(aName) };
+    mNode.mMachines.mMachines[machine.mId] = machine;
+    mNode.mMachines.mInPoolSince[machine.mId] = Instant(0s);
+    ExecutorEntry entry{ machine.mExecutor, machine.mPool, {}, {}, {}, { 8000, 64000, 0 } };
+    UpdateExecutor(aShard, { kStart, kWallStart }, entry);
+    aShard.mExecutors.at(entry.mId).mHasAnsweredHeartbeat = true;
+    if (aWave != nullptr) {
+      aWave->mMachines.push_back(machine.mId);
+    }
+  }
+
+  void CountOrder(const MachineId& aMachine, const Now& aNow)
+  {
+    ++mWork.mOrders;
+    auto recorded = mRecordedAt.find(aMachine);
+    if (recorded != mRecordedAt.end()) {
+      mWork.mLongestToOrder =
+        std::max<Duration>(mWork.mLongestToOrder, aNow.mAt - recorded->second);
+      mRecordedAt.erase(recorded);
+    }
+  }
+
+  void Count(const Actions& aActions, const Now& aNow)
+  {
+    for (const auto& call : Select<AppendCall>(aActions)) {
+      if (call.mStream != Stream::Fleet || !call.mExpectedEnd) {
+        continue;
+      }
+      ++mWork.mAppends;
+      AppendAnswer answer;
+      answer.mCall = call;
+      answer.mResult = CallResult::Done;
+      answer.mOffset = mNode.mFleetLog.mHostCursor.mPosition;
+      mAnswers.emplace_back(answer);
+      for (const auto& record : call.mRecords) {
+        mRecordedAt[MachineId(record.mKey.substr(record.mKey.rfind('/') + 1))] = aNow.mAt;
+      }
+    }
+    for (const auto& call : Select<MaintenanceCall>(aActions)) {
+      CountOrder(call.mMachine, aNow);
+      mAnswers.emplace_back(MaintenanceAnswer{ call, CallResult::Refused });
+    }
+    for (const auto& call : Select<MoveCall>(aActions)) {
+      CountOrder(call.mMachine, aNow);
+      mAnswers.emplace_back(MoveAnswer{ call, CallResult::Refused });
+    }
+  }
+
+  Duration mLateness;
+  Node mNode;
+  std::vector<Event> mAnswers;
+  std::map<MachineId, Instant> mRecordedAt;
+  OwnerWork mWork;
+};
+
 }
 
 BOOST_AUTO_TEST_SUITE(TheCostOfTheFleet)
@@ -233,4 +349,34 @@
   BOOST_TEST(holds);
 }
 
+// Guards against load that keeps itself up: an owner without processor time that looks at its hosts
+// more often, or sends more calls or appends.
+BOOST_AUTO_TEST_CASE(lateness_never_raises_the_number_of_checks_calls_or_appends)
+{
+  OwnerWork last;
+  auto isFirst = true;
+  for (auto lateness : { 0ms, 5ms, 15ms, 30ms, 80ms, 200ms, 1000ms }) {
+    auto work = LateOwner(lateness).RunFor(10s);
+    BOOST_TEST_CONTEXT("timers late by " << lateness.count() << " ms")
+    {
+      BOOST_TEST(work.mOrders > 0);
+      BOOST_TEST((isFirst || work.mChecks <= last.mChecks));
+      BOOST_TEST((isFirst || work.mAppends <= last.mAppends));
+      BOOST_TEST((isFirst || work.mOrders <= last.mOrders));
+    }
+    last = work;
+    isFirst = false;
+  }
+  BOOST_TEST(last.mChecks * 4 <= LateOwner(0ms).RunFor(10s).mChecks);
+}
+
+// Guards against hosts that are recorded as down or on the move for long because a late owner does
+// not send the order, and against moves that are given up for that.
+BOOST_AUTO_TEST_CASE(a_late_owner_sends_recorded_orders_as_soon_as_others)
+{
+  auto inTime = LateOwner(0ms).RunFor(10s);
+  auto late = LateOwner(200ms).RunFor(10s);
+  BOOST_TEST(late.mLongestToOrder <= inTime.mLongestToOrder + 40ms);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
