--- a/Libraries/LibSchedule/Maintenance.h
+++ b/Libraries/LibSchedule/Maintenance.h
@@ -52,10 +52,15 @@
              const WaveStatusAnswer& aAnswer,
              Actions& aActions);
 
+// Chooses hosts to drain, records and orders their maintenance, and records that they are back.
 void
 AdvanceMaintenance(Maintenance& aMaintenance,
                    const Now& aNow,
                    const FleetContext& aContext,
                    Actions& aActions);
 
+// Sends the orders that are recorded, and records that hosts are back. No host is chosen.
+void
+AdvanceMaintenanceOrders(const Now& aNow, const FleetContext& aContext, Actions& aActions);
+
 }
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "LibSchedule/FleetPace.h"
 #include "LibSchedule/Follower.h"
 #include "LibSchedule/GroupMembership.h"
+#include "LibSchedule/HostIndex.h"
 #include "LibSchedule/Intake.h"
 #include "LibSchedule/Maintenance.h"
 #include "LibSchedule/QuotaKeeping.h"
@@ -54,10 +56,11 @@
   Intake mIntake;
   FleetLog mFleetLog;
   MachineList mMachines;
+  HostIndex mHosts;
   Maintenance mMaintenance;
   Rebalance mRebalance;
   QuotaKeeping mQuotas;
-  Instant mNextFleetCheckAt;
+  FleetPace mFleetPace;
   std::map<int, Shard> mShards;
   std::map<int, StatusView> mViews;
   // Calls of this host's shards that other hosts make, and the other way round.
--- a/Libraries/LibSchedule/Rebalance.h
+++ b/Libraries/LibSchedule/Rebalance.h
@@ -39,6 +39,28 @@
   Instant mAt;
 };
 
+// Counts of the changes that may make hosts of a pool ready to move, or no longer so.
+struct HostChanges
+{
+  // Of the index of hosts.
+  std::int64_t mGeneration = 0;
+  std::int64_t mRecords = 0;
+  std::int64_t mCapacities = 0;
+  std::int64_t mAnswers = 0;
+  std::int64_t mRuns = 0;
+
+  bool operator==(const HostChanges&) const = default;
+};
+
+// How many hosts of a pool were ready to move, of at most mLimit. It holds until something changes;
+// a limit of 0 stands for a count that is not known.
+struct ReadyCount
+{
+  HostChanges mChanges;
+  int mLimit = 0;
+  int mCount = 0;
+};
+
 struct Rebalance
 {
   std::map<ServiceName, PublishedDemand> mPublished;
@@ -46,7 +68,10 @@
   std::map<ServiceName, Instant> mShortageSince;
   std::map<MachineId, DrainingHost> mDraining;
   std::map<MachineId, MoveOrder> mOrders;
+  std::map<ServiceName, ReadyCount> mReadyCounts;
   Instant mNextCheckAt;
+  // Moves are to be decided at the next check, which is not for orders only.
+  bool mIsDecisionDue = false;
   std::int64_t mMoves = 0;
 };
 
@@ -76,4 +101,14 @@
                  const std::vector<Service>& aServices,
                  Actions& aActions);
 
+// Sends the orders for moves that are recorded, and decides on moves only if that could not be done
+// when AdvanceRebalance() was last called.
+void
+AdvanceMoveOrders(Rebalance& aRebalance,
+                  const RebalanceSettings& aSettings,
+                  const Now& aNow,
+                  const FleetContext& aContext,
+                  const std::vector<Service>& aServices,
+                  Actions& aActions);
+
 }
