Log and count the end of a job once it is stored

Cause: "job-finished" was logged, and the counters of ended jobs were raised, when the last end came, before that was stored. Operators saw jobs as completed that were not yet, and saw them twice where the owner was lost in between.

Change: the end is reported where the final state is published, when the write that holds it is stored; the job keeps the reason until then.

--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -65,6 +65,8 @@
   std::vector<std::chrono::milliseconds> mCriticalPaths;
   // Running from when an executor is known to have begun a task, which no placement tells.
   JobPhase mPhase = JobPhase::Pending;
+  // Why it has ended.
+  std::string mEndReason;
   // When the owner of the shard received the job; unset for a job that it loaded when taking over.
   Instant mArrivedAt;
   // Its tenant had sent more than its weight in jobs per second when it came.
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -265,7 +265,7 @@
   if (IsCancellationKey(aRecord.mKey)) {
     auto* job = FindJob(aShard, id);
     if (job != nullptr && !IsFinal(job->mPhase)) {
-      FinishJob(aShard, *job, JobPhase::Cancelled, "cancelled by its caller", aActions);
+      FinishJob(aShard, *job, JobPhase::Cancelled, "cancelled by its caller");
     } else if (aShard.mEnded.mIds.contains(id)) {
       AddEndedJobRecord(aShard.mEnded, id, aRecord.mKey);
     }
@@ -330,22 +330,11 @@
 }
 
 void
-FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason, Actions& aActions)
+FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason)
 {
   aJob.mPhase = aPhase;
+  aJob.mEndReason = std::move(aReason);
   MarkDirty(aShard, aJob);
-  auto& counters = aShard.mCounters;
-  counters.mJobsCompleted += aPhase == JobPhase::Completed ? 1 : 0;
-  counters.mJobsFailed += aPhase == JobPhase::Failed ? 1 : 0;
-  counters.mJobsCancelled += aPhase == JobPhase::Cancelled ? 1 : 0;
-  LogEntry entry{ LogLevel::Info, "job-finished", aJob.mId.mValue, aJob.mDefinition.mQueue.mValue };
-  entry.mOutcome = aPhase == JobPhase::Completed ? "completed"
-                   : aPhase == JobPhase::Failed  ? "failed"
-                                                 : "cancelled";
-  entry.mTenant = aJob.mDefinition.mTenant.mValue;
-  entry.mReason = std::move(aReason);
-  entry.mVersion = aShard.mEpoch;
-  aActions.emplace_back(std::move(entry));
 }
 
 }
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -224,9 +224,10 @@
 void
 RecordBegin(Shard& aShard, Job* aJob);
 
-// Puts a job into a final phase. Its runs are stopped once that phase is stored.
+// Puts a job into a final phase. Its runs are stopped, and its end is published, counted and
+// logged, once that phase is stored.
 void
-FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason, Actions& aActions);
+FinishJob(Shard& aShard, Job& aJob, JobPhase aPhase, std::string aReason);
 
 // Counts a crash under the run's task, and gives its job up if there were too many.
 void
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -42,7 +42,7 @@
 }
 
 void
-CompleteTask(Shard& aShard, Job& aJob, const TaskId& aName, Actions& aActions)
+CompleteTask(Shard& aShard, Job& aJob, const TaskId& aName)
 {
   ++aShard.mCounters.mTasksDone;
   auto& tasks = StepStateOf(aJob, aName).mTasks;
@@ -55,16 +55,12 @@
     StopAttempts(aShard, name, tasks[static_cast<std::size_t>(index)]);
   }
   if (AllDone(aJob)) {
-    FinishJob(aShard, aJob, JobPhase::Completed, "all tasks are done", aActions);
+    FinishJob(aShard, aJob, JobPhase::Completed, "all tasks are done");
   }
 }
 
 void
-RecordFailedRun(Shard& aShard,
-                Job& aJob,
-                const TaskRun& aRun,
-                const ExecutorId& aOn,
-                Actions& aActions)
+RecordFailedRun(Shard& aShard, Job& aJob, const TaskRun& aRun, const ExecutorId& aOn)
 {
   ++aShard.mCounters.mTasksFailed;
   auto* task = FindTask(aJob, aRun.mTask);
@@ -79,7 +75,7 @@
   }
   if (CountFailedRuns(aJob, aRun.mTask) >= static_cast<std::size_t>(aJob.mDefinition.mAttempts)) {
     auto reason = "a task failed " + std::to_string(aJob.mDefinition.mAttempts) + " times";
-    FinishJob(aShard, aJob, JobPhase::Failed, reason, aActions);
+    FinishJob(aShard, aJob, JobPhase::Failed, reason);
   }
 }
 
@@ -113,12 +109,12 @@
     task->mCheckpoint = aEnd.mCheckpoint;
   }
   if (aEnd.mKind == EndKind::Done && !StepOf(*job, aEnd.mRun.mTask).mLongRunning) {
-    CompleteTask(aShard, *job, aEnd.mRun.mTask, aActions);
+    CompleteTask(aShard, *job, aEnd.mRun.mTask);
     return;
   }
   if (aEnd.mKind == EndKind::Failed) {
     LogRun("task-failed", aEnd.mRun, aExecutor, "reported by the executor", aActions);
-    RecordFailedRun(aShard, *job, aEnd.mRun, aExecutor.mEntry.mId, aActions);
+    RecordFailedRun(aShard, *job, aEnd.mRun, aExecutor.mEntry.mId);
   }
   if (task->mAttempts.empty()) {
     SetTaskState(*job, aEnd.mRun.mTask, TaskState::Waiting);
@@ -141,7 +137,7 @@
   auto count = std::to_string(task->mCrashes) + " executors have crashed under the task";
   LogRun("executor-crashed", aRun, aExecutor, count, aActions);
   if (task->mCrashes >= kCrashesToGiveUp) {
-    FinishJob(aShard, *job, JobPhase::Failed, count, aActions);
+    FinishJob(aShard, *job, JobPhase::Failed, count);
   }
 }
 
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -90,16 +90,34 @@
   return write;
 }
 
-// Publishes how an ended job ended, stops its remaining runs, and discards its state except for its
-// id.
+// Publishes, counts and logs how a job has ended.
 void
-CloseJob(Shard& aShard, const JobId& aId)
+ReportEnd(Shard& aShard, const Job& aJob, Actions& aActions)
+{
+  AddState(aShard.mStates, aJob.mId, StateOf(aJob));
+  auto& counters = aShard.mCounters;
+  counters.mJobsCompleted += aJob.mPhase == JobPhase::Completed ? 1 : 0;
+  counters.mJobsFailed += aJob.mPhase == JobPhase::Failed ? 1 : 0;
+  counters.mJobsCancelled += aJob.mPhase == JobPhase::Cancelled ? 1 : 0;
+  LogEntry entry{ LogLevel::Info, "job-finished", aJob.mId.mValue, aJob.mDefinition.mQueue.mValue };
+  entry.mOutcome = aJob.mPhase == JobPhase::Completed ? "completed"
+                   : aJob.mPhase == JobPhase::Failed  ? "failed"
+                                                      : "cancelled";
+  entry.mTenant = aJob.mDefinition.mTenant.mValue;
+  entry.mReason = aJob.mEndReason;
+  entry.mVersion = aShard.mEpoch;
+  aActions.emplace_back(std::move(entry));
+}
+
+// Reports the end of a job, stops its remaining runs, and discards its state except for its id.
+void
+CloseJob(Shard& aShard, const JobId& aId, Actions& aActions)
 {
   auto found = aShard.mJobs.find(aId);
   if (found == aShard.mJobs.end()) {
     return;
   }
-  AddState(aShard.mStates, aId, StateOf(found->second));
+  ReportEnd(aShard, found->second, aActions);
   for (auto& occurrence : found->second.mOccurrences) {
     for (auto& step : occurrence.mSteps) {
       for (auto& task : step.mTasks) {
@@ -148,7 +166,7 @@
     AddState(aShard.mStates, id, std::nullopt);
   }
   for (const auto& id : write.mFinished) {
-    CloseJob(aShard, id);
+    CloseJob(aShard, id, aActions);
   }
   for (const auto& run : write.mStarts) {
     detail::SendStart(aShard, aNow, run, aActions);
--- a/Tests/LibSchedule/TestJobPhases.cpp
+++ b/Tests/LibSchedule/TestJobPhases.cpp
@@ -3,6 +3,7 @@
 #include "LibStandIn/Simulation.h"
 #include "Steps.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace sesameseam;
@@ -111,6 +112,7 @@
     AnswerNewest(Stream::Jobs, { { kJob.mValue, EncodeJob(Definition()), 0 } });
     Advance();
     AnswerPublication();
+    AnswerWrite(CallResult::Done);
     Advance();
     AnswerNewest(Stream::JobStates, {});
   }
@@ -151,6 +153,31 @@
     return {};
   }
 
+  // Answers the append to the progress stream that was sent last.
+  void AnswerWrite(CallResult aResult)
+  {
+    for (const auto& call : Select<AppendCall>(mActions)) {
+      if (call.mStream == Stream::Progress) {
+        AppendAnswer answer;
+        answer.mCall = call;
+        answer.mResult = aResult;
+        answer.mSentAt = Time().mAt;
+        OnAppendAnswer(mShard, Time(), answer, mActions);
+      }
+    }
+  }
+
+  // Whether the job is counted and logged as completed.
+  [[nodiscard]] bool IsReportedAsCompleted() const
+  {
+    auto entries = Select<LogEntry>(mActions);
+    auto isLogged = std::any_of(entries.begin(), entries.end(), [](const LogEntry& aEntry) {
+      return aEntry.mEvent == "job-finished" && aEntry.mOutcome == "completed";
+    });
+    BOOST_TEST(isLogged == (mShard.mCounters.mJobsCompleted == 1));
+    return isLogged;
+  }
+
   // The state of the job that is published next, if any.
   std::optional<JobState> NextState()
   {
@@ -319,4 +346,24 @@
   BOOST_TEST(state->mTenantHash == TenantHashOf(Definition().mTenant));
 }
 
+// Guards against jobs that operators see as completed, and see twice where the owner is lost before
+// that is stored: the end was logged and counted when it came.
+BOOST_AUTO_TEST_CASE(a_job_is_reported_as_completed_once_that_is_stored)
+{
+  TakeOver owner(JobPhase::Running);
+  TaskEnd end;
+  end.mNumber = 1;
+  end.mRun = kRun;
+  end.mKind = EndKind::Done;
+  owner.AnswerHeartbeat({}, { end });
+  BOOST_TEST(!owner.IsReportedAsCompleted());
+  owner.Advance();
+  owner.AnswerWrite(CallResult::Unanswered);
+  BOOST_TEST(!owner.IsReportedAsCompleted());
+  owner.Advance();
+  owner.Advance();
+  owner.AnswerWrite(CallResult::Done);
+  BOOST_TEST(owner.IsReportedAsCompleted());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
