Complete no wave for a host that one list of machines lacks

Cause: a wave was reported as completed if each of its hosts was maintained or not in the newest list of machines. The list is read page by page, so that one reading may lack a host that stays; "completed" is never taken back.

Change: a host counts as gone once three lists in a row lack it.

--- a/Libraries/LibSchedule/MachineList.cpp
+++ b/Libraries/LibSchedule/MachineList.cpp
@@ -5,6 +5,7 @@
 namespace {
 
 constexpr Duration kListInterval = 500ms;
+constexpr std::int64_t kListsUntilGone = 3;
 
 }
 
@@ -27,7 +28,9 @@
     aList.mNextReadAt = aNow.mAt;
     return;
   }
+  ++aList.mListCount;
   for (const auto& [id, machine] : aList.mNextMachines) {
+    aList.mLastListedIn[id] = aList.mListCount;
     const auto* known = FindMachine(aList, id);
     auto isNewHere = known == nullptr || known->mPool != machine.mPool;
     if (isNewHere) {
@@ -65,4 +68,12 @@
   return found == aList.mMachines.end() ? nullptr : &found->second;
 }
 
+bool
+IsGone(const MachineList& aList, const MachineId& aId)
+{
+  auto last = aList.mLastListedIn.find(aId);
+  auto lastList = last == aList.mLastListedIn.end() ? 0 : last->second;
+  return aList.mListCount - lastList >= kListsUntilGone;
+}
+
 }
--- a/Libraries/LibSchedule/MachineList.h
+++ b/Libraries/LibSchedule/MachineList.h
@@ -14,6 +14,9 @@
   std::map<MachineId, Instant> mInPoolSince;
   // When the list was requested that first showed a machine up in its pool.
   std::map<MachineId, Instant> mUpSince;
+  // How many lists were read, and the last of them that showed each machine, counted from 1.
+  std::int64_t mListCount = 0;
+  std::map<MachineId, std::int64_t> mLastListedIn;
   bool mIsKnown = false;
   // When the current list was requested.
   Instant mRequestedAt;
@@ -36,4 +39,9 @@
 const Machine*
 FindMachine(const MachineList& aList, const MachineId& aId);
 
+// Whether the last few lists have all lacked the machine. One list alone may lack it, since its
+// pages are read one after the other while machines come and go.
+bool
+IsGone(const MachineList& aList, const MachineId& aId);
+
 }
--- a/Libraries/LibSchedule/Maintenance.cpp
+++ b/Libraries/LibSchedule/Maintenance.cpp
@@ -29,7 +29,7 @@
 {
   return std::all_of(aWave.mMachines.begin(), aWave.mMachines.end(), [&](const MachineId& aId) {
     return IsMaintenanceFinished(*aContext.mLog, { aWave.mNumber, aId }) ||
-           FindMachine(*aContext.mMachines, aId) == nullptr;
+           IsGone(*aContext.mMachines, aId);
   });
 }
 
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -1,3 +1,4 @@
+#include "Actions.h"
 #include "LibSchedule/ExecutorDrain.h"
 #include "LibSchedule/Rebalance.h"
 #include "Steps.h"
@@ -122,6 +123,41 @@
   BOOST_TEST((executor.mDrainReason == DrainReason::None));
 }
 
+// Guards against a wave that is said to be completed while a host of it hasn't begun its
+// maintenance (MIXED): one list of machines lacked the host, and it was taken for removed.
+BOOST_AUTO_TEST_CASE(a_wave_is_not_completed_by_one_list_that_lacks_a_host)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  owner.AddHost("m1", pool);
+  owner.AddHost("m2", pool);
+  auto all = owner.mMachines.mMachines;
+  owner.mShards.emplace(owner.Context().mReportingShard, MakeShard(0, {}, Instant(0s)));
+  owner.mWaves[1] = WaveOf({ MachineId("m1"), MachineId("m2") });
+  owner.mMaintenance.mReported[1] = false;
+  owner.mLog.mMaintenanceRecords[{ 1, MachineId("m1") }] = { MaintenancePhase::Finished };
+  auto isCompletedAfter = [&](bool aIsListed) {
+    MachinesAnswer answer;
+    answer.mResult = CallResult::Done;
+    answer.mMachines.push_back(all.at(MachineId("m1")));
+    if (aIsListed) {
+      answer.mMachines.push_back(all.at(MachineId("m2")));
+    }
+    Actions actions;
+    OnMachines(owner.mMachines, kNow, answer, actions);
+    auto reports = Select<WaveStatusCall>(owner.AdvanceWaves());
+    return !reports.empty() && reports[0].mCompleted;
+  };
+  BOOST_TEST(!isCompletedAfter(false));
+  BOOST_TEST(!isCompletedAfter(true));
+  BOOST_TEST(!isCompletedAfter(false));
+  BOOST_TEST(!isCompletedAfter(true));
+  // A host that has left is not waited for.
+  BOOST_TEST(!isCompletedAfter(false));
+  BOOST_TEST(!isCompletedAfter(false));
+  BOOST_TEST(isCompletedAfter(false));
+}
+
 // A host was ordered to move and to go down, and the fencing token of the second order was lower.
 BOOST_AUTO_TEST_CASE(a_host_on_the_move_is_not_taken_down)
 {
