Check in the simulation that completed jobs have all their tasks done

The simulation checked that a final phase is stored before it is shown, not that it is true. It now remembers which tasks executors have listed as done, and no job may be shown as completed before all of its tasks are.

--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -269,6 +269,8 @@
                        Duration aTime,
                        const schedule::ServiceName& aTo);
   void ReturnMachine(const schedule::MachineId& aMachine, const schedule::ServiceName& aTo);
+  // Whether executors have listed all tasks of the job as done.
+  [[nodiscard]] bool AreAllListedAsDone(const JobId& aJob) const;
   void RecordAcknowledged(const FakeExecutor& aExecutor, std::int64_t aLastSeen);
 
   SimulationSettings mSettings;
@@ -293,6 +295,8 @@
   std::int64_t mNextExchange = 1;
   std::map<schedule::MachineId, std::int64_t> mMachineFences;
   std::set<schedule::TaskId> mDone;
+  // The tasks of which an executor has listed a run as done.
+  std::set<schedule::TaskId> mListedAsDone;
   // For each task that crashes executors: how many it has crashed, and how often it was started
   // after the third.
   std::map<schedule::TaskId, int> mCrashes;
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -215,6 +215,11 @@
   }
   auto answer = Heartbeat(*executor, aCall, mNow);
   answer.mSentAt = lost.mSentAt;
+  for (const auto& end : answer.mEnds) {
+    if (end.mKind == schedule::EndKind::Done) {
+      mListedAsDone.insert(end.mRun.mTask);
+    }
+  }
   auto back = kNetworkLatency + Transfer(aHost, kCallBytes);
   auto isLate = mNow + back > aUntil + kCallTimeout;
   ScheduleAfter(isLate ? std::max(Duration(0), aUntil + kCallTimeout - mNow) : back,
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -100,6 +100,10 @@
   if (aPhase == schedule::JobPhase::Failed && !work.mFails && !work.mCrashesExecutor) {
     mViolations.push_back("job " + job.mValue + " was shown as failed without cause");
   }
+  if (aPhase == schedule::JobPhase::Completed && !AreAllListedAsDone(job)) {
+    mViolations.push_back("job " + job.mValue +
+                          " was shown as completed before all of it was done");
+  }
   mShownFinal[job] = aPhase;
   if (StoredPhase(job) != aPhase) {
     mViolations.push_back("job " + job.mValue + " was shown as ended before that was stored");
@@ -151,6 +155,21 @@
   }
 }
 
+bool
+Simulation::AreAllListedAsDone(const JobId& aJob) const
+{
+  const auto& steps = mJobs.at(aJob).mDefinition.mSteps;
+  for (std::size_t s = 0; s < steps.size(); ++s) {
+    schedule::TaskId name{ aJob, 0, static_cast<int>(s), 0 };
+    for (; name.mIndex < steps[s].mCount; ++name.mIndex) {
+      if (!mListedAsDone.contains(name)) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
 void
 Simulation::RecordAcknowledged(const FakeExecutor& aExecutor, std::int64_t aLastSeen)
 {
