--- a/Libraries/LibSchedule/HostIndex.cpp
+++ b/Libraries/LibSchedule/HostIndex.cpp
@@ -73,14 +73,10 @@
 {
   for (const auto& id : aWave.mMachines) {
     auto host = aHosts.find(id.mValue);
-    auto isListed = host != aHosts.end() || FindMachine(*aContext.mMachines, id) != nullptr;
-    if (!isListed) {
-      continue;
-    }
     MaintenanceKey key{ aWave.mNumber, id };
     const auto* record = FindMaintenance(*aContext.mLog, key);
     auto isFinished = record != nullptr && record->mPhase == MaintenancePhase::Finished;
-    if (!isFinished) {
+    if (!isFinished && !IsGone(*aContext.mMachines, id)) {
       aIndexed.mUnfinished.push_back(id);
     }
     if (host == aHosts.end()) {
@@ -180,10 +176,11 @@
 }
 
 bool
-IsWaveDone(IndexedWave& aIndexed, const FleetLog& aLog, std::int64_t aWave)
+IsWaveDone(IndexedWave& aIndexed, const FleetContext& aContext, std::int64_t aWave)
 {
   auto& hosts = aIndexed.mUnfinished;
-  while (!hosts.empty() && IsMaintenanceFinished(aLog, { aWave, hosts.back() })) {
+  while (!hosts.empty() && (IsMaintenanceFinished(*aContext.mLog, { aWave, hosts.back() }) ||
+                            IsGone(*aContext.mMachines, hosts.back()))) {
     hosts.pop_back();
   }
   return hosts.empty();
--- a/Libraries/LibSchedule/HostIndex.h
+++ b/Libraries/LibSchedule/HostIndex.h
@@ -44,7 +44,7 @@
 {
   // The hosts in the order of the wave, without those that it has finished with.
   std::vector<WaveHost> mHosts;
-  // Listed hosts of all pools, without those that are known to be finished.
+  // Hosts of all pools, without those that are known to be finished or gone.
   std::vector<MachineId> mUnfinished;
   // Listed hosts of all pools that are down for the wave.
   int mDown = 0;
@@ -106,8 +106,8 @@
 bool
 RemoveDueWave(IndexedHost& aHost, const Wave& aWave);
 
-// Whether each host of the wave has finished its maintenance or is no longer listed.
+// Whether each host of the wave has finished its maintenance or is gone.
 bool
-IsWaveDone(IndexedWave& aIndexed, const FleetLog& aLog, std::int64_t aWave);
+IsWaveDone(IndexedWave& aIndexed, const FleetContext& aContext, std::int64_t aWave);
 
 }
--- a/Libraries/LibSchedule/MachineList.cpp
+++ b/Libraries/LibSchedule/MachineList.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr Duration kListInterval = 500ms;
+constexpr std::int64_t kListsUntilGone = 3;
 
 // Takes a row over that differs from what is known of its machine.
 void
@@ -17,6 +18,9 @@
   if (!isNew && known->second == aMachine) {
     return;
   }
+  if (isNew) {
+    aList.mMissingSince.erase(aMachine.mId);
+  }
   auto isNewHere = isNew || known->second.mPool != aMachine.mPool;
   if (isNewHere) {
     aList.mInPoolSince[aMachine.mId] = aNow;
@@ -65,9 +69,14 @@
   for (const auto& [id, machine] : listed) {
     ApplyRow(aList, aNow, *machine);
   }
-  auto gone = std::erase_if(
-    aList.mMachines, [&](const auto& aEntry) { return !listed.contains(aEntry.first.mValue); });
-  aList.mChanges += static_cast<std::int64_t>(gone);
+  auto missing = std::erase_if(aList.mMachines, [&](const auto& aEntry) {
+    auto isMissing = !listed.contains(aEntry.first.mValue);
+    if (isMissing) {
+      aList.mMissingSince[aEntry.first] = aList.mListCount;
+    }
+    return isMissing;
+  });
+  aList.mChanges += static_cast<std::int64_t>(missing);
 }
 
 }
@@ -89,6 +98,7 @@
     aList.mNextReadAt = aNow.mAt;
     return;
   }
+  ++aList.mListCount;
   if (HasSameMachines(aList)) {
     ApplyChangedRows(aList, aNow.mAt);
   } else {
@@ -120,4 +130,16 @@
   return found == aList.mMachines.end() ? nullptr : &found->second;
 }
 
+bool
+IsGone(const MachineList& aList, const MachineId& aId)
+{
+  if (FindMachine(aList, aId) != nullptr) {
+    return false;
+  }
+  // A machine that was never listed is missing since the first list.
+  auto missing = aList.mMissingSince.find(aId);
+  auto since = missing == aList.mMissingSince.end() ? 1 : missing->second;
+  return aList.mListCount - since + 1 >= kListsUntilGone;
+}
+
 }
--- a/Libraries/LibSchedule/Maintenance.cpp
+++ b/Libraries/LibSchedule/Maintenance.cpp
@@ -146,7 +146,7 @@
   if (reported != aMaintenance.mReported.end() && reported->second) {
     return;
   }
-  auto isDone = IsWaveDone(aIndexed, *aContext.mLog, aWave.mNumber);
+  auto isDone = IsWaveDone(aIndexed, aContext, aWave.mNumber);
   if (reported != aMaintenance.mReported.end() && !isDone) {
     return;
   }
