Count an owner as late from 20 ms on, and test that lateness adds no work

Cause: an owner whose processor is full has timers 20 to 40 ms late in the mean in the simulation; at 50 ms it counted as in time, and took calls back from a relay that answers now and then.

Change: 20 ms. The simulation counts each host's events, its own calls and exchanges, and its bytes. The new test compares an owner at 600, 1000 and 1500 us an event with one at 50 us in a peak of 450 executors, with all relays, one lost, and one that answers now and then.

--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -18,7 +18,7 @@
 // A single delay, as by a suspension, counts up to this.
 constexpr Duration kMaxDelay = 2s;
 // An owner whose timers are this late in the mean bears no more calls than it makes.
-constexpr Duration kLateDelay = 50ms;
+constexpr Duration kLateDelay = 20ms;
 // How long an owner goes on sharing: its timers are in time once it shares, which tells nothing of
 // its load without that.
 constexpr Duration kShareTime = 5s;
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -120,6 +120,7 @@
 void
 Simulation::HandleEvent(int aHost, const Event& aEvent)
 {
+  ++mHosts[static_cast<std::size_t>(aHost)].mWork.mEvents;
   for (const auto& action : Handle(mHosts[static_cast<std::size_t>(aHost)].mNode, Time(), aEvent)) {
     Execute(aHost, action);
   }
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -55,6 +55,15 @@
   int mQuotaCores = 0;
 };
 
+// What a host has had to do.
+struct HostWork
+{
+  std::int64_t mEvents = 0;
+  // The calls to executors that it made for its own shards, and its exchanges with relays.
+  std::int64_t mCalls = 0;
+  std::int64_t mBytes = 0;
+};
+
 struct SimulatedHost
 {
   std::string mName;
@@ -74,6 +83,7 @@
   schedule::Instant mLinkBusyUntil;
   // When the node asked to be woken up.
   schedule::Instant mWakeUpAt;
+  HostWork mWork;
 };
 
 // How much longer than usual a call is on the way.
@@ -248,7 +258,8 @@
                            std::int64_t aFrom,
                            schedule::ExternalRecords& aOut);
 
-  // Occupies a host's link, and returns how long it takes until the bytes are through.
+  // Counts what is sent or received, occupies a host's link, and returns how long it takes until
+  // the bytes are through.
   Duration Transfer(int aHost, std::size_t aBytes);
 
   void CheckStart(const FakeExecutor& aExecutor, const schedule::StartCall& aCall);
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -40,6 +40,22 @@
   }
 }
 
+// Whether the action is a call to an executor for a shard of this host, or an exchange with a
+// relay.
+bool
+IsOwnCall(const schedule::Action& aAction)
+{
+  return std::visit(
+    [](const auto& aCall) {
+      using T = std::decay_t<decltype(aCall)>;
+      if constexpr (std::is_constructible_v<schedule::ExecutorCall, T>) {
+        return aCall.mTo.mRelayTicket == 0;
+      }
+      return std::is_same_v<T, schedule::RelayCall>;
+    },
+    aAction);
+}
+
 std::size_t
 SizeOf(const schedule::AppendCall& aCall)
 {
@@ -55,6 +71,7 @@
 Duration
 Simulation::Transfer(int aHost, std::size_t aBytes)
 {
+  mHosts[static_cast<std::size_t>(aHost)].mWork.mBytes += static_cast<std::int64_t>(aBytes);
   if (mSettings.mLinkBytesPerSecond == 0) {
     return Duration(0);
   }
@@ -507,6 +524,7 @@
 void
 Simulation::Execute(int aHost, const schedule::Action& aAction)
 {
+  mHosts[static_cast<std::size_t>(aHost)].mWork.mCalls += IsOwnCall(aAction) ? 1 : 0;
   std::visit([&](const auto& aCall) { Perform(aHost, aCall); }, aAction);
 }
 
--- a/Tests/LibSchedule/TestOwnerLoad.cpp
+++ b/Tests/LibSchedule/TestOwnerLoad.cpp
@@ -41,10 +41,99 @@
   return static_cast<double>(ended) / static_cast<double>(jobs.size());
 }
 
+// What happens to the relays of the owner during a peak.
+enum class RelayFault
+{
+  None,
+  // One is gone for the rest of the peak.
+  Lost,
+  // One answers only now and then.
+  Slow,
+};
+
+int
+OwnerOf(const Simulation& aSimulation)
+{
+  auto found = std::find_if(
+    aSimulation.mHosts.begin(), aSimulation.mHosts.end(), [](const SimulatedHost& aHost) {
+      return std::any_of(aHost.mNode.mShards.begin(),
+                         aHost.mNode.mShards.end(),
+                         [](const auto& aEntry) { return !aEntry.second.mExecutors.empty(); });
+    });
+  return static_cast<int>(found - aSimulation.mHosts.begin());
+}
+
+// Stops the host for most of the time until the end of the peak.
+void
+Disturb(Simulation& aSimulation, int aRelay, RelayFault aFault, Duration aElapsed)
+{
+  constexpr Duration kBegin = 400ms;
+  constexpr Duration kPeriod = 400ms;
+  constexpr Duration kThawed = 50ms;
+  if (aFault == RelayFault::None || aElapsed < kBegin) {
+    return;
+  }
+  if (aFault == RelayFault::Lost) {
+    aSimulation.Kill(aRelay);
+    return;
+  }
+  auto isFrozen = aElapsed % kPeriod >= kThawed;
+  if (isFrozen && !aSimulation.mHosts[static_cast<std::size_t>(aRelay)].mIsFrozen) {
+    aSimulation.Freeze(aRelay);
+  } else if (!isFrozen) {
+    aSimulation.Thaw(aRelay);
+  }
+}
+
+// What the owner has to do in a peak.
+HostWork
+OwnerWork(Duration aEventCost, RelayFault aFault)
+{
+  // All executors are in use soon, however late the owner is.
+  constexpr auto kBetweenJobs = kExecutorTimePerJob / (2 * kExecutors);
+  Simulation simulation({ .mHosts = kHosts,
+                          .mExecutors = kExecutors,
+                          .mExecutorCores = 32,
+                          .mEventCost = aEventCost,
+                          .mHostMillicores = 500 });
+  simulation.RunFor(3s);
+  auto ownerIndex = OwnerOf(simulation);
+  auto relay = (ownerIndex + 1) % kHosts;
+  auto caller = (ownerIndex + 2) % kHosts;
+  const auto& owner = simulation.mHosts.at(static_cast<std::size_t>(ownerIndex));
+  auto before = owner.mWork;
+  for (Duration elapsed{ 0 }; elapsed < kPeak; elapsed += kBetweenJobs) {
+    Disturb(simulation, relay, aFault, elapsed);
+    simulation.Submit(caller, { MakeStep(8, 4, 640ms) }, "640");
+    simulation.RunFor(kBetweenJobs);
+  }
+  return { owner.mWork.mEvents - before.mEvents,
+           owner.mWork.mCalls - before.mCalls,
+           owner.mWork.mBytes - before.mBytes };
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(ThePeakOfALargePool)
 
+// Guards against an owner that has no processor time left (SHORT) and gets more to do because of
+// it: its calls come back from relays, or it exchanges more with them.
+BOOST_AUTO_TEST_CASE(lateness_never_raises_the_number_of_events_calls_or_bytes)
+{
+  for (auto fault : { RelayFault::None, RelayFault::Lost, RelayFault::Slow }) {
+    auto inTime = OwnerWork(50us, fault);
+    for (auto cost : { 600us, 1000us, 1500us }) {
+      auto late = OwnerWork(cost, fault);
+      BOOST_TEST_CONTEXT("fault " << static_cast<int>(fault) << ", " << cost.count() << " us")
+      {
+        BOOST_TEST(late.mEvents <= inTime.mEvents);
+        BOOST_TEST(late.mCalls <= inTime.mCalls);
+        BOOST_TEST(late.mBytes <= inTime.mBytes);
+      }
+    }
+  }
+}
+
 // Guards against too little served in the peak of a pool of hundreds of executors (SHORT) because
 // its owner makes so many calls for each task that its processor has no time left.
 BOOST_AUTO_TEST_CASE(its_jobs_end_in_time_with_an_owner_of_finite_speed)
