Count the steps of an event in a pool that tenants share, too

Cause: the test of the cost of an event played on pools without tenants only, and missed that a pass over the work of tenants walks over all executors and jobs. Change: two more cases, in a full pool of 680 tenants with weights and quotas; the bounds are the same. They stand apart, so that each can be green by itself.

--- a/Tests/DecisionCost/TestDecisionCost.cpp
+++ b/Tests/DecisionCost/TestDecisionCost.cpp
@@ -16,8 +16,21 @@
 constexpr int kLargePool = 5000;
 constexpr double kMaxGrowth = 2.0;
 constexpr int kEvents = 300;
+constexpr int kIdlePasses = 20;
 constexpr std::array kLoads = { PoolLoad::Calm, PoolLoad::Full, PoolLoad::Burst };
 
+// The load of a pool and the tenants that share it.
+struct PoolUse
+{
+  PoolLoad mLoad = PoolLoad::Calm;
+  int mTenants = 0;
+};
+
+constexpr std::array kUntenanted = { PoolUse{ PoolLoad::Calm, 0 },
+                                     PoolUse{ PoolLoad::Full, 0 },
+                                     PoolUse{ PoolLoad::Burst, 0 } };
+constexpr PoolUse kTenanted{ PoolLoad::Full, 680 };
+
 // The mean cost of an event.
 struct EventCost
 {
@@ -34,7 +47,7 @@
 }
 
 EventCost
-MeasureEvent(OwnerModel& aModel, OwnerEvent aEvent)
+MeasureEvents(OwnerModel& aModel, OwnerEvent aEvent, int aTimes)
 {
   EventCost sum;
   auto meter = [&](const std::function<void()>& aWork) {
@@ -44,39 +57,63 @@
     sum.mSteps += static_cast<double>(StepCount() - steps);
     sum.mAllocations += static_cast<double>(AllocationCount() - allocations);
   };
-  for (int i = 0; i < kEvents; ++i) {
+  for (int i = 0; i < aTimes; ++i) {
     PlayEvent(aModel, aEvent, meter);
   }
-  return { sum.mSteps / kEvents, sum.mAllocations / kEvents };
+  return { sum.mSteps / aTimes, sum.mAllocations / aTimes };
+}
+
+std::string
+Describe(const PoolUse& aUse, int aExecutors)
+{
+  return "a pool of " + std::to_string(aExecutors) + ", " + std::string(NameOf(aUse.mLoad)) + ", " +
+         std::to_string(aUse.mTenants) + " tenants";
 }
 
 EventCost
-CostIn(PoolLoad aLoad, int aExecutors, OwnerEvent aEvent)
+CostIn(const PoolUse& aUse, int aExecutors, OwnerEvent aEvent, int aTimes = kEvents)
 {
   OwnerModelSettings settings;
   settings.mExecutors = aExecutors;
-  settings.mLoad = aLoad;
+  settings.mLoad = aUse.mLoad;
+  settings.mTenants = aUse.mTenants;
   auto model = MakeOwnerModel(settings);
-  auto cost = MeasureEvent(model, aEvent);
-  BOOST_TEST_MESSAGE(NameOf(aEvent)
-                     << " in a pool of " << aExecutors << ", " << NameOf(aLoad) << ": "
-                     << cost.mSteps << " steps, " << cost.mAllocations << " allocations");
+  auto cost = MeasureEvents(model, aEvent, aTimes);
+  BOOST_TEST_MESSAGE(NameOf(aEvent) << " in " << Describe(aUse, aExecutors) << ": " << cost.mSteps
+                                    << " steps, " << cost.mAllocations << " allocations");
   return cost;
 }
 
+void
+CheckGrowth(const PoolUse& aUse, OwnerEvent aEvent)
+{
+  auto small = CostIn(aUse, kSmallPool, aEvent);
+  BOOST_TEST(small.mSteps > 0);
+  for (auto executors : { kMiddlePool, kLargePool }) {
+    auto large = CostIn(aUse, executors, aEvent);
+    BOOST_TEST_CONTEXT(NameOf(aEvent) << " in " << Describe(aUse, executors))
+    {
+      BOOST_TEST(large.mSteps <= kMaxGrowth * small.mSteps);
+      BOOST_TEST(large.mAllocations <= kMaxGrowth * small.mAllocations);
+    }
+  }
+}
+
 void
 CheckGrowth(OwnerEvent aEvent)
 {
-  for (auto load : kLoads) {
-    auto small = CostIn(load, kSmallPool, aEvent);
-    for (auto executors : { kMiddlePool, kLargePool }) {
-      auto large = CostIn(load, executors, aEvent);
-      BOOST_TEST_CONTEXT("a pool of " << executors << ", " << NameOf(load))
-      {
-        BOOST_TEST(small.mSteps > 0);
-        BOOST_TEST(large.mSteps <= kMaxGrowth * small.mSteps);
-        BOOST_TEST(large.mAllocations <= kMaxGrowth * small.mAllocations);
-      }
+  for (const auto& use : kUntenanted) {
+    CheckGrowth(use, aEvent);
+  }
+}
+
+void
+CheckIdlePassAllocations(const PoolUse& aUse)
+{
+  for (auto executors : { kSmallPool, kMiddlePool, kLargePool }) {
+    BOOST_TEST_CONTEXT(Describe(aUse, executors))
+    {
+      BOOST_TEST(CostIn(aUse, executors, OwnerEvent::IdlePass, kIdlePasses).mAllocations == 0);
     }
   }
 }
@@ -153,17 +190,32 @@
   CheckGrowth(OwnerEvent::PassAfterEnd);
 }
 
+// Guards against shares and quotas that are worked out for a whole pool at each event.
+BOOST_AUTO_TEST_CASE(no_event_costs_more_in_a_larger_pool_that_tenants_share)
+{
+  for (auto event : { OwnerEvent::Heartbeat,
+                      OwnerEvent::End,
+                      OwnerEvent::Arrival,
+                      OwnerEvent::Cancellation,
+                      OwnerEvent::Tick,
+                      OwnerEvent::IdlePass,
+                      OwnerEvent::PassAfterEnd }) {
+    CheckGrowth(kTenanted, event);
+  }
+}
+
 // Guards against passes over a full pool whose time goes into memory that is thrown away again.
 BOOST_AUTO_TEST_CASE(a_pass_that_places_nothing_allocates_nothing)
 {
-  for (auto load : kLoads) {
-    for (auto executors : { kSmallPool, kMiddlePool, kLargePool }) {
-      BOOST_TEST_CONTEXT("a pool of " << executors << ", " << NameOf(load))
-      {
-        BOOST_TEST(CostIn(load, executors, OwnerEvent::IdlePass).mAllocations == 0);
-      }
-    }
+  for (const auto& use : kUntenanted) {
+    CheckIdlePassAllocations(use);
   }
 }
 
+// As above, where the order of the waiting tasks depends on their tenants.
+BOOST_AUTO_TEST_CASE(a_pass_that_places_nothing_for_tenants_allocates_nothing)
+{
+  CheckIdlePassAllocations(kTenanted);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
