--- a/Tests/LibSchedule/TestJobPhases.cpp
+++ b/Tests/LibSchedule/TestJobPhases.cpp
@@ -35,7 +35,7 @@
 };
 
 std::ostream&
-boost_test_print_type(std::ostream& aStream, const Told& aTold)
+operator<<(std::ostream& aStream, const Told& aTold)
 {
   return aStream << "phase " << static_cast<int>(aTold.mPhase) << ", " << aTold.mPendingCount
                  << " pending";
