Tell by the bench of decisions what placement passes look at

Cause: the bench gave time and allocations only; since passes are counted. Change: `sesameseam-bench decisions` gives the steps and executors examined an event.

--- a/Utilities/sesameseam-bench/Decisions.cpp
+++ b/Utilities/sesameseam-bench/Decisions.cpp
@@ -33,6 +33,9 @@
 {
   std::vector<double> mMicroseconds;
   std::int64_t mAllocations = 0;
+  // By the placement passes among them.
+  std::int64_t mStepsExamined = 0;
+  std::int64_t mExecutorsExamined = 0;
 };
 
 double
@@ -47,12 +50,16 @@
 {
   EventCost cost;
   auto meter = [&](const std::function<void()>& aWork) {
+    auto before = SumCounters(aModel.mNode);
     auto allocations = AllocationCount();
     auto start = std::chrono::steady_clock::now();
     aWork();
     auto took = std::chrono::steady_clock::now() - start;
     cost.mAllocations += AllocationCount() - allocations;
     cost.mMicroseconds.push_back(std::chrono::duration<double, std::micro>(took).count());
+    auto after = SumCounters(aModel.mNode);
+    cost.mStepsExamined += after.mStepsExamined - before.mStepsExamined;
+    cost.mExecutorsExamined += after.mExecutorsExamined - before.mExecutorsExamined;
   };
   for (int i = 0; i < kSamples; ++i) {
     PlayEvent(aModel, aEvent, meter);
@@ -60,13 +67,21 @@
   return cost;
 }
 
+double
+PerEvent(std::int64_t aSum)
+{
+  return static_cast<double>(aSum) / kSamples;
+}
+
 JsonValue
 Summarize(const EventCost& aCost)
 {
   JsonValue summary;
   summary.Add("mean_us") = JsonNumber(Mean(aCost.mMicroseconds));
   summary.Add("p99_us") = JsonNumber(Percentile(aCost.mMicroseconds, 0.99));
-  summary.Add("allocations") = JsonNumber(static_cast<double>(aCost.mAllocations) / kSamples);
+  summary.Add("allocations") = JsonNumber(PerEvent(aCost.mAllocations));
+  summary.Add("steps_examined") = JsonNumber(PerEvent(aCost.mStepsExamined));
+  summary.Add("executors_examined") = JsonNumber(PerEvent(aCost.mExecutorsExamined));
   return summary;
 }
 
