--- a/Libraries/LibStandIn/OwnerModel.cpp
+++ b/Libraries/LibStandIn/OwnerModel.cpp
@@ -213,10 +213,10 @@
 void
 AnswerReads(OwnerModel& aModel)
 {
-  for (auto& read : std::exchange(aModel.mHeldReads, {})) {
+  for (const auto& read : std::exchange(aModel.mHeldReads, {})) {
     auto answer = AnswerRead(aModel, read);
     if (answer.mRecords.empty() && aModel.mNow.mAt < read.mSince + read.mCall.mWait) {
-      aModel.mHeldReads.push_back(std::move(read));
+      aModel.mHeldReads.push_back(read);
     } else {
       Apply(aModel, answer);
     }
--- a/Tests/DecisionCost/StepCount.cpp
+++ b/Tests/DecisionCost/StepCount.cpp
@@ -16,8 +16,11 @@
 
 }
 
+// The compiler inserts calls of this name.
+// NOLINTBEGIN(bugprone-reserved-identifier,readability-identifier-naming)
 extern "C" void
 __sanitizer_cov_trace_pc()
 {
   ++steps;
 }
+// NOLINTEND(bugprone-reserved-identifier,readability-identifier-naming)
