End the search for a place at the first of equal executors

Cause: in a calm pool all executors have the same free capacity, and the search for the tightest fit went over all of them: 828, 1,761 and 10,243 basic blocks for a pass after an end at 50, 500 and 5,000 executors (TestDecisionCost). Change: of executors with as much free the one with the lowest id comes first, so that the search ends there if nothing counts against it.

--- a/Libraries/LibSchedule/Placement.cpp
+++ b/Libraries/LibSchedule/Placement.cpp
@@ -113,6 +113,18 @@
   return aLeft.mCandidate->mExecutor->mEntry.mId < aRight.mCandidate->mExecutor->mEntry.mId;
 }
 
+// Whether a candidate, or one that comes after it in the order by free capacity, may cost less than
+// the best one so far: its cost is at least what it would have left, and of candidates with as much
+// free those with the lower ids come first.
+bool
+MayBeCheaper(const Candidate& aCandidate, std::int64_t aNeeded, const CandidateCost& aBest)
+{
+  auto free = aCandidate.mFree.mCpuMillicores;
+  auto leastCost = free - aNeeded;
+  return leastCost < aBest.mCost ||
+         (leastCost == aBest.mCost && free != aBest.mCandidate->mFree.mCpuMillicores);
+}
+
 }
 
 PlacementObstacle
@@ -137,8 +149,7 @@
   CandidateCost best;
   for (auto at = pool->second.lower_bound(needed); at != pool->second.end(); ++at) {
     auto& candidate = **at;
-    // The cost of a candidate is at least what it would have left, which only rises from here on.
-    if (best.mCandidate != nullptr && candidate.mFree.mCpuMillicores - needed > best.mCost) {
+    if (best.mCandidate != nullptr && !MayBeCheaper(candidate, needed, best)) {
       break;
     }
     ++aCandidates.mExamined;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -76,8 +76,8 @@
   std::int64_t mExecutorsExamined = 0;
 };
 
-// When an executor is checked at the latest, for what becomes due by time alone. Kept apart from the
-// executors, so that a sweep reads little memory.
+// When an executor is checked at the latest, for what becomes due by time alone. Kept apart from
+// the executors, so that a sweep reads little memory.
 struct ExecutorCheck
 {
   Executor* mExecutor = nullptr;
