--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -142,9 +142,9 @@
   auto isCompletedAfter = [&](bool aIsListed) {
     MachinesAnswer answer;
     answer.mResult = CallResult::Done;
-    answer.mMachines.push_back(all.at(MachineId("m1")));
+    answer.mMachines.push_back(std::make_shared<const Machine>(all.at(MachineId("m1"))));
     if (aIsListed) {
-      answer.mMachines.push_back(all.at(MachineId("m2")));
+      answer.mMachines.push_back(std::make_shared<const Machine>(all.at(MachineId("m2"))));
     }
     Actions actions;
     OnMachines(owner.mMachines, kNow, answer, actions);
