--- a/Libraries/LibSchedule/CandidateIndex.cpp
+++ b/Libraries/LibSchedule/CandidateIndex.cpp
@@ -68,8 +68,10 @@
   candidate.mRack = RackOf(aExecutor.mEntry);
   CountRuns(candidate);
   auto free = aExecutor.mEntry.mCapacity - ReservedResources(aExecutor);
-  auto* pool = &aIndex.mPools[aExecutor.mEntry.mService];
-  if (candidate.mPool == pool) {
+  // Executors that have left stay known to their shard, and would be searched for ever.
+  auto isGone = aExecutor.mEntry.mState == ExecutorState::Gone;
+  auto* pool = isGone ? nullptr : &aIndex.mPools[aExecutor.mEntry.mService];
+  if (pool != nullptr && candidate.mPool == pool) {
     SetFree(candidate, free);
     return;
   }
@@ -78,7 +80,9 @@
   }
   candidate.mFree = free;
   candidate.mPool = pool;
-  candidate.mPlace = pool->insert(&candidate).first;
+  if (pool != nullptr) {
+    candidate.mPlace = pool->insert(&candidate).first;
+  }
 }
 
 void
--- a/Libraries/LibSchedule/CandidateIndex.h
+++ b/Libraries/LibSchedule/CandidateIndex.h
@@ -39,7 +39,7 @@
   // It has runs whose size is unknown.
   bool mHasForeignRuns = false;
   Occupants mOccupants;
-  // Its pool, and its place there.
+  // Its pool, and its place there; null once the executor has left.
   CandidatesByFree* mPool = nullptr;
   CandidatesByFree::iterator mPlace;
 };
--- a/Libraries/LibSchedule/ExecutorAddresses.cpp
+++ b/Libraries/LibSchedule/ExecutorAddresses.cpp
@@ -8,7 +8,7 @@
 RecordAddress(Executor& aExecutor, PendingWrite& aWrite)
 {
   const auto& entry = aExecutor.mEntry;
-  if (aExecutor.mRecordedAddress == entry.mAddress) {
+  if (aExecutor.mRecordedAddress == entry.mAddress || entry.mState == ExecutorState::Gone) {
     return;
   }
   aExecutor.mRecordedAddress = entry.mAddress;
--- a/Libraries/LibSchedule/HostIndex.cpp
+++ b/Libraries/LibSchedule/HostIndex.cpp
@@ -114,8 +114,8 @@
     if (key.mWave != aWave) {
       break;
     }
-    auto isDown = record.mPhase == MaintenancePhase::Begun &&
-                  FindMachine(*aContext.mMachines, key.mMachine) != nullptr;
+    auto isDown =
+      record.mPhase == MaintenancePhase::Begun && !IsGone(*aContext.mMachines, key.mMachine);
     count += isDown ? 1 : 0;
   }
   return count;
--- a/Libraries/LibSchedule/HostIndex.h
+++ b/Libraries/LibSchedule/HostIndex.h
@@ -46,7 +46,7 @@
   std::vector<WaveHost> mHosts;
   // Hosts of all pools, without those that are known to be finished or gone.
   std::vector<MachineId> mUnfinished;
-  // Listed hosts of all pools that are down for the wave.
+  // Hosts of all pools that are down for the wave.
   int mDown = 0;
 };
 
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -189,6 +189,28 @@
   return progress;
 }
 
+std::vector<NamedAttempt>
+AttemptsOf(const Job& aJob)
+{
+  std::vector<NamedAttempt> attempts;
+  TaskId name{ aJob.mId };
+  for (const auto& occurrence : aJob.mOccurrences) {
+    name.mStep = 0;
+    for (const auto& step : occurrence.mSteps) {
+      name.mIndex = 0;
+      for (const auto& task : step.mTasks) {
+        for (const auto& attempt : task.mAttempts) {
+          attempts.push_back({ { name, attempt.mRun }, attempt.mExecutor });
+        }
+        ++name.mIndex;
+      }
+      ++name.mStep;
+    }
+    ++name.mOccurrence;
+  }
+  return attempts;
+}
+
 JobState
 StateOf(const Job& aJob)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -89,6 +89,17 @@
 JobProgress
 ProgressOf(const Job& aJob);
 
+// An attempt at a task of a job, by name.
+struct NamedAttempt
+{
+  TaskRun mRun;
+  ExecutorId mExecutor;
+};
+
+// All attempts at tasks of the job that are not known to have ended.
+std::vector<NamedAttempt>
+AttemptsOf(const Job& aJob);
+
 // What callers are told about the job.
 JobState
 StateOf(const Job& aJob);
--- a/Libraries/LibSchedule/PoolContest.cpp
+++ b/Libraries/LibSchedule/PoolContest.cpp
@@ -141,6 +141,7 @@
   return found->second;
 }
 
+// Whether a task of the occurrence was placed or is done.
 bool
 HasBegun(const Occurrence& aOccurrence)
 {
@@ -230,16 +231,6 @@
   }
 }
 
-// Whether a task of the occurrence was placed or is done.
-bool
-IsAtWork(const Occurrence& aOccurrence)
-{
-  return std::any_of(
-    aOccurrence.mSteps.begin(), aOccurrence.mSteps.end(), [](const StepState& aStep) {
-      return aStep.mWaiting < static_cast<int>(aStep.mTasks.size());
-    });
-}
-
 // Adds the jobs at work whose next steps will need room.
 void
 AddJobsAtWork(PoolContest& aContest,
@@ -252,7 +243,7 @@
   for (const auto& [id, job] : aJobs) {
     const auto& definition = job.mDefinition;
     auto isOfPool = definition.mService == aPool && definition.mRunCount == 0;
-    if (!isOfPool || IsFinal(job.mPhase) || !IsAtWork(job.mOccurrences[0]) ||
+    if (!isOfPool || IsFinal(job.mPhase) || !HasBegun(job.mOccurrences[0]) ||
         aWithReadySteps.contains(&job) || CompletionObjective(job, 0) < aNow.mWall) {
       continue;
     }
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -112,6 +112,8 @@
   if (aEntry.mState == ExecutorState::Gone) {
     executor.mHasAnnouncedLeave |= executor.mEntry.mState == ExecutorState::Draining;
     executor.mEntry.mState = ExecutorState::Gone;
+    NoteChange(aShard.mPlacement, executor);
+    detail::ScheduleCheck(aShard, executor);
     if (executor.mEntry.mAddress.empty()) {
       // Whether its runs go on, or its process has ended, is asked there.
       executor.mEntry.mAddress = aEntry.mAddress;
@@ -355,6 +357,13 @@
   aJob.mPhase = aPhase;
   aJob.mEndReason = std::move(aReason);
   MarkDirty(aShard, aJob);
+  for (const auto& attempt : AttemptsOf(aJob)) {
+    auto executor = aShard.mExecutors.find(attempt.mExecutor);
+    if (executor != aShard.mExecutors.end()) {
+      RequestStop(executor->second, attempt.mRun);
+      ScheduleCheck(aShard, executor->second);
+    }
+  }
 }
 
 }
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -15,10 +15,11 @@
 
 // How often tasks are reconsidered that wait for other reasons than free resources.
 constexpr Duration kPassInterval = 100ms;
-// In a full pool each pass examines all waiting tasks to place only one or two of them. With this
+// In a full pool a pass looks at all waiting steps to place only one or two tasks. With this
 // minimum interval, several ends accumulate between passes.
 constexpr Duration kPassIntervalWhenFull = 20ms;
-// A pass examines all jobs, so that passes are spaced in proportion to their number.
+// A pass looks at the waiting steps of all jobs, so that passes are spaced in proportion to the
+// jobs.
 constexpr Duration kPassIntervalPerJob = 10us;
 constexpr Duration kMaxPassInterval = 20ms;
 
@@ -92,6 +93,9 @@
 void
 AddUnplaced(PlacementPass& aPass, const ServiceName& aPool, Isolation aIsolation)
 {
+  if (aIsolation == Isolation::None) {
+    return;
+  }
   auto& unplaced = aPass.mUnplacedSuspects[aPool];
   unplaced.mSuspects += aIsolation == Isolation::AmongSuspects ? 1 : 0;
   unplaced.mAlone += aIsolation == Isolation::Alone ? 1 : 0;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -327,8 +327,8 @@
     return aNow + kSweepInterval;
   }
   auto next = aNow + kMaxCheckInterval;
-  if (!aExecutor.mHeartbeatPending) {
-    next = std::min(next, std::max(aNow, aExecutor.mRetryAt));
+  if (!aExecutor.mHeartbeatPending && aExecutor.mRetryAt > aNow) {
+    next = std::min(next, aExecutor.mRetryAt);
   }
   if (IsUnreachable(aExecutor) && !aExecutor.mRuns.empty()) {
     next = std::min(next, std::max(aNow, aExecutor.mLeasesExpiredAt));
@@ -397,7 +397,8 @@
     }
     RecordUnansweredHeartbeat(*executor, aNow.mAt);
     ++aShard.mAnswerChanges;
-    if (aAnswer.mIsFromAnother) {
+    // An executor that answers at another address by now may go on.
+    if (aAnswer.mIsFromAnother && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
       DropRunsOfReplaced(aShard, *executor, aAnswer.mSentAt, aActions);
     }
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -118,21 +118,11 @@
     return;
   }
   ReportEnd(aShard, found->second, aActions);
-  for (auto& occurrence : found->second.mOccurrences) {
-    for (auto& step : occurrence.mSteps) {
-      for (auto& task : step.mTasks) {
-        for (const auto& attempt : task.mAttempts) {
-          auto executor = aShard.mExecutors.find(attempt.mExecutor);
-          if (executor == aShard.mExecutors.end()) {
-            continue;
-          }
-          TaskId name{ aId,
-                       static_cast<int>(&occurrence - found->second.mOccurrences.data()),
-                       static_cast<int>(&step - occurrence.mSteps.data()),
-                       static_cast<int>(&task - step.mTasks.data()) };
-          detail::StopOrDiscard(aShard, executor->second, { name, attempt.mRun });
-        }
-      }
+  for (const auto& attempt : AttemptsOf(found->second)) {
+    auto executor = aShard.mExecutors.find(attempt.mExecutor);
+    if (executor != aShard.mExecutors.end()) {
+      detail::StopOrDiscard(aShard, executor->second, attempt.mRun);
+      detail::ScheduleCheck(aShard, executor->second);
     }
   }
   AddEndedJob(aShard.mEnded, aId);
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -271,6 +271,7 @@
   void CheckQuota(const std::string& aTask);
   // Checks that the owners' counts of what tenants have running match their runs.
   void CheckUsage();
+  void CheckKeptState();
   void CheckPlacement();
   // Checks that the sums of demand that owners keep match their jobs and executors.
   void CheckDemand();
@@ -321,6 +322,8 @@
   std::int64_t mCompletedTasks = 0;
   std::int64_t mQueryBytes = 0;
   std::int64_t mLastCount = -1;
+  // The starts since the state that owners keep was last checked.
+  std::size_t mStartsSinceCheck = 0;
   // The final phases that callers were told.
   std::map<JobId, schedule::JobPhase> mShownFinal;
 };
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -208,8 +208,7 @@
   }
   CheckQuota(text);
   CheckUsage();
-  CheckPlacement();
-  CheckDemand();
+  CheckKeptState();
   std::int64_t reserved = 0;
   for (auto& executor : mExecutors) {
     Advance(executor, mNow);
@@ -302,6 +301,21 @@
   }
 }
 
+// What owners keep instead of computing it anew is computed anew, the less often the more there is
+// to go over.
+void
+Simulation::CheckKeptState()
+{
+  constexpr std::size_t kExecutorsPerStart = 16;
+  ++mStartsSinceCheck;
+  if (mStartsSinceCheck * kExecutorsPerStart < mExecutors.size()) {
+    return;
+  }
+  mStartsSinceCheck = 0;
+  CheckPlacement();
+  CheckDemand();
+}
+
 // What is kept from one placement pass to the next has to be what a pass would find anew.
 void
 Simulation::CheckPlacement()
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -161,6 +161,26 @@
   BOOST_TEST(isCompletedAfter(false));
 }
 
+// Guards against more hosts down at once than a wave allows (LIMIT), because one list of machines
+// lacked one that is down.
+BOOST_AUTO_TEST_CASE(a_host_that_one_list_lacks_still_counts_as_down)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  owner.AddHost("m1", pool).mDrainReason = DrainReason::ForMaintenance;
+  owner.AddHost("m2", pool);
+  auto all = owner.mMachines.mMachines;
+  owner.mWaves[1] = WaveOf({ MachineId("m1"), MachineId("m2") });
+  owner.mWaves[1].mMaxConcurrent = 1;
+  owner.mLog.mMaintenanceRecords[{ 1, MachineId("m2") }] = { MaintenancePhase::Begun };
+  MachinesAnswer answer;
+  answer.mResult = CallResult::Done;
+  answer.mMachines.push_back(std::make_shared<const Machine>(all.at(MachineId("m1"))));
+  Actions actions;
+  OnMachines(owner.mMachines, kNow, answer, actions);
+  BOOST_TEST(CountAppended(owner.AdvanceWaves(), "upkeep/") == 0);
+}
+
 // A host was ordered to move and to go down, and the fencing token of the second order was lower.
 BOOST_AUTO_TEST_CASE(a_host_on_the_move_is_not_taken_down)
 {
--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -155,6 +155,21 @@
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
 }
 
+// Guards against passes that cost more the more executors have come and gone.
+BOOST_AUTO_TEST_CASE(an_executor_that_has_left_is_not_searched)
+{
+  Fleet fleet;
+  auto& executor = fleet.Add("x", 4);
+  auto candidates = MakeCandidates(fleet.mExecutors);
+  BOOST_TEST(HasFree(candidates, ServiceName("s"), 1000));
+  executor.mEntry.mState = ExecutorState::Gone;
+  UpdateCandidate(candidates, executor);
+  BOOST_TEST(!HasFree(candidates, ServiceName("s"), 1000));
+  executor.mEntry.mState = ExecutorState::Ready;
+  UpdateCandidate(candidates, executor);
+  BOOST_TEST(HasFree(candidates, ServiceName("s"), 1000));
+}
+
 BOOST_AUTO_TEST_CASE(an_executor_with_a_run_of_unknown_size_gets_no_tasks)
 {
   Fleet fleet;
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -329,6 +329,40 @@
   }
 }
 
+// Guards against runs that are started again while they go on (TWICE), because an executor that has
+// another address by now was taken for replaced.
+BOOST_AUTO_TEST_CASE(an_answer_at_a_former_address_ends_no_runs)
+{
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto& executor = owner.TheExecutor();
+  BOOST_REQUIRE(executor.mRuns.size() == 1u);
+  executor.mRuns.begin()->second.mState = RunState::Running;
+  executor.mEntry.mAddress = "10.0.0.2:80";
+  HeartbeatAnswer answer;
+  answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+  answer.mResult = CallResult::Refused;
+  answer.mIsFromAnother = true;
+  answer.mSentAt = Later(20ms).mAt;
+  OnHeartbeatAnswer(owner.mShard, Later(40ms), answer, owner.mActions);
+  BOOST_TEST(executor.mRuns.size() == 1u);
+}
+
+// Guards against tasks of a cancelled job that run on (UNASKED) because its end can't be stored.
+BOOST_AUTO_TEST_CASE(the_runs_of_an_ended_job_are_stopped_before_its_end_is_stored)
+{
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto& run = owner.TheExecutor().mRuns.begin()->second;
+  run.mState = RunState::Running;
+  auto& job = owner.mShard.mJobs.begin()->second;
+  schedule::detail::FinishJob(owner.mShard, job, JobPhase::Cancelled, "cancelled by its caller");
+  owner.Advance(Later(20ms));
+  BOOST_TEST(run.mStopPending);
+}
+
 // Guards against an owner that cannot ask an executor that is no longer listed (LOST), and against
 // addresses that stay in the log for ever.
 BOOST_AUTO_TEST_CASE(the_addresses_of_executors_with_runs_are_kept_in_the_log)
