--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -212,17 +212,18 @@
   std::int64_t reserved = 0;
   for (auto& executor : mExecutors) {
     Advance(executor, mNow);
-    for (const auto& [run, state] : executor.mRuns) {
-      const auto& steps = mJobs.at(run.mTask.mJob).mDefinition.mSteps;
-      const auto& step = steps[static_cast<std::size_t>(run.mTask.mStep)];
-      if (&executor == &aExecutor) {
-        reserved += step.mNeeds.mCpuMillicores;
-      }
-      if (run.mTask == name && run.mRun != aCall.mRun.mRun) {
+    for (auto run = executor.mRuns.lower_bound({ name, 0 });
+         run != executor.mRuns.end() && run->first.mTask == name;
+         ++run) {
+      if (run->first.mRun != aCall.mRun.mRun) {
         mViolations.push_back(text + " has two runs at the same time");
       }
     }
   }
+  for (const auto& [run, state] : aExecutor.mRuns) {
+    const auto& steps = mJobs.at(run.mTask.mJob).mDefinition.mSteps;
+    reserved += steps[static_cast<std::size_t>(run.mTask.mStep)].mNeeds.mCpuMillicores;
+  }
   if (reserved > aExecutor.mEntry.mCapacity.mCpuMillicores) {
     mViolations.push_back(text + " was started beyond the capacity of its executor");
   }
@@ -358,6 +359,9 @@
 {
   for (const auto& host : mHosts) {
     for (const auto& [partition, shard] : host.mNode.mShards) {
+      if (shard.mUsage.mTenants.empty()) {
+        continue;
+      }
       std::map<schedule::TenantName, schedule::Resources> running;
       for (const auto& [id, executor] : shard.mExecutors) {
         for (const auto& [name, run] : executor.mRuns) {
--- a/Tests/LibSchedule/FleetPlay.h
+++ b/Tests/LibSchedule/FleetPlay.h
@@ -138,7 +138,8 @@
     }
     auto& executor = shard->mExecutors.at(aMachine.mExecutor);
     while (!executor.mRuns.empty()) {
-      EndRun(*shard, executor, executor.mRuns.begin()->first, TaskState::Waiting);
+      auto run = executor.mRuns.begin()->first;
+      EndRun(*shard, executor, run, TaskState::Waiting);
     }
   }
 
@@ -239,7 +240,7 @@
     }
   }
 
-  void EndRun(Shard& aShard, Executor& aExecutor, TaskRun aRun, TaskState aState)
+  void EndRun(Shard& aShard, Executor& aExecutor, const TaskRun& aRun, TaskState aState)
   {
     RemoveRun(aShard.mUsage, aExecutor, aRun);
     auto found = aShard.mJobs.find(aRun.mTask.mJob);
--- a/Tests/LibSchedule/TestMachineList.cpp
+++ b/Tests/LibSchedule/TestMachineList.cpp
@@ -96,7 +96,9 @@
     MachineList list;
     WholeList whole;
     std::vector<MachineRow> known;
-    for (int i = 0; i < 6; ++i) {
+    constexpr int kMachines = 6;
+    known.reserve(kMachines);
+    for (int i = 0; i < kMachines; ++i) {
       known.push_back(RowOf("m" + std::to_string(i), "a", MachineState::Up));
     }
     for (int k = 0; k < 8; ++k) {
@@ -118,7 +120,9 @@
 {
   MachineList list;
   std::vector<MachineRow> rows;
-  for (int i = 0; i < 500; ++i) {
+  constexpr int kMachines = 500;
+  rows.reserve(kMachines);
+  for (int i = 0; i < kMachines; ++i) {
     rows.push_back(RowOf("m" + std::to_string(1000 + i), "a", MachineState::Up));
   }
   ReadList(list, kStart, { rows });
