--- a/review/standin/Http.cpp
+++ b/review/standin/Http.cpp
@@ -123,6 +123,21 @@
   return ports;
 }
 
+// Whether the text is a whole answer.
+static bool
+IsWhole(const std::string& aText)
+{
+  auto end = aText.find("\r\n\r\n");
+  if (end == std::string::npos) {
+    return false;
+  }
+  auto head = ToLower(aText.substr(0, end));
+  auto length = head.find("content-length:");
+  constexpr std::size_t kNameLength = 15;
+  auto body = length == std::string::npos ? 0 : std::atoll(head.c_str() + length + kNameLength);
+  return aText.size() >= end + 4 + static_cast<std::size_t>(body);
+}
+
 Reply
 Call(const std::string& aAddress,
      const std::string& aHead,
@@ -145,8 +160,7 @@
     out.erase(0, static_cast<std::size_t>(count));
   }
   std::string in;
-  Reply reply;
-  while (NowMs() < until) {
+  while (!IsWhole(in) && NowMs() < until) {
     pollfd readable{ connection, POLLIN, 0 };
     poll(&readable, 1, static_cast<int>(std::max<std::int64_t>(1, until - NowMs())));
     char buffer[4096];
@@ -160,11 +174,10 @@
     in.append(buffer, static_cast<std::size_t>(count));
   }
   close(connection);
-  auto end = in.find("\r\n\r\n");
-  auto space = in.find(' ');
-  if (end != std::string::npos && space != std::string::npos) {
-    reply.mStatus = std::atoi(in.c_str() + space + 1);
-    reply.mBody = in.substr(end + 4);
+  Reply reply;
+  if (IsWhole(in)) {
+    reply.mStatus = std::atoi(in.c_str() + in.find(' ') + 1);
+    reply.mBody = in.substr(in.find("\r\n\r\n") + 4);
   }
   return reply;
 }
