--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -42,6 +42,8 @@
 constexpr std::int64_t kStopMs = 300;
 constexpr std::int64_t kCheckpointMs = 500;
 constexpr std::int64_t kMigrateMs = 1500;
+// Three check-in intervals.
+constexpr std::int64_t kSilenceMs = 4500;
 
 struct Partition
 {
@@ -93,6 +95,7 @@
   std::int64_t mLeaseEnd = 0;
   std::int64_t mNextEnd = 1;
   std::int64_t mDownUntil = 0;
+  std::int64_t mSilentSince = 0;
   std::int64_t mNextEntryAt = 0;
   std::int64_t mSequence = 0;
   std::int64_t mMovingUntil = 0;
@@ -265,6 +268,11 @@
   {
     auto now = NowMs();
     if (aExecutor.mDownUntil > 0) {
+      if (aExecutor.mSilentSince > 0 && now - aExecutor.mSilentSince > kSilenceMs) {
+        Add(PartitionOf("keyed.servers", 0), aExecutor.mId, "");
+        aExecutor.mSilentSince = 0;
+        Note("entry removed " + aExecutor.mId);
+      }
       if (now < aExecutor.mDownUntil) {
         return;
       }
@@ -682,6 +690,7 @@
       auto& executor =
         mExecutors.at(static_cast<std::size_t>(std::atoi(aRequest.Query("executor").c_str())));
       Note("crash " + executor.mId);
+      executor.mSilentSince = NowMs();
       executor.mRuns.clear();
       executor.mDownUntil = NowMs() + std::atoll(aRequest.Query("ms").c_str());
       mServer.Close(executor.mAddress);
