--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -16,15 +16,12 @@
 submit puxa $id "$job"
 wait_state puxa $id running 10 || finish 2 "the job does not run"
 sleep 3
-if [ "$trouble" = 1 ]; then
-  put_manifest 4 tije=tenun
-  sleep 1
-  put_manifest 6 puxa=tenun tije=tenun
-else
-  put_manifest 4 puxa=batik
-  sleep 1
-  put_manifest 6 puxa=batik tije=tenun
-fi
+# Without the disruption the route comes back as it was.
+service=batik
+[ "$trouble" = 1 ] && service=tenun
+put_manifest 4 tije=tenun
+sleep 1
+put_manifest 6 puxa=$service tije=tenun
 # configApplyMs is 2,000, visible_ms 3,000.
 sleep 4
 gone=0
