--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -42,6 +42,9 @@
 constexpr std::int64_t kStopMs = 300;
 constexpr std::int64_t kCheckpointMs = 500;
 constexpr std::int64_t kMigrateMs = 1500;
+constexpr int kFullPace = 100;
+// The tail of a task that serves, alone on its executor.
+constexpr int kCalmTailMs = 40;
 // Three check-in intervals.
 constexpr std::int64_t kSilenceMs = 4500;
 
@@ -65,8 +68,15 @@
   std::string mSpec;
   std::string mCheckpoint;
   std::int64_t mStartedAt = 0;
-  std::int64_t mEndsAt = 0;
   std::int64_t mStopAt = 0;
+  // The work that ends it, and what is done of it, in milliseconds at full speed; 0 for a task that
+  // lasts.
+  std::int64_t mWork = 0;
+  double mWorked = 0;
+  std::int64_t mWorkedAt = 0;
+  int mPace = kFullPace;
+  bool mServes = false;
+  bool mFills = false;
 };
 
 struct End
@@ -295,9 +305,11 @@
     for (auto& [name, run] : aExecutor.mRuns) {
       run.mCheckpoint =
         "0000" + BigHex(static_cast<std::uint64_t>((now - run.mStartedAt) / kCheckpointMs));
+      run.mWorked += static_cast<double>((now - run.mWorkedAt) * run.mPace) / kFullPace;
+      run.mWorkedAt = now;
       if (run.mStopAt > 0 && now >= run.mStopAt) {
         ended.emplace_back(name, "stopped");
-      } else if (run.mEndsAt > 0 && now >= run.mEndsAt) {
+      } else if (run.mWork > 0 && run.mWorked >= static_cast<double>(run.mWork)) {
         ended.emplace_back(name, "done");
       } else if (lapsed) {
         ended.emplace_back(name, "lapsed");
@@ -328,12 +340,42 @@
                "\"}" };
   }
 
+  static int PercentOf(const struct Run& aRun)
+  {
+    return aRun.mWork == 0
+             ? kFullPace
+             : static_cast<int>(kFullPace * aRun.mWorked / static_cast<double>(aRun.mWork));
+  }
+
+  int TailOf(const Executor& aExecutor) const
+  {
+    int filling = 0;
+    for (const auto& [name, run] : aExecutor.mRuns) {
+      filling += run.mFills ? run.mPace : 0;
+    }
+    return kCalmTailMs + mInterference * filling;
+  }
+
+  Reply Pace(Executor& aExecutor, const rapidjson::Document& aBody)
+  {
+    RunName name{ TextOf(aBody, "task"), static_cast<int>(NumberOf(aBody, "run")) };
+    auto run = aExecutor.mRuns.find(name);
+    if (run != aExecutor.mRuns.end()) {
+      run->second.mPace = static_cast<int>(NumberOf(aBody, "percent"));
+      Note("pace " + name.first + " " + std::to_string(run->second.mPace) + " percent, fence " +
+           std::to_string(aExecutor.mFence));
+    }
+    return { kOk, "{\"clockMs\":" + std::to_string(ClockOf(aExecutor)) + "}" };
+  }
+
   Reply Lists(const Executor& aExecutor)
   {
     std::string running;
     for (const auto& [name, run] : aExecutor.mRuns) {
       running += (running.empty() ? "" : ",") + std::string("[") + Quoted(name.first) + "," +
-                 std::to_string(name.second) + "," + Quoted(run.mCheckpoint) + ",100,0]";
+                 std::to_string(name.second) + "," + Quoted(run.mCheckpoint) + "," +
+                 std::to_string(PercentOf(run)) + "," +
+                 std::to_string(run.mServes ? TailOf(aExecutor) : 0) + "]";
     }
     std::string ends;
     std::size_t listed = 0;
@@ -368,7 +410,11 @@
     struct Run run;
     run.mSpec = TextOf(aBody, "spec");
     run.mStartedAt = NowMs();
-    run.mEndsAt = run.mSpec == "lasts" ? 0 : NowMs() + std::atoll(run.mSpec.c_str());
+    run.mWorkedAt = NowMs();
+    run.mServes = run.mSpec == "serves";
+    run.mFills = run.mSpec.starts_with("fills ");
+    auto lasts = run.mServes || run.mSpec == "lasts";
+    run.mWork = lasts ? 0 : std::atoll(run.mSpec.c_str() + (run.mFills ? 6 : 0));
     aExecutor.mRuns[name] = run;
     Note("start " + name.first + " run " + std::to_string(name.second) + " on " + aExecutor.mId +
          " pool " + aExecutor.mPool + " fence " + std::to_string(aExecutor.mFence));
@@ -413,6 +459,8 @@
       mServer.Answer(aRequest, Start(executor, body));
     } else if (aRequest.mPath == "/sesameseam/run-stop") {
       mServer.Answer(aRequest, Stop(executor, body));
+    } else if (aRequest.mPath == "/sesameseam/pace") {
+      mServer.Answer(aRequest, Pace(executor, body));
     } else if (aRequest.mPath == "/sesameseam/hold") {
       auto seen = NumberOf(body, "lastSeen");
       std::erase_if(executor.mEnds, [&](const End& aEnd) { return aEnd.mNumber <= seen; });
@@ -680,7 +728,7 @@
       for (std::size_t i = 0; i < mExecutors.size(); ++i) {
         for (const auto& [name, run] : mExecutors[i].mRuns) {
           if (name.first.starts_with(aRequest.Query("job"))) {
-            places += std::to_string(i) + " " + name.first + "\n";
+            places += std::to_string(i) + " " + name.first + " " + std::to_string(run.mPace) + "\n";
           }
         }
       }
@@ -703,6 +751,18 @@
       mFreeze.mForMs = std::atoll(aRequest.Query("ms").c_str());
       return { kOk, "{}" };
     }
+    if (aRequest.mPath == "/control/interference") {
+      // How far a task that fills lengthens the tails beside it, in ms for each percent of its
+      // pace.
+      mInterference = std::atoi(aRequest.Query("ms").c_str());
+      Note("interference " + aRequest.Query("ms") + " ms a percent");
+      return { kOk, "{}" };
+    }
+    if (aRequest.mPath == "/control/owner") {
+      // The scheduler that was dealt the partition.
+      auto held = mHeld.find(std::atoi(aRequest.Query("part").c_str()));
+      return { kOk, held == mHeld.end() ? std::string() : held->second };
+    }
     if (aRequest.mPath == "/control/note") {
       Note(aRequest.mBody);
       return { kOk, "{}" };
@@ -823,6 +883,7 @@
   std::map<std::size_t, std::int64_t> mLastJoin;
   std::int64_t mGeneration = 0;
   std::int64_t mMoves = 0;
+  int mInterference = 0;
   Freeze mFreeze;
 };
 
