--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -42,6 +42,7 @@
 constexpr std::int64_t kStopMs = 300;
 constexpr std::int64_t kCheckpointMs = 500;
 constexpr std::int64_t kMigrateMs = 1500;
+constexpr std::int64_t kGangTimeoutMs = 3000;
 constexpr int kFullPace = 100;
 // The tail of a task that serves, alone on its executor.
 constexpr int kCalmTailMs = 40;
@@ -77,6 +78,10 @@
   int mPace = kFullPace;
   bool mServes = false;
   bool mFills = false;
+  // How many tasks its gang has; 0 for a task that works alone.
+  int mGang = 0;
+  // The checkpoint that its start carried.
+  std::string mCarried;
 };
 
 struct End
@@ -303,8 +308,9 @@
     std::vector<std::pair<RunName, std::string>> ended;
     auto lapsed = ClockOf(aExecutor) >= aExecutor.mLeaseEnd;
     for (auto& [name, run] : aExecutor.mRuns) {
-      run.mCheckpoint =
-        "0000" + BigHex(static_cast<std::uint64_t>((now - run.mStartedAt) / kCheckpointMs));
+      if (run.mGang == 0) {
+        run.mCheckpoint = CheckpointAt(now - run.mStartedAt);
+      }
       run.mWorked += static_cast<double>((now - run.mWorkedAt) * run.mPace) / kFullPace;
       run.mWorkedAt = now;
       if (run.mStopAt > 0 && now >= run.mStopAt) {
@@ -320,10 +326,12 @@
     }
   }
 
-  static std::string BigHex(std::uint64_t aValue)
+  // The checkpoint after so much work.
+  static std::string CheckpointAt(std::int64_t aWorkMs)
   {
-    char text[16];
-    std::snprintf(text, sizeof text, "%012llx", static_cast<unsigned long long>(aValue));
+    char text[32];
+    std::snprintf(
+      text, sizeof text, "%016llx", static_cast<unsigned long long>(aWorkMs / kCheckpointMs));
     return text;
   }
 
@@ -411,13 +419,17 @@
     run.mSpec = TextOf(aBody, "spec");
     run.mStartedAt = NowMs();
     run.mWorkedAt = NowMs();
+    run.mCarried = TextOf(aBody, "lastCheckpoint");
+    run.mGang = run.mSpec.starts_with("gang ") ? std::atoi(run.mSpec.c_str() + 5) : 0;
+    run.mCheckpoint = run.mCarried;
     run.mServes = run.mSpec == "serves";
     run.mFills = run.mSpec.starts_with("fills ");
-    auto lasts = run.mServes || run.mSpec == "lasts";
+    auto lasts = run.mServes || run.mGang > 0 || run.mSpec == "lasts";
     run.mWork = lasts ? 0 : std::atoll(run.mSpec.c_str() + (run.mFills ? 6 : 0));
     aExecutor.mRuns[name] = run;
     Note("start " + name.first + " run " + std::to_string(name.second) + " on " + aExecutor.mId +
-         " pool " + aExecutor.mPool + " fence " + std::to_string(aExecutor.mFence));
+         " pool " + aExecutor.mPool + " fence " + std::to_string(aExecutor.mFence) +
+         (run.mGang > 0 ? " checkpoint '" + run.mCarried + "'" : ""));
     return { kOk, "{\"clockMs\":" + std::to_string(ClockOf(aExecutor)) + "}" };
   }
 
@@ -478,6 +490,67 @@
     }
   }
 
+  // Gangs. A gang works once all its tasks of one run are there and carry the same checkpoint. The
+  // specification is "gang COUNT MILLISECONDS".
+
+  using GangMembers = std::vector<std::pair<Executor*, RunName>>;
+
+  void AdvanceGang(const std::string& aGang, const GangMembers& aMembers, std::int64_t aPassed)
+  {
+    auto& first = aMembers.front().first->mRuns.at(aMembers.front().second);
+    auto isWhole = static_cast<int>(aMembers.size()) == first.mGang;
+    std::set<std::string> carried;
+    std::int64_t oldest = NowMs();
+    for (const auto& [executor, name] : aMembers) {
+      carried.insert(executor->mRuns.at(name).mCarried);
+      oldest = std::min(oldest, executor->mRuns.at(name).mStartedAt);
+    }
+    if (mGangWork.contains(aGang) && !isWhole) {
+      EndGang(aMembers, "broken");
+      return;
+    }
+    if (!isWhole || carried.size() > 1) {
+      if (NowMs() - oldest > kGangTimeoutMs) {
+        EndGang(aMembers, "alone");
+      }
+      return;
+    }
+    auto& work = mGangWork[aGang];
+    work += aPassed;
+    auto before = std::strtoll(first.mCarried.c_str(), nullptr, 16) * kCheckpointMs;
+    for (const auto& [executor, name] : aMembers) {
+      executor->mRuns.at(name).mCheckpoint = CheckpointAt(before + work);
+    }
+    if (before + work >= std::atoll(first.mSpec.c_str() + first.mSpec.rfind(' '))) {
+      EndGang(aMembers, "done");
+    }
+  }
+
+  void EndGang(const GangMembers& aMembers, const char* aHow)
+  {
+    for (const auto& [executor, name] : aMembers) {
+      EndRun(*executor, name, aHow);
+    }
+  }
+
+  void AdvanceGangs()
+  {
+    std::map<std::string, GangMembers> gangs;
+    for (auto& executor : mExecutors) {
+      for (const auto& [name, run] : executor.mRuns) {
+        if (run.mGang > 0) {
+          auto step = name.first.substr(0, name.first.rfind('.'));
+          gangs[step + " run " + std::to_string(name.second)].emplace_back(&executor, name);
+        }
+      }
+    }
+    auto passed = mGangsAt == 0 ? 0 : NowMs() - mGangsAt;
+    mGangsAt = NowMs();
+    for (const auto& [gang, members] : gangs) {
+      AdvanceGang(gang, members, passed);
+    }
+  }
+
   // The store.
 
   Reply Append(const Request& aRequest)
@@ -862,6 +935,7 @@
     for (auto& executor : mExecutors) {
       AdvanceExecutor(executor);
     }
+    AdvanceGangs();
     std::erase_if(mWaiting, [&](Waiting& aWaiting) { return AnswerWaiting(aWaiting); });
     if (mFreeze.mWakeAt > 0 && NowMs() >= mFreeze.mWakeAt) {
       kill(mFreeze.mProcess, SIGCONT);
@@ -884,6 +958,9 @@
   std::int64_t mGeneration = 0;
   std::int64_t mMoves = 0;
   int mInterference = 0;
+  // How long each gang has worked, in milliseconds.
+  std::map<std::string, std::int64_t> mGangWork;
+  std::int64_t mGangsAt = 0;
   Freeze mFreeze;
 };
 
