--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -6,7 +6,7 @@
 host=pule25.example
 pools=(batik)
 executors=()
-for number in 1 2 3 4; do executors+=("i-000$number,batik,2000,64000"); done
+for number in 1 2 3 4 5 6 7; do executors+=("i-000$number,batik,2000,64000"); done
 start_platform 3 "${executors[@]}"
 put_manifest 3 puxa=batik
 for index in 0 1 2; do start_scheduler $index; done
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -60,7 +60,9 @@
 start_platform() { # start_platform SCHEDULERS ID,POOL,CPU,MEMORY...
   local count=$1 arguments=() ports i=0
   shift
-  mapfile -t ports < <("$standin" ports $((count + $#)))
+  # Also those of the schedulers, four each, so that no port is given twice.
+  mapfile -t ports < <("$standin" ports $((5 * count + $#)))
+  scheduler_ports=("${ports[@]:$((count + $#))}")
   stores=()
   for ((; i < count; ++i)); do
     stores+=("127.0.0.1:${ports[$i]}")
@@ -79,7 +81,7 @@
 start_scheduler() { # start_scheduler INDEX
   local index=$1 ports
   if [ -z "${fronts[$index]:-}" ]; then
-    mapfile -t ports < <("$standin" ports 4)
+    ports=("${scheduler_ports[@]:$((4 * index)):4}")
     fronts[index]=127.0.0.1:${ports[0]}
     readies[index]=127.0.0.1:${ports[1]}
     cat >"$work/s$index.json" <<JSON
@@ -99,11 +101,12 @@
 }
 
 wait_ready() { # wait_ready INDEX
-  for _ in $(seq 100); do
+  for _ in $(seq 200); do
     call "${readies[$1]}" GET /sesameseam/ready
     [ "$status" = 200 ] && return 0
     sleep 0.1
   done
+  tail -n 5 "$work/s$1.log" >>"$record"
   finish 2 "scheduler $1 is not ready"
 }
 
--- a/review/standin/standin.cpp
+++ b/review/standin/standin.cpp
@@ -48,6 +48,7 @@
 constexpr int kCalmTailMs = 40;
 // Three check-in intervals.
 constexpr std::int64_t kSilenceMs = 4500;
+constexpr std::int64_t kCheckInMs = 1500;
 
 struct Partition
 {
@@ -302,7 +303,7 @@
       Note("joined " + aExecutor.mId + " pool " + aExecutor.mPool);
     }
     if (aExecutor.mMovingUntil == 0 && now >= aExecutor.mNextEntryAt) {
-      aExecutor.mNextEntryAt = now + 1500;
+      aExecutor.mNextEntryAt = now + kCheckInMs;
       WriteEntry(aExecutor);
     }
     std::vector<std::pair<RunName, std::string>> ended;
@@ -811,7 +812,8 @@
       auto& executor =
         mExecutors.at(static_cast<std::size_t>(std::atoi(aRequest.Query("executor").c_str())));
       Note("crash " + executor.mId);
-      executor.mSilentSince = NowMs();
+      // Its last check-in.
+      executor.mSilentSince = executor.mNextEntryAt - kCheckInMs;
       executor.mRuns.clear();
       executor.mDownUntil = NowMs() + std::atoll(aRequest.Query("ms").c_str());
       mServer.Close(executor.mAddress);
