--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # An entry that can't be read is written to the list of executors. Accepted jobs must still be done,
 # and no scheduler may end by itself.
+trouble=${TROUBLE:-1}
+record=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 host=pule25.example
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # A queue's route is removed and added again with another service, while a job of the queue runs.
 # The job must still be known, and a repetition of its submission must not run it again.
+trouble=${TROUBLE:-1}
+record=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 host=pule25.example
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,6 +1,8 @@
 #!/usr/bin/env bash
 # An executor that runs members of a gang with checkpoints crashes once. The gang has to start again,
 # all members with the same checkpoint, and to be done.
+trouble=${TROUBLE:-1}
+record=$(cd "$(dirname "$0")" && pwd)/record.txt
 . "$(dirname "$0")/../lib.sh"
 
 host=pule25.example
--- a/review/lib.sh
+++ b/review/lib.sh
@@ -1,14 +1,13 @@
 # Starts a small deployment for a script of this review: the schedulers with the command of the
 # deploy file, and a stand-in of the platform. To be sourced by run.sh in the folder of its case.
-# Such a script exits with 1 if the rule was broken, 0 if it held and 2 if the case couldn't run.
+# Such a script sets `trouble` and `record` before, and exits with 1 if the rule was broken, 0 if it
+# held and 2 if the case couldn't run.
 
 here=$(cd "$(dirname "${BASH_SOURCE[1]}")" && pwd)
 cd "$here/../.." || exit 2
 program=target/Services/sesameseam-schedulerd
 standin=target/review/standin
-trouble=${TROUBLE:-1}
 work=$(mktemp -d)
-record=$here/record.txt
 processes=()
 schedulers=()
 fronts=()
