--- a/Libraries/LibBase/Json.cpp
+++ b/Libraries/LibBase/Json.cpp
@@ -26,8 +26,6 @@
   DurationUnit{ "us", std::chrono::microseconds(1) },
 };
 
-constexpr std::size_t kMaxJsonDepth = 64;
-
 // The parser of the library recurses, so that depth has to be bounded before it runs.
 bool
 IsTooDeep(const std::string& aText)
--- a/Libraries/LibBase/Json.h
+++ b/Libraries/LibBase/Json.h
@@ -19,6 +19,10 @@
 
 namespace sesameseam {
 
+// How deeply the arrays and objects of a document may be nested. The parsers recurse, so that one
+// that is nested without end would overflow the stack.
+inline constexpr std::size_t kMaxJsonDepth = 64;
+
 // One mistake in a JSON document: where it is, what is wrong and what would be right.
 struct JsonProblem
 {
