A record does not choose how much memory is reserved for it

Cause: Thrift reserves a list by the length that is written before it, and took 100 MB for the size of a record. A relayed call or a record of 12 bytes made a host reserve 14 GB, which ends it.

Change: the decoder knows the size of the record, and a list has 65,536 items at most.

Result: ForeignInput/a_record_does_not_choose_how_much_memory_is_reserved ends with a reservation of 0x36d4a6000 bytes without the change (seen), and passes with it.

--- a/Libraries/LibSchedule/RecordCodec.h
+++ b/Libraries/LibSchedule/RecordCodec.h
@@ -15,6 +15,9 @@
 using RecordBuffer = apache::thrift::transport::TMemoryBuffer;
 using RecordProtocol = apache::thrift::protocol::TCompactProtocolT<RecordBuffer>;
 
+// The most items that a list of a record may have. The longest lists are those of a job's tasks.
+inline constexpr int kMaxRecordItems = 1 << 16;
+
 template<typename T>
 std::string
 Encode(const T& aRecord)
@@ -33,8 +36,12 @@
 {
   // The buffer does not own the bytes, and reading does not modify them.
   auto* bytes = reinterpret_cast<std::uint8_t*>(const_cast<char*>(aBytes.data()));
-  auto buffer = std::make_shared<RecordBuffer>(bytes, static_cast<std::uint32_t>(aBytes.size()));
-  RecordProtocol protocol(buffer);
+  auto size = static_cast<std::uint32_t>(aBytes.size());
+  // A list or string is not made longer than the rest of the record could hold, whatever length is
+  // written there.
+  auto limits = std::make_shared<apache::thrift::TConfiguration>(static_cast<int>(size));
+  auto buffer = std::make_shared<RecordBuffer>(bytes, size, RecordBuffer::OBSERVE, limits);
+  RecordProtocol protocol(buffer, static_cast<std::int32_t>(size), kMaxRecordItems);
   try {
     aRecord.read(&protocol);
   } catch (const apache::thrift::TException& error) {
--- a/Tests/platform/TestForeignInput.cpp
+++ b/Tests/platform/TestForeignInput.cpp
@@ -1,3 +1,7 @@
+#include "LibSchedule/FleetLog.h"
+#include "LibSchedule/JobRecords.h"
+#include "LibSchedule/QuotaLog.h"
+#include "LibSchedule/RelayMessages.h"
 #include "platform/ExecutorWire.h"
 #include "platform/ExternalRecordsWire.h"
 #include "platform/JobWire.h"
@@ -97,6 +101,23 @@
   AnswerPreview(node, {}, "host=x&path=/a/", aText);
 }
 
+// Hands bytes to every decoder of records and messages that entry hosts write.
+void
+DecodeRecordsEverywhere(const std::string& aBytes)
+{
+  DecodeJob(aBytes).IgnoreError();
+  DecodeProgress(aBytes).IgnoreError();
+  DecodeJobState(aBytes).IgnoreError();
+  DecodeStateCoverage(aBytes).IgnoreError();
+  DecodeLeaseExpiry(aBytes).IgnoreError();
+  DecodeRelayRequest(aBytes).IgnoreError();
+  DecodeRelayResponse(aBytes).IgnoreError();
+  QuotaBook book;
+  ApplyQuotaRecord(book, "0/t", aBytes).IgnoreError();
+  ReadAnswer read;
+  DecodeRead(200, aBytes, read);
+}
+
 std::string
 MachineListText()
 {
@@ -295,6 +316,17 @@
   BOOST_TEST(answer.mRunning[0].mPercent == 100);
 }
 
+// Guards against a few bytes that make a host reserve gigabytes.
+BOOST_AUTO_TEST_CASE(a_record_does_not_choose_how_much_memory_is_reserved)
+{
+  // A list of 80 million items where a job has its steps.
+  std::string steps = EncodeJob({});
+  BOOST_TEST(DecodeJob(steps).ok());
+  std::string huge("\x18\x00\x18\x00\x18\x00\x19\xfc\x80\xa8\x92\x26", 12);
+  BOOST_TEST(!DecodeJob(huge).ok());
+  BOOST_TEST(!DecodeProgress(std::string("\x15\x00\x29\xfc\x80\xa8\x92\x26", 8)).ok());
+}
+
 BOOST_AUTO_TEST_CASE(no_text_ends_a_host)
 {
   rc::check("any text in the place of JSON is read or refused", [] {
@@ -314,4 +346,23 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(no_bytes_of_a_record_end_a_host)
+{
+  JobDefinition job;
+  job.mSpec = "text";
+  job.mSteps.resize(2);
+  JobProgress progress;
+  progress.mTasks.push_back({ .mHighestRun = 2, .mCheckpoint = "c" });
+  RelayRequest request;
+  request.mOwner = "e1";
+  rc::check("any bytes in the place of a record are read or refused", [&] {
+    auto sound = *rc::gen::element(
+      EncodeJob(job), EncodeProgress(progress), EncodeJobState({}), EncodeRelayRequest(request));
+    constexpr int kTexts = 20;
+    for (int i = 0; i < kTexts; ++i) {
+      DecodeRecordsEverywhere(Disturb(sound));
+    }
+  });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
