An answer is not read beyond 16 MiB

Cause: the client of the store, of executors and of the list of machines read a body of any length into memory. Change: EventHttpClientSettings has a bound, beyond which a call counts as not answered. Not seen to fail; the largest page of the store has 1 MB of records.

--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -204,6 +204,7 @@
   auto* connection = evhttp_connection_base_new(mBase, nullptr, host.c_str(), port);
   evhttp_connection_set_retries(connection, 0);
   evhttp_connection_set_timeout(connection, kIdleLimitSeconds);
+  evhttp_connection_set_max_body_size(connection, mSettings.mMaxBodyBytes);
   ++mOpened;
   return connection;
 }
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -71,6 +71,8 @@
 {
   // Connections of one lane to one address; more calls wait.
   std::size_t mMaxConnections = 4;
+  // A call whose answer has a longer body counts as not answered.
+  std::int64_t mMaxBodyBytes = 16 * 1024 * 1024;
 };
 
 // An HTTP client on a libevent loop. It keeps connections open, sends each request once, and never
