An unreadable record is logged once and counted

Cause: a writer of an entry that can't be read writes it every second or two, and each time was logged by each host. Result: LibSchedule/an_unreadable_record_is_counted_each_time_and_logged_once; five lines for five reads before.

--- a/Libraries/LibSchedule/Follower.cpp
+++ b/Libraries/LibSchedule/Follower.cpp
@@ -80,6 +80,23 @@
   aChanges.mExecutors.push_back(aEntry.mId);
 }
 
+// Counts a record that can't be decoded, and logs it unless its key has been unreadable before: its
+// writer may write it again every second.
+void
+NoteUnreadable(Follower& aFollower, const std::string& aKey, Actions& aActions)
+{
+  constexpr std::size_t kMaxKnownKeys = 1000;
+  constexpr std::size_t kMaxLoggedKey = 100;
+  ++aFollower.mUnreadableRecords;
+  auto& known = aFollower.mUnreadableKeys;
+  if (known.size() >= kMaxKnownKeys || !known.insert(aKey).second) {
+    return;
+  }
+  LogEntry entry{ LogLevel::Warning, "record-unreadable", {}, aKey.substr(0, kMaxLoggedKey) };
+  entry.mOutcome = "left out";
+  aActions.emplace_back(std::move(entry));
+}
+
 void
 ApplyRecords(Follower& aFollower,
              const Now& aNow,
@@ -99,12 +116,11 @@
     ++aFollower.mWaveChanges;
   }
   for (const auto& entry : aRecords.mExecutors) {
+    aFollower.mUnreadableKeys.erase(entry.mId.mValue);
     ApplyExecutorEntry(aFollower, entry, aChanges);
   }
   for (const auto& key : aRecords.mUnreadable) {
-    LogEntry entry{ LogLevel::Warning, "record-unreadable", {}, key };
-    entry.mOutcome = "left out";
-    aActions.emplace_back(std::move(entry));
+    NoteUnreadable(aFollower, key, aActions);
   }
 }
 
--- a/Libraries/LibSchedule/Follower.h
+++ b/Libraries/LibSchedule/Follower.h
@@ -60,6 +60,9 @@
   // How many records of waves were applied.
   std::int64_t mWaveChanges = 0;
   std::map<ExecutorId, ExecutorEntry> mExecutors;
+  // Keys whose record could not be decoded, and how many such records there were.
+  std::set<std::string> mUnreadableKeys;
+  std::int64_t mUnreadableRecords = 0;
 };
 
 struct FollowerChanges
--- a/Tests/LibSchedule/TestFollower.cpp
+++ b/Tests/LibSchedule/TestFollower.cpp
@@ -298,6 +298,34 @@
 
 // Whatever the answers: a version is in force within the deadline of its storing, or of the end of
 // the last fault, and is never followed by an older one. Loads read pages while versions change.
+BOOST_AUTO_TEST_CASE(an_unreadable_record_is_counted_each_time_and_logged_once)
+{
+  Follower follower;
+  ReadAnswer answer;
+  answer.mCall.mStream = Stream::Executors;
+  answer.mResult = CallResult::Done;
+  answer.mExternalRecords.mUnreadable = { "i-1" };
+  Actions actions;
+  auto logged = [&] {
+    return std::count_if(actions.begin(), actions.end(), [](const Action& aAction) {
+      const auto* entry = std::get_if<LogEntry>(&aAction);
+      return entry != nullptr && entry->mEvent == "record-unreadable";
+    });
+  };
+  for (int i = 0; i < 5; ++i) {
+    OnFollowerRead(follower, {}, answer, actions);
+  }
+  BOOST_TEST(follower.mUnreadableRecords == 5);
+  BOOST_TEST(logged() == 1);
+  // Sound in between, so that it is news again.
+  ReadAnswer sound = answer;
+  sound.mExternalRecords.mUnreadable.clear();
+  sound.mExternalRecords.mExecutors = { { .mId = ExecutorId("i-1") } };
+  OnFollowerRead(follower, {}, sound, actions);
+  OnFollowerRead(follower, {}, answer, actions);
+  BOOST_TEST(logged() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(no_fault_keeps_an_old_manifest_in_force_or_brings_one_back)
 {
   auto holds = rc::check([] {
