--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <utility>
 
 namespace sesameseam::schedule {
 
@@ -76,10 +77,10 @@
 }
 
 Instant
-DeadlineOf(const CallerRequest& aRequest, Instant aNow)
+DeadlineOf(const CallerRequest& aRequest)
 {
   auto timeout = aRequest.mTimeout.count() > 0 ? aRequest.mTimeout : kDefaultTimeout;
-  return aNow + std::max(timeout - kAnswerMargin, timeout / 2);
+  return aRequest.mArrivedAt + std::max(timeout - kAnswerMargin, timeout / 2);
 }
 
 // Names on whose behalf the caller calls, or refuses the call; it has done nothing then.
@@ -140,29 +141,42 @@
     AddReply(aActions, aRequest.mTicket, kind, problem);
     return;
   }
+  auto home = HomeForSubmission(aNode.mQueues, aRoute);
+  if (!home) {
+    auto deadline = std::min(DeadlineOf(aRequest), aRequest.mArrivedAt + kMaxUnsentAge);
+    aNode.mQueues.mWaiting.push_back({ aRequest, deadline });
+    return;
+  }
   ApplyRoute(job, aRoute);
+  if (*home != aRoute.mService) {
+    job.mHome = *home;
+  }
   job.mTenant = aTenant;
   job.mAcceptedAt = aNow.mWall;
   WaitingCaller caller;
   caller.mTicket = aRequest.mTicket;
   caller.mJob = aId;
   caller.mTenant = aTenant;
-  caller.mArrivedAt = aNow.mAt;
-  caller.mDeadline = DeadlineOf(aRequest, aNow.mAt);
+  caller.mArrivedAt = aRequest.mArrivedAt;
+  caller.mDeadline = DeadlineOf(aRequest);
   EnqueueRecord(aNode.mIntake,
-                PartitionOf(aRoute.mService, aNode.mSettings.mPartitions),
+                PartitionOf(*home, aNode.mSettings.mPartitions),
                 { aId.mValue, EncodeJob(job) },
                 caller);
 }
 
 void
 QueryView(Node& aNode,
-          const Now& aNow,
           const CallerRequest& aRequest,
           const Route& aRoute,
           const TenantName& aTenant,
           const JobId& aId)
 {
+  auto home = HomeForQuery(aNode.mQueues, aRoute, aRequest.mArrivedAt);
+  if (!home) {
+    aNode.mQueues.mWaiting.push_back({ aRequest, DeadlineOf(aRequest) });
+    return;
+  }
   StatusQuery query;
   query.mTicket = aRequest.mTicket;
   query.mKind = aRequest.mKind;
@@ -172,9 +186,45 @@
     query.mTenantHash = TenantHashOf(aTenant);
   }
   query.mIsCountQuery = aId.IsEmpty();
-  query.mReceivedAt = aNow.mAt;
-  query.mDeadline = DeadlineOf(aRequest, aNow.mAt);
-  AddQuery(ViewOf(aNode, PartitionOf(aRoute.mService, aNode.mSettings.mPartitions)), query);
+  query.mReceivedAt = aRequest.mArrivedAt;
+  query.mDeadline = DeadlineOf(aRequest);
+  AddQuery(ViewOf(aNode, PartitionOf(*home, aNode.mSettings.mPartitions)), query);
+}
+
+// Asks the shard of another service. What was handed over to it was stored there before the first
+// shard has published so, but maybe after the query arrived.
+void
+AskOtherShard(Node& aNode, const Now& aNow, const ServiceName& aService, StatusQuery aQuery)
+{
+  aQuery.mReceivedAt = aNow.mAt;
+  aQuery.mIsHandedOver = true;
+  auto partition = PartitionOf(aService, aNode.mSettings.mPartitions);
+  AddQuery(ViewOf(aNode, partition), std::move(aQuery));
+}
+
+// Returns whether another shard has to be asked before the query can be answered.
+bool
+AskFurther(Node& aNode, const Now& aNow, const ViewAnswer& aAnswer)
+{
+  auto query = aAnswer.mQuery;
+  if (!query.mIsCountQuery) {
+    if (aAnswer.mRunBy.IsEmpty()) {
+      return false;
+    }
+    AskOtherShard(aNode, aNow, aAnswer.mRunBy, query);
+    return true;
+  }
+  query.mCounted += aAnswer.mCount;
+  if (!query.mIsHandedOver) {
+    query.mToAsk = aAnswer.mOthers;
+  }
+  if (query.mToAsk.empty()) {
+    return false;
+  }
+  auto service = query.mToAsk.back();
+  query.mToAsk.pop_back();
+  AskOtherShard(aNode, aNow, service, query);
+  return true;
 }
 
 void
@@ -213,11 +263,14 @@
     LogRequest(aActions, "state-unknown", query.mJob.mValue, "the log does not answer");
     return;
   }
+  if (!IsForeign(aAnswer) && AskFurther(aNode, aNow, aAnswer)) {
+    return;
+  }
   if (query.mIsCountQuery) {
     Reply reply;
     reply.mTicket = query.mTicket;
     reply.mKind = ReplyKind::Count;
-    reply.mCount = aAnswer.mCount;
+    reply.mCount = query.mCounted + aAnswer.mCount;
     aActions.emplace_back(std::move(reply));
     return;
   }
@@ -250,9 +303,12 @@
 }
 
 void
-OnCallerRequest(Node& aNode, const Now& aNow, const CallerRequest& aRequest, Actions& aActions)
+OnCallerRequest(Node& aNode, const Now& aNow, CallerRequest aRequest, Actions& aActions)
 {
-  ++aNode.mCounters.mRequests;
+  if (aRequest.mArrivedAt == Instant()) {
+    aRequest.mArrivedAt = aNow.mAt;
+    ++aNode.mCounters.mRequests;
+  }
   const auto& manifest = aNode.mFollower.mManifest;
   if (!manifest) {
     AddReply(aActions, aRequest.mTicket, ReplyKind::Refused, "no manifest is known yet");
@@ -288,7 +344,27 @@
     const auto* known = FindTenant(aNode.mFollower.mKeys, credential.mKey);
     tenant = known == nullptr ? TenantName() : *known;
   }
-  QueryView(aNode, aNow, aRequest, *route, *tenant, id);
+  QueryView(aNode, aRequest, *route, *tenant, id);
+}
+
+void
+ResumeWaitingRequests(Node& aNode, const Now& aNow, Actions& aActions)
+{
+  std::erase_if(aNode.mQueues.mWaiting, [&](const WaitingRequest& aWaiting) {
+    if (aNow.mAt < aWaiting.mDeadline) {
+      return false;
+    }
+    const auto& request = aWaiting.mRequest;
+    AddReply(aActions, request.mTicket, ReplyKind::Refused, "the log does not answer");
+    LogRequest(aActions, "home-unknown", JobIdIn(request.mPath), "the log does not answer");
+    return true;
+  });
+  if (!std::exchange(aNode.mQueues.mHasNews, false)) {
+    return;
+  }
+  for (auto& waiting : std::exchange(aNode.mQueues.mWaiting, {})) {
+    OnCallerRequest(aNode, aNow, std::move(waiting.mRequest), aActions);
+  }
 }
 
 StatusView&
@@ -302,8 +378,13 @@
 void
 AnswerQueries(Node& aNode, const Now& aNow, Actions& aActions)
 {
-  for (auto& [partition, view] : aNode.mViews) {
-    for (const auto& answer : AdvanceView(view, aNow, aActions)) {
+  // A query may have to be passed on to a view that was not there before.
+  std::vector<int> partitions;
+  for (const auto& [partition, view] : aNode.mViews) {
+    partitions.push_back(partition);
+  }
+  for (auto partition : partitions) {
+    for (const auto& answer : AdvanceView(ViewOf(aNode, partition), aNow, aActions)) {
       AnswerQuery(aNode, aNow, partition, answer, aActions);
     }
   }
--- a/Libraries/LibSchedule/CallerRequests.h
+++ b/Libraries/LibSchedule/CallerRequests.h
@@ -7,13 +7,17 @@
 namespace sesameseam::schedule {
 
 void
-OnCallerRequest(Node& aNode, const Now& aNow, const CallerRequest& aRequest, Actions& aActions);
+OnCallerRequest(Node& aNode, const Now& aNow, CallerRequest aRequest, Actions& aActions);
 
 // Returns the status view that answers the queries of a partition, and creates it if needed.
 StatusView&
 ViewOf(Node& aNode, int aPartition);
 
 // Answers the queries whose data has been read from the log, and those past their deadline.
+// Handles requests again that wait until the home of their queue is known.
+void
+ResumeWaitingRequests(Node& aNode, const Now& aNow, Actions& aActions);
+
 void
 AnswerQueries(Node& aNode, const Now& aNow, Actions& aActions);
 
--- a/Libraries/LibSchedule/Calls.h
+++ b/Libraries/LibSchedule/Calls.h
@@ -40,6 +40,8 @@
   Fleet,
   // What each shard holds of the tenants' quotas, written by shard owners.
   Quotas,
+  // Where the jobs of each queue are stored.
+  Queues,
   // Status reports for the operator.
   Status,
 };
@@ -64,6 +66,8 @@
       return "fleet";
     case Stream::Quotas:
       return "quotas";
+    case Stream::Queues:
+      return "queues";
     case Stream::Status:
       return "status";
   }
@@ -110,6 +114,8 @@
   std::optional<std::int64_t> mExpectedEnd;
   // Distinguishes the calls of one caller.
   std::int64_t mTicket = 0;
+  // The shard that made the call, if the partition isn't its own.
+  std::optional<int> mShard;
 };
 
 enum class AppendRefusal
@@ -358,6 +364,8 @@
   std::string mProblem;
   std::chrono::milliseconds mTimeout{ 0 };
   Credential mCredential;
+  // When the host began to handle it; set by the host.
+  Instant mArrivedAt;
 };
 
 enum class LogLevel
--- a/Libraries/LibSchedule/EndedJobs.cpp
+++ b/Libraries/LibSchedule/EndedJobs.cpp
@@ -12,12 +12,23 @@
 // How long callers can query a job after its end.
 constexpr Duration kRetention = 600s;
 
+// The partition in which the end of a job has to be stored, or a key removed, next.
+int
+PartitionOfKey(const EndedJobs& aJobs, const std::string& aKey, int aOwnPartition)
+{
+  auto home = aJobs.mHomePartitions.find(JobId(aKey));
+  return home == aJobs.mHomePartitions.end() ? aOwnPartition : home->second;
+}
+
 }
 
 void
-AddEndedJob(EndedJobs& aJobs, const JobId& aId)
+AddEndedJob(EndedJobs& aJobs, const JobId& aId, std::optional<int> aHomePartition)
 {
   aJobs.mIds.insert(aId);
+  if (aHomePartition) {
+    aJobs.mHomePartitions[aId] = *aHomePartition;
+  }
   aJobs.mUnpublished[aId].push_back(aId.mValue);
 }
 
@@ -41,7 +52,7 @@
       continue;
     }
     auto state = DecodeJobState(record.mValue);
-    if (state.ok() && IsFinal(state->mPhase)) {
+    if (state.ok() && (IsFinal(state->mPhase) || !state->mRunBy.IsEmpty())) {
       aJobs.mKeysToRemove.insert(unpublished->second.begin(), unpublished->second.end());
       aJobs.mUnpublished.erase(unpublished);
     }
@@ -61,25 +72,47 @@
   }
   AppendCall call;
   call.mStream = Stream::Jobs;
-  call.mPartition = aPartition;
+  call.mPartition = PartitionOfKey(aJobs, *aJobs.mKeysToRemove.begin(), aPartition);
   call.mTicket = aEpoch;
-  while (!aJobs.mKeysToRemove.empty() && call.mRecords.size() < kMaxKeysPerAppend) {
-    auto key = *aJobs.mKeysToRemove.begin();
-    aJobs.mKeysToRemove.erase(aJobs.mKeysToRemove.begin());
-    call.mRecords.push_back({ key, {} });
-    aJobs.mKeysInFlight.push_back(std::move(key));
+  if (call.mPartition != aPartition) {
+    call.mShard = aPartition;
+  }
+  for (auto next = aJobs.mKeysToRemove.begin();
+       next != aJobs.mKeysToRemove.end() && call.mRecords.size() < kMaxKeysPerAppend;) {
+    if (PartitionOfKey(aJobs, *next, aPartition) != call.mPartition) {
+      ++next;
+      continue;
+    }
+    if (call.mShard) {
+      call.mRecords.push_back({ EndNoticeKey(JobId(*next)), std::string(kEndNotice) });
+    } else {
+      call.mRecords.push_back({ *next, {} });
+    }
+    aJobs.mKeysInFlight.push_back(*next);
+    next = aJobs.mKeysToRemove.erase(next);
   }
   aJobs.mNextRemovalAt = aNow + kRemovalInterval;
   aActions.emplace_back(std::move(call));
 }
 
+bool
+IsRemoval(const AppendCall& aCall)
+{
+  const auto& first = aCall.mRecords.front();
+  return first.mValue.empty() || IsEndNoticeKey(first.mKey);
+}
+
 void
 OnRemovalAnswer(EndedJobs& aJobs, Instant aNow, const AppendAnswer& aAnswer)
 {
   for (auto& key : aJobs.mKeysInFlight) {
     if (aAnswer.mResult != CallResult::Done) {
       aJobs.mKeysToRemove.insert(std::move(key));
-    } else if (!IsCancellationKey(key)) {
+    } else if (aAnswer.mCall.mShard) {
+      // The other shard will learn of the end, so that the job can be removed here.
+      aJobs.mHomePartitions.erase(JobId(key));
+      aJobs.mKeysToRemove.insert(std::move(key));
+    } else if (!IsCancellationKey(key) && !IsEndNoticeKey(key)) {
       aJobs.mExpiring.push_back({ JobId(std::move(key)), aNow });
     }
   }
--- a/Libraries/LibSchedule/EndedJobs.h
+++ b/Libraries/LibSchedule/EndedJobs.h
@@ -4,6 +4,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -31,14 +32,18 @@
   // Keys of the jobs stream that are to be removed, and those that are being removed.
   std::set<std::string> mKeysToRemove;
   std::vector<std::string> mKeysInFlight;
+  // Jobs that another shard has handed over, and its partition. It is told of the end before their
+  // definitions are removed here. Else a later owner there would hand them over again.
+  std::map<JobId, int> mHomePartitions;
   // Jobs whose definition is removed, in the order of the removal.
   std::deque<ExpiringJob> mExpiring;
   Instant mNextRemovalAt;
 };
 
-// Adds a job whose final phase is stored.
+// Adds a job whose final phase is stored. aHomePartition is the partition of the shard that has
+// handed it over, if one has.
 void
-AddEndedJob(EndedJobs& aJobs, const JobId& aId);
+AddEndedJob(EndedJobs& aJobs, const JobId& aId, std::optional<int> aHomePartition = std::nullopt);
 
 // Adds a further record of the jobs stream that concerns an ended job.
 void
@@ -55,6 +60,9 @@
                int aPartition,
                std::int64_t aEpoch,
                Actions& aActions);
+// Whether the append of an owner to the jobs stream removes keys or tells of ends.
+bool
+IsRemoval(const AppendCall& aCall);
 void
 OnRemovalAnswer(EndedJobs& aJobs, Instant aNow, const AppendAnswer& aAnswer);
 
--- a/Libraries/LibSchedule/FleetContext.cpp
+++ b/Libraries/LibSchedule/FleetContext.cpp
@@ -1,15 +1,7 @@
 #include "LibSchedule/FleetContext.h"
 
-#include "LibBase/Hash.h"
-
 namespace sesameseam::schedule {
 
-int
-PartitionOf(const ServiceName& aService, int aPartitions)
-{
-  return static_cast<int>(StableHash(aService.mValue) % static_cast<std::uint64_t>(aPartitions));
-}
-
 bool
 IsFleetKnown(const FleetContext& aContext)
 {
--- a/Libraries/LibSchedule/FleetContext.h
+++ b/Libraries/LibSchedule/FleetContext.h
@@ -2,6 +2,7 @@
 
 #include "LibSchedule/FleetLog.h"
 #include "LibSchedule/MachineList.h"
+#include "LibSchedule/Partition.h"
 #include "LibSchedule/Shard.h"
 
 #include <map>
@@ -37,8 +38,4 @@
 Shard*
 FindShard(const FleetContext& aContext, const ServiceName& aPool);
 
-// Returns the partition that holds the jobs of a service.
-int
-PartitionOf(const ServiceName& aService, int aPartitions);
-
 }
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -566,6 +566,11 @@
   this->tenant = val;
 __isset.tenant = true;
 }
+
+void Job::__set_home_service(const std::string& val) {
+  this->home_service = val;
+__isset.home_service = true;
+}
 std::ostream& operator<<(std::ostream& out, const Job& obj)
 {
   obj.printTo(out);
@@ -715,6 +720,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->home_service);
+          this->__isset.home_service = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -810,6 +823,11 @@
     xfer += oprot->writeString(this->tenant);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.home_service) {
+    xfer += oprot->writeFieldBegin("home_service", ::apache::thrift::protocol::T_STRING, 14);
+    xfer += oprot->writeString(this->home_service);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -830,6 +848,7 @@
   swap(a.start_time_ms, b.start_time_ms);
   swap(a.interval_ms, b.interval_ms);
   swap(a.tenant, b.tenant);
+  swap(a.home_service, b.home_service);
   swap(a.__isset, b.__isset);
 }
 
@@ -847,6 +866,7 @@
   start_time_ms = other14.start_time_ms;
   interval_ms = other14.interval_ms;
   tenant = other14.tenant;
+  home_service = other14.home_service;
   __isset = other14.__isset;
 }
 Job& Job::operator=(const Job& other15) {
@@ -863,6 +883,7 @@
   start_time_ms = other15.start_time_ms;
   interval_ms = other15.interval_ms;
   tenant = other15.tenant;
+  home_service = other15.home_service;
   __isset = other15.__isset;
   return *this;
 }
@@ -882,6 +903,7 @@
   out << ", " << "start_time_ms="; (__isset.start_time_ms ? (out << to_string(start_time_ms)) : (out << "<null>"));
   out << ", " << "interval_ms="; (__isset.interval_ms ? (out << to_string(interval_ms)) : (out << "<null>"));
   out << ", " << "tenant="; (__isset.tenant ? (out << to_string(tenant)) : (out << "<null>"));
+  out << ", " << "home_service="; (__isset.home_service ? (out << to_string(home_service)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1470,6 +1492,16 @@
   this->tenant_hash = val;
 __isset.tenant_hash = true;
 }
+
+void Progress::__set_run_by(const std::string& val) {
+  this->run_by = val;
+__isset.run_by = true;
+}
+
+void Progress::__set_forwarded(const bool val) {
+  this->forwarded = val;
+__isset.forwarded = true;
+}
 std::ostream& operator<<(std::ostream& out, const Progress& obj)
 {
   obj.printTo(out);
@@ -1555,6 +1587,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->run_by);
+          this->__isset.run_by = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->forwarded);
+          this->__isset.forwarded = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1609,6 +1657,16 @@
     xfer += oprot->writeI32(this->tenant_hash);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.run_by) {
+    xfer += oprot->writeFieldBegin("run_by", ::apache::thrift::protocol::T_STRING, 5);
+    xfer += oprot->writeString(this->run_by);
+    xfer += oprot->writeFieldEnd();
+  }
+  if (this->__isset.forwarded) {
+    xfer += oprot->writeFieldBegin("forwarded", ::apache::thrift::protocol::T_BOOL, 6);
+    xfer += oprot->writeBool(this->forwarded);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1620,6 +1678,8 @@
   swap(a.finished_steps, b.finished_steps);
   swap(a.tasks, b.tasks);
   swap(a.tenant_hash, b.tenant_hash);
+  swap(a.run_by, b.run_by);
+  swap(a.forwarded, b.forwarded);
   swap(a.__isset, b.__isset);
 }
 
@@ -1628,6 +1688,8 @@
   finished_steps = other52.finished_steps;
   tasks = other52.tasks;
   tenant_hash = other52.tenant_hash;
+  run_by = other52.run_by;
+  forwarded = other52.forwarded;
   __isset = other52.__isset;
 }
 Progress& Progress::operator=(const Progress& other53) {
@@ -1635,6 +1697,8 @@
   finished_steps = other53.finished_steps;
   tasks = other53.tasks;
   tenant_hash = other53.tenant_hash;
+  run_by = other53.run_by;
+  forwarded = other53.forwarded;
   __isset = other53.__isset;
   return *this;
 }
@@ -1645,6 +1709,8 @@
   out << ", " << "finished_steps="; (__isset.finished_steps ? (out << to_string(finished_steps)) : (out << "<null>"));
   out << ", " << "tasks="; (__isset.tasks ? (out << to_string(tasks)) : (out << "<null>"));
   out << ", " << "tenant_hash="; (__isset.tenant_hash ? (out << to_string(tenant_hash)) : (out << "<null>"));
+  out << ", " << "run_by="; (__isset.run_by ? (out << to_string(run_by)) : (out << "<null>"));
+  out << ", " << "forwarded="; (__isset.forwarded ? (out << to_string(forwarded)) : (out << "<null>"));
   out << ")";
 }
 
@@ -1666,6 +1732,11 @@
   this->tenant_hash = val;
 __isset.tenant_hash = true;
 }
+
+void JobState::__set_run_by(const std::string& val) {
+  this->run_by = val;
+__isset.run_by = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobState& obj)
 {
   obj.printTo(out);
@@ -1719,6 +1790,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->run_by);
+          this->__isset.run_by = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1752,6 +1831,11 @@
     xfer += oprot->writeI32(this->tenant_hash);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.run_by) {
+    xfer += oprot->writeFieldBegin("run_by", ::apache::thrift::protocol::T_STRING, 4);
+    xfer += oprot->writeString(this->run_by);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1762,6 +1846,7 @@
   swap(a.phase, b.phase);
   swap(a.pending_in, b.pending_in);
   swap(a.tenant_hash, b.tenant_hash);
+  swap(a.run_by, b.run_by);
   swap(a.__isset, b.__isset);
 }
 
@@ -1769,12 +1854,14 @@
   phase = other54.phase;
   pending_in = other54.pending_in;
   tenant_hash = other54.tenant_hash;
+  run_by = other54.run_by;
   __isset = other54.__isset;
 }
 JobState& JobState::operator=(const JobState& other55) {
   phase = other55.phase;
   pending_in = other55.pending_in;
   tenant_hash = other55.tenant_hash;
+  run_by = other55.run_by;
   __isset = other55.__isset;
   return *this;
 }
@@ -1784,6 +1871,7 @@
   out << "phase=" << to_string(phase);
   out << ", " << "pending_in="; (__isset.pending_in ? (out << to_string(pending_in)) : (out << "<null>"));
   out << ", " << "tenant_hash="; (__isset.tenant_hash ? (out << to_string(tenant_hash)) : (out << "<null>"));
+  out << ", " << "run_by="; (__isset.run_by ? (out << to_string(run_by)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -258,7 +258,7 @@
 std::ostream& operator<<(std::ostream& out, const Step& obj);
 
 typedef struct _Job__isset {
-  _Job__isset() : attempts(false), priority(false), stretch_percent(false), response_goal_ms(false), run_count(false), start_time_ms(false), interval_ms(false), tenant(false) {}
+  _Job__isset() : attempts(false), priority(false), stretch_percent(false), response_goal_ms(false), run_count(false), start_time_ms(false), interval_ms(false), tenant(false), home_service(false) {}
   bool attempts :1;
   bool priority :1;
   bool stretch_percent :1;
@@ -267,6 +267,7 @@
   bool start_time_ms :1;
   bool interval_ms :1;
   bool tenant :1;
+  bool home_service :1;
 } _Job__isset;
 
 class Job : public virtual ::apache::thrift::TBase {
@@ -286,7 +287,8 @@
         run_count(0),
         start_time_ms(0),
         interval_ms(0),
-        tenant() {
+        tenant(),
+        home_service() {
   }
 
   virtual ~Job() noexcept;
@@ -303,6 +305,7 @@
   int64_t start_time_ms;
   int64_t interval_ms;
   std::string tenant;
+  std::string home_service;
 
   _Job__isset __isset;
 
@@ -332,6 +335,8 @@
 
   void __set_tenant(const std::string& val);
 
+  void __set_home_service(const std::string& val);
+
   bool operator == (const Job & rhs) const
   {
     if (!(queue == rhs.queue))
@@ -376,6 +381,10 @@
       return false;
     else if (__isset.tenant && !(tenant == rhs.tenant))
       return false;
+    if (__isset.home_service != rhs.__isset.home_service)
+      return false;
+    else if (__isset.home_service && !(home_service == rhs.home_service))
+      return false;
     return true;
   }
   bool operator != (const Job &rhs) const {
@@ -589,10 +598,12 @@
 std::ostream& operator<<(std::ostream& out, const FinishedStep& obj);
 
 typedef struct _Progress__isset {
-  _Progress__isset() : finished_steps(false), tasks(false), tenant_hash(false) {}
+  _Progress__isset() : finished_steps(false), tasks(false), tenant_hash(false), run_by(false), forwarded(false) {}
   bool finished_steps :1;
   bool tasks :1;
   bool tenant_hash :1;
+  bool run_by :1;
+  bool forwarded :1;
 } _Progress__isset;
 
 class Progress : public virtual ::apache::thrift::TBase {
@@ -602,7 +613,9 @@
   Progress& operator=(const Progress&);
   Progress() noexcept
            : phase(0),
-             tenant_hash(0) {
+             tenant_hash(0),
+             run_by(),
+             forwarded(0) {
   }
 
   virtual ~Progress() noexcept;
@@ -610,6 +623,8 @@
   std::vector<FinishedStep>  finished_steps;
   std::vector<Task>  tasks;
   int32_t tenant_hash;
+  std::string run_by;
+  bool forwarded;
 
   _Progress__isset __isset;
 
@@ -621,6 +636,10 @@
 
   void __set_tenant_hash(const int32_t val);
 
+  void __set_run_by(const std::string& val);
+
+  void __set_forwarded(const bool val);
+
   bool operator == (const Progress & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -637,6 +656,14 @@
       return false;
     else if (__isset.tenant_hash && !(tenant_hash == rhs.tenant_hash))
       return false;
+    if (__isset.run_by != rhs.__isset.run_by)
+      return false;
+    else if (__isset.run_by && !(run_by == rhs.run_by))
+      return false;
+    if (__isset.forwarded != rhs.__isset.forwarded)
+      return false;
+    else if (__isset.forwarded && !(forwarded == rhs.forwarded))
+      return false;
     return true;
   }
   bool operator != (const Progress &rhs) const {
@@ -656,9 +683,10 @@
 std::ostream& operator<<(std::ostream& out, const Progress& obj);
 
 typedef struct _JobState__isset {
-  _JobState__isset() : pending_in(false), tenant_hash(false) {}
+  _JobState__isset() : pending_in(false), tenant_hash(false), run_by(false) {}
   bool pending_in :1;
   bool tenant_hash :1;
+  bool run_by :1;
 } _JobState__isset;
 
 class JobState : public virtual ::apache::thrift::TBase {
@@ -669,13 +697,15 @@
   JobState() noexcept
            : phase(0),
              pending_in(),
-             tenant_hash(0) {
+             tenant_hash(0),
+             run_by() {
   }
 
   virtual ~JobState() noexcept;
   int32_t phase;
   std::string pending_in;
   int32_t tenant_hash;
+  std::string run_by;
 
   _JobState__isset __isset;
 
@@ -685,6 +715,8 @@
 
   void __set_tenant_hash(const int32_t val);
 
+  void __set_run_by(const std::string& val);
+
   bool operator == (const JobState & rhs) const
   {
     if (!(phase == rhs.phase))
@@ -697,6 +729,10 @@
       return false;
     else if (__isset.tenant_hash && !(tenant_hash == rhs.tenant_hash))
       return false;
+    if (__isset.run_by != rhs.__isset.run_by)
+      return false;
+    else if (__isset.run_by && !(run_by == rhs.run_by))
+      return false;
     return true;
   }
   bool operator != (const JobState &rhs) const {
--- a/Libraries/LibSchedule/Intake.cpp
+++ b/Libraries/LibSchedule/Intake.cpp
@@ -8,8 +8,6 @@
 
 constexpr Duration kRetryPause = 60ms;
 constexpr std::chrono::seconds kRetryAfter = 1s;
-// A caller is refused if its record could not be sent to the log within this time.
-constexpr Duration kMaxUnsentAge = 600ms;
 // Keeps an append below the maximum request size of the store.
 constexpr std::size_t kMaxBatchBytes = 1 << 20;
 
--- a/Libraries/LibSchedule/Intake.h
+++ b/Libraries/LibSchedule/Intake.h
@@ -12,6 +12,9 @@
 // batched for the next one.
 namespace sesameseam::schedule {
 
+// A caller is refused if its record could not be sent to the log within this time.
+inline constexpr Duration kMaxUnsentAge = 600ms;
+
 struct WaitingCaller
 {
   RequestTicket mTicket = 0;
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -150,6 +150,9 @@
   JobProgress progress;
   progress.mPhase = aJob.mPhase;
   progress.mTenantHash = TenantHashOf(aJob.mDefinition.mTenant);
+  if (!aJob.mDefinition.mHome.IsEmpty()) {
+    progress.mService = aJob.mDefinition.mService;
+  }
   if (IsFinal(aJob.mPhase)) {
     AddRemainingRuns(aJob, progress);
     return progress;
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -13,6 +13,7 @@
 using detail::Encode;
 
 constexpr char kCancellationPrefix = 'x';
+constexpr char kEndNoticePrefix = 'y';
 constexpr char kLeaseExpiryPrefix = '!';
 constexpr char kExecutorAddressPrefix = '@';
 
@@ -133,6 +134,9 @@
   if (!aJob.mTenant.IsEmpty()) {
     out.__set_tenant(aJob.mTenant.mValue);
   }
+  if (!aJob.mHome.IsEmpty()) {
+    out.__set_home_service(aJob.mHome.mValue);
+  }
   if (aJob.mRunCount > 0) {
     out.__set_run_count(aJob.mRunCount);
     out.__set_start_time_ms(UnixMilliseconds(aJob.mStartTime));
@@ -148,6 +152,7 @@
   JobDefinition job;
   job.mQueue = QueueName(record.queue);
   job.mService = ServiceName(record.service_name);
+  job.mHome = ServiceName(record.home_service);
   job.mTenant = TenantName(record.tenant);
   job.mSpec = std::move(record.spec);
   for (const auto& step : record.steps) {
@@ -184,10 +189,23 @@
   return !aKey.empty() && aKey.front() == kCancellationPrefix;
 }
 
+std::string
+EndNoticeKey(const JobId& aJob)
+{
+  return kEndNoticePrefix + aJob.mValue;
+}
+
+bool
+IsEndNoticeKey(std::string_view aKey)
+{
+  return !aKey.empty() && aKey.front() == kEndNoticePrefix;
+}
+
 JobId
 JobOfKey(std::string_view aKey)
 {
-  return JobId(std::string(IsCancellationKey(aKey) ? aKey.substr(1) : aKey));
+  auto hasPrefix = IsCancellationKey(aKey) || IsEndNoticeKey(aKey);
+  return JobId(std::string(hasPrefix ? aKey.substr(1) : aKey));
 }
 
 std::string
@@ -288,6 +306,12 @@
   if (aProgress.mTenantHash != 0) {
     out.__set_tenant_hash(aProgress.mTenantHash);
   }
+  if (!aProgress.mService.IsEmpty()) {
+    out.__set_run_by(aProgress.mService.mValue);
+  }
+  if (aProgress.mIsForwarded) {
+    out.__set_forwarded(true);
+  }
   return Encode(out);
 }
 
@@ -298,6 +322,8 @@
   JobProgress progress;
   progress.mPhase = TRY(PhaseOf(record.phase));
   progress.mTenantHash = record.tenant_hash;
+  progress.mService = ServiceName(std::move(record.run_by));
+  progress.mIsForwarded = record.forwarded;
   for (const auto& step : record.finished_steps) {
     progress.mFinishedSteps.push_back({ step.occurrence, step.step });
   }
@@ -332,6 +358,9 @@
   if (aState.mTenantHash != 0) {
     out.__set_tenant_hash(aState.mTenantHash);
   }
+  if (!aState.mRunBy.IsEmpty()) {
+    out.__set_run_by(aState.mRunBy.mValue);
+  }
   return Encode(out);
 }
 
@@ -341,7 +370,8 @@
   auto record = TRY(Decode<record::JobState>(aBytes));
   return JobState{ TRY(PhaseOf(record.phase)),
                    QueueName(std::move(record.pending_in)),
-                   record.tenant_hash };
+                   record.tenant_hash,
+                   ServiceName(std::move(record.run_by)) };
 }
 
 std::string
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -28,6 +28,15 @@
 JobId
 JobOfKey(std::string_view aKey);
 
+// The shard that a job was handed over to stores under this key, in the partition of the job's
+// home, that the job has ended. Its keys sort after all others.
+std::string
+EndNoticeKey(const JobId& aJob);
+bool
+IsEndNoticeKey(std::string_view aKey);
+// The notice has no content, but an empty value would remove the key.
+inline constexpr std::string_view kEndNotice = "1";
+
 // An executor that may have a run, and its incarnation when the run was placed; 0 if unknown.
 struct PlacedOn
 {
@@ -72,6 +81,10 @@
   TenantHash mTenantHash = 0;
   std::vector<StepId> mFinishedSteps;
   std::vector<TaskProgress> mTasks;
+  // The service that runs the job; empty if it is the one that its queue had first.
+  ServiceName mService;
+  // The job was handed over to the shard of that service.
+  bool mIsForwarded = false;
 };
 
 // The owner of a shard records unresponsive executors in the progress stream, so that a later owner
@@ -108,6 +121,8 @@
   // recurring job.
   QueueName mPendingIn;
   TenantHash mTenantHash = 0;
+  // The job was handed over to the shard of this service, which knows its phase; empty otherwise.
+  ServiceName mRunBy;
 };
 
 std::string
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -103,6 +103,8 @@
 {
   QueueName mQueue;
   ServiceName mService;
+  // The service in whose partition the job is stored; empty if it is mService.
+  ServiceName mHome;
   // The organisation that the job counts against. Empty where calls need no key.
   TenantName mTenant;
   std::string mSpec;
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -24,6 +24,34 @@
   return partitions;
 }
 
+// The partitions that need an owner: also those of services that no manifest names any more, since
+// they may have jobs.
+std::set<int>
+PartitionsToServe(const Node& aNode)
+{
+  auto partitions = PartitionsInUse(aNode);
+  for (const auto& service : aNode.mQueues.mServices) {
+    partitions.insert(PartitionOf(service, aNode.mSettings.mPartitions));
+  }
+  return partitions;
+}
+
+// Has the homes of queues recorded whose service this host schedules, so that the first caller need
+// not wait for it.
+void
+RecordHomes(Node& aNode)
+{
+  if (!aNode.mFollower.mManifest || !aNode.mQueues.mLoaded) {
+    return;
+  }
+  for (const auto& route : aNode.mFollower.mManifest->mRoutes) {
+    auto partition = PartitionOf(route.mService, aNode.mSettings.mPartitions);
+    if (aNode.mShards.contains(partition) && FindHome(aNode.mQueues, route) == nullptr) {
+      WantHome(aNode.mQueues, route);
+    }
+  }
+}
+
 // Applies a changed entry to a shard. An executor that now belongs to another shard is removed.
 void
 ApplyExecutorEntry(Node& aNode, const Now& aNow, Shard& aShard, const ExecutorEntry& aEntry)
@@ -64,6 +92,7 @@
   settings.mHost = aNode.mSettings.mName;
   settings.mLease = aNode.mSettings.mLease;
   settings.mStopTime = aNode.mSettings.mStopTime;
+  settings.mPartitions = aNode.mSettings.mPartitions;
   auto& shard =
     aNode.mShards.emplace(aPartition, MakeShard(aPartition, settings, aNow.mAt)).first->second;
   ++aNode.mCounters.mTakeOvers;
@@ -79,7 +108,8 @@
 void
 ReconcileShards(Node& aNode, const Now& aNow)
 {
-  auto inUse = PartitionsInUse(aNode);
+  auto toServe = PartitionsToServe(aNode);
+  aNode.mKnownServiceChanges = aNode.mQueues.mServiceChanges;
   std::erase_if(aNode.mShards, [&](const auto& aEntry) {
     const auto& [partition, shard] = aEntry;
     auto isOver = shard.mPhase == ShardPhase::Lost || !aNode.mGroup.mPartitions.contains(partition);
@@ -89,10 +119,11 @@
     return isOver;
   });
   for (auto partition : aNode.mGroup.mPartitions) {
-    if (inUse.contains(partition) && !aNode.mShards.contains(partition)) {
+    if (toServe.contains(partition) && !aNode.mShards.contains(partition)) {
       AddShard(aNode, aNow, partition);
     }
   }
+  RecordHomes(aNode);
 }
 
 void
@@ -102,6 +133,7 @@
     for (auto& [partition, shard] : aNode.mShards) {
       UpdateTenants(shard.mTenantShares, aNode.mFollower.mManifest->mTenants);
     }
+    OnManifestChange(aNode.mQueues, aNow.mAt, aNode.mSettings.mFollower.mManifestDeadline);
     ReconcileShards(aNode, aNow);
     auto shards = static_cast<int>(PartitionsInUse(aNode).size());
     ApplyQuotas(aNode.mQuotas, *aNode.mFollower.mManifest, shards, aNode.mShards, aActions);
@@ -172,9 +204,9 @@
 }
 
 void
-HandleEvent(Node& aNode, const Now& aNow, const CallerRequest& aRequest, Actions& aActions)
+HandleEvent(Node& aNode, const Now& aNow, CallerRequest&& aRequest, Actions& aActions)
 {
-  OnCallerRequest(aNode, aNow, aRequest, aActions);
+  OnCallerRequest(aNode, aNow, std::move(aRequest), aActions);
 }
 
 void
@@ -196,6 +228,9 @@
     case Stream::Quotas:
       OnQuotaAppend(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
       return;
+    case Stream::Queues:
+      OnHomesAppend(aNode.mQueues, aNow, aAnswer);
+      return;
     case Stream::Owners:
       WithShard(
         aNode, static_cast<int>(aAnswer.mCall.mTicket), aAnswer, [&](auto& aShard, auto& aResult) {
@@ -205,7 +240,8 @@
     default:
       break;
   }
-  WithShard(aNode, aAnswer.mCall.mPartition, aAnswer, [&](auto& aShard, auto& aResult) {
+  auto partition = aAnswer.mCall.mShard.value_or(aAnswer.mCall.mPartition);
+  WithShard(aNode, partition, aAnswer, [&](auto& aShard, auto& aResult) {
     OnAppendAnswer(aShard, aNow, aResult, aActions);
   });
 }
@@ -218,6 +254,8 @@
     OnFleetRead(aNode.mFleetLog, aNow, aAnswer, aActions);
   } else if (call.mStream == Stream::Quotas) {
     OnQuotaRead(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
+  } else if (call.mStream == Stream::Queues) {
+    OnHomesRead(aNode.mQueues, aNow, aAnswer, aActions);
   } else if (call.mReader == Reader::Follower) {
     auto changes = OnFollowerRead(aNode.mFollower, aNow, aAnswer, aActions);
     ApplyChanges(aNode, aNow, changes, aActions);
@@ -238,6 +276,8 @@
     OnFleetNewest(aNode.mFleetLog, aNow, aAnswer, aActions);
   } else if (call.mStream == Stream::Quotas) {
     OnQuotaNewest(aNode.mQuotas.mLog, aNow, aAnswer, aActions);
+  } else if (call.mStream == Stream::Queues) {
+    OnHomesNewest(aNode.mQueues, aNow, aAnswer, aActions);
   } else if (call.mStream == Stream::Owners) {
     OnFormerOwnersAnswer(aNode.mGroup, aNow, aAnswer);
   } else if (call.mReader == Reader::Follower) {
@@ -373,12 +413,27 @@
   AppendBatch(aNode.mFleetLog, aActions);
 }
 
+// Before a manifest is known, no queue is.
+void
+AdvanceQueueHomes(Node& aNode, const Now& aNow, Actions& aActions)
+{
+  if (!aNode.mFollower.mManifest) {
+    return;
+  }
+  if (aNode.mKnownServiceChanges != aNode.mQueues.mServiceChanges) {
+    ReconcileShards(aNode, aNow);
+  }
+  ResumeWaitingRequests(aNode, aNow, aActions);
+  AdvanceHomes(aNode.mQueues, aNow, aActions);
+}
+
 void
 AdvanceAll(Node& aNode, const Now& aNow, Actions& aActions)
 {
   AdvanceGroup(aNode.mGroup, aNow, aActions);
   AdvanceFollower(
     aNode.mFollower, aNow, aNode.mSettings.mFollower, !aNode.mShards.empty(), aActions);
+  AdvanceQueueHomes(aNode, aNow, aActions);
   AnswerQueries(aNode, aNow, aActions);
   AdvanceIntake(aNode.mIntake, aNow, aActions);
   UpdateQuotaLimits(aNode.mQuotas, aNode.mShards, aNow.mAt);
--- a/Libraries/LibSchedule/Node.h
+++ b/Libraries/LibSchedule/Node.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/HostIndex.h"
 #include "LibSchedule/Intake.h"
 #include "LibSchedule/Maintenance.h"
+#include "LibSchedule/QueueHomes.h"
 #include "LibSchedule/QuotaKeeping.h"
 #include "LibSchedule/Rebalance.h"
 #include "LibSchedule/RelayService.h"
@@ -53,6 +54,9 @@
   NodeSettings mSettings;
   GroupMembership mGroup;
   Follower mFollower;
+  QueueHomes mQueues;
+  // How many services had jobs when the shards were last chosen.
+  std::int64_t mKnownServiceChanges = 0;
   Intake mIntake;
   FleetLog mFleetLog;
   MachineList mMachines;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -153,6 +153,7 @@
   detail::WriteProgress(aShard, aNow, aActions);
   StateCoverage coverage{ aShard.mNextJobsOffset, aShard.mProgressEnd };
   AdvancePublisher(aShard.mStates, aNow, coverage, aActions);
+  detail::ForwardJobs(aShard, aNow.mAt, aActions);
   AdvanceRemoval(aShard.mEnded, aNow.mAt, aShard.mPartition, aShard.mEpoch, aActions);
   ReportLoad(aShard, aNow, aActions);
 }
@@ -284,10 +285,16 @@
   if (aRecord.mValue.empty()) {
     return;
   }
+  if (IsEndNoticeKey(aRecord.mKey)) {
+    EndHandOver(aShard, aRecord);
+    return;
+  }
   if (IsCancellationKey(aRecord.mKey)) {
     auto* job = FindJob(aShard, id);
     if (job != nullptr && !IsFinal(job->mPhase)) {
       FinishJob(aShard, *job, JobPhase::Cancelled, "cancelled by its caller");
+    } else if (CancelHandOver(aShard, aRecord)) {
+      return;
     } else if (aShard.mEnded.mIds.contains(id)) {
       AddEndedJobRecord(aShard.mEnded, id, aRecord.mKey);
     }
@@ -298,7 +305,7 @@
     AddEndedJobRecord(aShard.mEnded, id, aRecord.mKey);
     return;
   }
-  if (aShard.mJobs.contains(id)) {
+  if (aShard.mJobs.contains(id) || aShard.mHandOvers.mJobs.contains(id)) {
     return;
   }
   auto definition = DecodeJob(aRecord.mValue);
@@ -317,11 +324,15 @@
   if (loaded != aShard.mLoadedProgress.end()) {
     progress = &loaded->second;
   }
+  ApplyRecordedService(progress, *definition);
+  if (TakeHandOver(aShard, id, *definition, progress)) {
+    return;
+  }
   if (progress != nullptr && IsFinal(progress->mPhase)) {
     // The former owner may not have published how the job ended.
     AddState(aShard.mStates, id, JobState{ progress->mPhase, {}, progress->mTenantHash });
     AdoptRunsToStop(aShard, id, *definition, *progress, aNow);
-    AddEndedJob(aShard.mEnded, id);
+    AddEndedJob(aShard.mEnded, id, OtherHomePartition(aShard, *definition));
     return;
   }
   auto& job = AddJob(aShard, MakeJob(id, *definition, progress));
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
 #include "LibSchedule/PlacementState.h"
+#include "LibSchedule/ShardHandOver.h"
 #include "LibSchedule/ShardLoad.h"
 #include "LibSchedule/StatePublisher.h"
 #include "LibSchedule/TenantShares.h"
@@ -39,6 +40,8 @@
   std::string mHost;
   LeaseLimits mLease;
   std::chrono::milliseconds mStopTime{ 900 };
+  // The number of shards; 0 if there is no other one.
+  int mPartitions = 0;
 };
 
 // A progress append in flight, and the actions that wait until it is stored.
@@ -52,6 +55,8 @@
   std::vector<JobId> mFinished;
   // Ended jobs whose progress is removed by this append.
   std::vector<JobId> mExpired;
+  // Jobs of which it is stored who runs them, or that they were handed over.
+  std::vector<JobId> mHandOvers;
   // Executors whose record as unresponsive is removed by this append.
   std::vector<ExecutorId> mResponsiveAgain;
 };
@@ -100,6 +105,7 @@
   std::map<JobId, Job> mJobs;
   TenantShares mTenantShares;
   EndedJobs mEnded;
+  HandOvers mHandOvers;
   std::map<JobId, JobProgress> mLoadedProgress;
   std::int64_t mNextJobsOffset = -1;
   // All jobs and cancellations that were stored before this time are known.
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -82,12 +82,14 @@
   }
 }
 
-// Ended jobs that have no definition any more were removed by a former owner.
+// Ended jobs that have no definition any more were removed by a former owner, and those that were
+// handed over by the owner of the shard that ran them.
 void
 KeepEndedJobs(Shard& aShard, Instant aNow)
 {
   for (const auto& [id, progress] : aShard.mLoadedProgress) {
-    if (IsFinal(progress.mPhase) && aShard.mEnded.mIds.insert(id).second) {
+    auto hasEnded = IsFinal(progress.mPhase) || detail::KeepEndedHandOver(aShard, id, progress);
+    if (hasEnded && aShard.mEnded.mIds.insert(id).second) {
       aShard.mEnded.mExpiring.push_back({ id, aNow });
     }
   }
@@ -201,8 +203,13 @@
     return;
   }
   if (aAnswer.mCall.mStream == Stream::Jobs) {
-    if (aAnswer.mCall.mTicket == aShard.mEpoch) {
+    if (aAnswer.mCall.mTicket != aShard.mEpoch) {
+      return;
+    }
+    if (IsRemoval(aAnswer.mCall)) {
       OnRemovalAnswer(aShard.mEnded, aNow.mAt, aAnswer);
+    } else {
+      detail::OnForwardAnswer(aShard, aNow.mAt, aAnswer, aActions);
     }
     return;
   }
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -78,6 +78,7 @@
   write.mCall.mPartition = aShard.mPartition;
   write.mCall.mTicket = aShard.mEpoch;
   AddChangedJobs(aShard, write);
+  detail::AddHandOverRecords(aShard, write);
   AddExpiredJobs(aShard, aNow.mAt, write);
   AddUnresponsiveRecords(aShard, aNow, write);
   if (!aShard.mDirty.empty()) {
@@ -125,7 +126,8 @@
       detail::ScheduleCheck(aShard, executor->second);
     }
   }
-  AddEndedJob(aShard.mEnded, aId);
+  auto home = detail::OtherHomePartition(aShard, found->second.mDefinition);
+  AddEndedJob(aShard.mEnded, aId, home);
   if (found->second.mPhase == JobPhase::Cancelled) {
     AddEndedJobRecord(aShard.mEnded, aId, CancellationKey(aId));
   }
@@ -156,6 +158,9 @@
   for (const auto& id : write.mExpired) {
     AddState(aShard.mStates, id, std::nullopt);
   }
+  for (const auto& id : write.mHandOvers) {
+    detail::OnHandOverRecorded(aShard, id);
+  }
   for (const auto& id : write.mFinished) {
     CloseJob(aShard, id, aActions);
   }
@@ -173,7 +178,8 @@
 {
   if (!aShard.mWrite) {
     auto hasWork = !aShard.mDirty.empty() || !aShard.mEndsToRecord.empty() ||
-                   !aShard.mResponsivenessToRecord.empty() || HasExpired(aShard.mEnded, aNow.mAt);
+                   !aShard.mResponsivenessToRecord.empty() ||
+                   !aShard.mHandOvers.mToRecord.empty() || HasExpired(aShard.mEnded, aNow.mAt);
     if (!hasWork) {
       return;
     }
--- a/Libraries/LibSchedule/StatusView.cpp
+++ b/Libraries/LibSchedule/StatusView.cpp
@@ -27,6 +27,15 @@
 void
 AddToPendingCount(StatusView& aView, const JobState& aState, int aChange)
 {
+  if (!aState.mRunBy.IsEmpty()) {
+    auto& services = aView.mHandedOver[aState.mPendingIn];
+    auto& count = services[aState.mRunBy];
+    count += aChange;
+    if (count == 0) {
+      services.erase(aState.mRunBy);
+    }
+    return;
+  }
   if (aState.mPhase == JobPhase::Pending && !aState.mPendingIn.IsEmpty()) {
     aView.mPendingCounts[aState.mPendingIn] += aChange;
   }
@@ -69,8 +78,8 @@
 void
 ApplyJob(StatusView& aView, const KeyedRecord& aRecord)
 {
-  auto isNewJob = !aRecord.mValue.empty() && !IsCancellationKey(aRecord.mKey) &&
-                  aRecord.mOffset >= aView.mCoveredJobsEnd;
+  auto isJob = !IsCancellationKey(aRecord.mKey) && !IsEndNoticeKey(aRecord.mKey);
+  auto isNewJob = !aRecord.mValue.empty() && isJob && aRecord.mOffset >= aView.mCoveredJobsEnd;
   if (!isNewJob) {
     return;
   }
@@ -146,7 +155,7 @@
   if (uncovered == aView.mUncoveredJobs.end()) {
     return std::nullopt;
   }
-  return JobState{ JobPhase::Pending, uncovered->second.mQueue, uncovered->second.mTenantHash };
+  return JobState{ JobPhase::Pending, uncovered->second.mQueue, uncovered->second.mTenantHash, {} };
 }
 
 // Whether a job that is in neither stream does not exist. It may have left the jobs stream after
@@ -181,6 +190,19 @@
   return published + uncovered;
 }
 
+std::vector<ServiceName>
+ServicesGivenJobs(const StatusView& aView, const QueueName& aQueue)
+{
+  std::vector<ServiceName> services;
+  auto found = aView.mHandedOver.find(aQueue);
+  if (found != aView.mHandedOver.end()) {
+    for (const auto& [service, count] : found->second) {
+      services.push_back(service);
+    }
+  }
+  return services;
+}
+
 std::optional<ViewAnswer>
 Answer(const StatusView& aView, const StatusQuery& aQuery, Instant aNow)
 {
@@ -190,13 +212,17 @@
   if (state) {
     answer.mPhase = state->mPhase;
     answer.mTenantHash = state->mTenantHash;
+    answer.mRunBy = state->mRunBy;
   }
   // A final phase never changes, so the view need not be current.
   if (!aQuery.mIsCountQuery && state && IsFinal(state->mPhase)) {
     return answer;
   }
   if (IsAnswerable(aView, aQuery, state.has_value())) {
-    answer.mCount = aQuery.mIsCountQuery ? CountPending(aView, aQuery.mQueue) : 0;
+    if (aQuery.mIsCountQuery) {
+      answer.mCount = CountPending(aView, aQuery.mQueue);
+      answer.mOthers = ServicesGivenJobs(aView, aQuery.mQueue);
+    }
     return answer;
   }
   if (aNow >= aQuery.mDeadline) {
--- a/Libraries/LibSchedule/StatusView.h
+++ b/Libraries/LibSchedule/StatusView.h
@@ -38,6 +38,11 @@
   // Whose jobs the caller may ask for; empty if calls need no key.
   std::optional<TenantHash> mTenantHash;
   bool mIsCountQuery = false;
+  // What was counted in other partitions, and the services whose partitions are still to be asked.
+  std::int64_t mCounted = 0;
+  std::vector<ServiceName> mToAsk;
+  // The state is looked up where the job was handed over to.
+  bool mIsHandedOver = false;
   Instant mReceivedAt;
   Instant mDeadline;
 };
@@ -57,6 +62,8 @@
   std::map<JobId, JobState> mJobs;
   // The number of jobs in mJobs that count as pending in each queue.
   std::map<QueueName, std::int64_t> mPendingCounts;
+  // The number of jobs in mJobs that each service has been given from the queue.
+  std::map<QueueName, std::map<ServiceName, std::int64_t>> mHandedOver;
   // Jobs at offsets of the jobs stream from here on may be missing from mJobs.
   std::int64_t mCoveredJobsEnd = 0;
   std::map<JobId, UncoveredJob> mUncoveredJobs;
@@ -84,6 +91,10 @@
   // Whose job it is.
   TenantHash mTenantHash = 0;
   std::int64_t mCount = 0;
+  // The service that the job was handed over to; empty if it lies here.
+  ServiceName mRunBy;
+  // Services that have been given jobs of the queue that is counted.
+  std::vector<ServiceName> mOthers;
   bool mTimedOut = false;
 };
 
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -37,6 +37,8 @@
   12: optional i64 interval_ms,
   // Absent where calls need no key, and in records of versions without tenants.
   13: optional string tenant,
+  // The service that the job's queue had first, if it has another one by now.
+  14: optional string home_service,
 }
 
 // A request to cancel a job, stored in the same stream as the job under a separate key.
@@ -72,6 +74,10 @@
   3: optional list<Task> tasks,
   // Tells whose job it is, see TenantHashOf; absent for a job without a tenant.
   4: optional i32 tenant_hash,
+  // The service that runs the job, if that isn't the one that its queue had first.
+  5: optional string run_by,
+  // The job is stored in the partition of that service, too.
+  6: optional bool forwarded,
 }
 
 // The phase of a job as callers are told it.
@@ -81,6 +87,8 @@
   2: optional string pending_in,
   // As in Progress.
   3: optional i32 tenant_hash,
+  // The service in whose partition the state is to be looked up instead; absent if it is here.
+  4: optional string run_by,
 }
 
 // Every job record before jobs_end and every progress record before progress_end is reflected in
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -275,6 +275,14 @@
 void
 Simulation::CrashExecutor(int aExecutor)
 {
+  auto isAway = std::any_of(mMachines.begin(), mMachines.end(), [&](const auto& aEntry) {
+    return aEntry.second.mState != schedule::MachineState::Up &&
+           aEntry.second.mExecutor == mExecutors[static_cast<std::size_t>(aExecutor)].mEntry.mId;
+  });
+  if (isAway) {
+    // Its process has ended, and the next one has another id.
+    return;
+  }
   Restart(mExecutors[static_cast<std::size_t>(aExecutor)], mNow);
   ListExecutor(aExecutor);
 }
@@ -344,11 +352,40 @@
 void
 Simulation::PublishManifest(const schedule::Manifest& aManifest)
 {
+  mManifest = aManifest;
   schedule::ExternalRecords records;
   records.mManifests.push_back(aManifest);
   mOperatorRecords.push_back(records);
 }
 
+void
+Simulation::MoveQueue(std::string_view aService)
+{
+  auto manifest = mManifest;
+  ++manifest.mVersion;
+  auto isMoved = [](const schedule::Route& aRoute) { return aRoute.mPrefix == kPrefix; };
+  std::erase_if(manifest.mRoutes, isMoved);
+  if (!aService.empty()) {
+    auto first = FirstManifest(mSettings.mQuotaCores).mRoutes;
+    auto route = *std::find_if(first.begin(), first.end(), isMoved);
+    route.mService = schedule::ServiceName(std::string(aService));
+    manifest.mRoutes.push_back(std::move(route));
+  }
+  PublishManifest(manifest);
+}
+
+void
+Simulation::RemoveService(std::string_view aService)
+{
+  auto manifest = mManifest;
+  ++manifest.mVersion;
+  std::erase_if(manifest.mRoutes,
+                [&](const schedule::Route& aRoute) { return aRoute.mService.mValue == aService; });
+  std::erase_if(manifest.mServices,
+                [&](const schedule::Service& aEntry) { return aEntry.mName.mValue == aService; });
+  PublishManifest(manifest);
+}
+
 JobId
 Simulation::Submit(int aHost, std::vector<schedule::Step> aSteps, std::string aSpec)
 {
@@ -363,6 +400,13 @@
   return id;
 }
 
+void
+Simulation::Repeat(int aHost, const JobId& aJob)
+{
+  auto definition = mJobs.at(aJob).mDefinition;
+  Send(aHost, schedule::RequestKind::Submit, aJob, &definition);
+}
+
 void
 Simulation::Send(int aHost,
                  schedule::RequestKind aKind,
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -113,6 +113,8 @@
 
   // Submits a job at a host. The reply is recorded when it arrives.
   JobId Submit(int aHost, std::vector<schedule::Step> aSteps, std::string aSpec);
+  // Submits a job once more.
+  void Repeat(int aHost, const JobId& aJob);
   void Cancel(int aHost, const JobId& aJob);
   // Requests the state of a job from a host. The reply is recorded when it arrives.
   void AskState(int aHost, const JobId& aJob);
@@ -144,6 +146,11 @@
   void DelistExecutor(int aExecutor);
   void AddWave(const schedule::Wave& aWave);
   void PublishManifest(const schedule::Manifest& aManifest);
+  // Publishes the next version of the manifest, with another service of the jobs' queue. Without
+  // one, the queue has no route.
+  void MoveQueue(std::string_view aService);
+  // Publishes the next version of the manifest, without a service and its routes.
+  void RemoveService(std::string_view aService);
 
   // Whether the job's newest progress record has a final phase.
   [[nodiscard]] bool HasEnded(const JobId& aJob) const;
@@ -297,6 +304,7 @@
   // Set while an executor carries out an order long after its sender gave up on an answer.
   bool mIsOrderLate = false;
   std::set<int> mCutExecutors;
+  schedule::Manifest mManifest;
   std::vector<schedule::ExternalRecords> mOperatorRecords;
   std::vector<schedule::ExternalRecords> mExecutorRecords;
   std::map<schedule::RequestTicket, Request> mRequests;
--- a/Libraries/LibStandIn/SimulationChecks.cpp
+++ b/Libraries/LibStandIn/SimulationChecks.cpp
@@ -128,6 +128,7 @@
 schedule::JobPhase
 Simulation::StoredPhase(const JobId& aJob) const
 {
+  // A job that was handed over has progress in the shard that runs it and in its home.
   for (const auto& [key, partition] : mStore.mPartitions) {
     auto newest = partition.mNewest.find(aJob.mValue);
     if (key.mStream != Stream::Progress || newest == partition.mNewest.end()) {
@@ -135,7 +136,9 @@
     }
     auto progress =
       schedule::DecodeProgress(partition.mRecords[static_cast<std::size_t>(newest->second)].mValue);
-    return progress.ok() ? progress->mPhase : schedule::JobPhase::Pending;
+    if (progress.ok() && IsFinal(progress->mPhase)) {
+      return progress->mPhase;
+    }
   }
   return schedule::JobPhase::Pending;
 }
--- a/Tests/LibSchedule/TestAuthentication.cpp
+++ b/Tests/LibSchedule/TestAuthentication.cpp
@@ -63,6 +63,12 @@
   node.mFollower.mManifest = aManifest;
   node.mFollower.mKeys = MakeKeyIndex(aManifest);
   node.mFollower.mOperator.mProvenAt = aProvenAt;
+  // The homes of the queues are known.
+  node.mQueues.mLoaded = true;
+  node.mQueues.mServices = { ServiceName("s") };
+  for (const auto& route : aManifest.mRoutes) {
+    node.mQueues.mHomes[QueueKey(route)] = route.mService;
+  }
   return node;
 }
 
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -1,6 +1,7 @@
 #include "LibStandIn/Simulation.h"
 #include "Steps.h"
 
+#include <array>
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
@@ -82,6 +83,8 @@
   bool mHasCountQueries = false;
   // Executors' machines go down and come back, most with another executor.
   bool mReplacesExecutors = false;
+  // The jobs' queue gets another service, or no route for a while, and jobs are handed in again.
+  bool mMovesQueue = false;
 };
 
 // Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or executed
@@ -144,6 +147,16 @@
       default:
         break;
     }
+    if (aOptions.mMovesQueue && pick(6) == 0) {
+      constexpr std::array kServices{ "previews", "archives", "archives", "" };
+      simulation.MoveQueue(kServices.at(static_cast<std::size_t>(pick(4))));
+    }
+    if (aOptions.mMovesQueue && !jobs.empty()) {
+      const auto& again = jobs[random() % jobs.size()];
+      if (simulation.mJobs.at(again).mAccepted) {
+        simulation.Repeat(pick(3), again);
+      }
+    }
     simulation.AskState(pick(3), jobs.empty() ? JobId() : jobs[random() % jobs.size()]);
     for (int i = 0; i < 3 && aOptions.mHasCountQueries; ++i) {
       simulation.AskCount(i);
@@ -168,6 +181,9 @@
   for (int i = 0; i < 4; ++i) {
     simulation.CutExecutor(i, false);
   }
+  if (aOptions.mMovesQueue) {
+    simulation.MoveQueue("archives");
+  }
   simulation.RunFor(60s);
   auto problems = simulation.Violations();
   if (!simulation.AllEnded()) {
@@ -700,6 +716,26 @@
   BOOST_TEST(holds);
 }
 
+// Guards against jobs that are lost, run twice or outlive their cancellation when their queue gets
+// another service (LOST, TWICE): while hosts use different manifests, owners are lost, and appends
+// are stored late.
+BOOST_AUTO_TEST_CASE(no_job_is_lost_or_run_twice_under_random_faults_while_its_queue_moves)
+{
+  auto holds = rc::check([] {
+    SimulationSettings settings;
+    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
+    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
+    settings.mOtherExecutors = 4;
+    auto problems = PlayRandomFaults(settings, { .mHasCountQueries = true, .mMovesQueue = true });
+    for (const auto& problem : problems) {
+      RC_LOG() << problem << "\n";
+    }
+    RC_ASSERT(problems.empty());
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against a tenant that has more running than its quota, and against jobs that wait for ever
 // for a quota that is free, after owners were lost and on executors that don't answer.
 BOOST_AUTO_TEST_CASE(no_tenant_exceeds_its_quota_under_random_faults)
--- a/Tests/StandIns/job-platform/Store.cpp
+++ b/Tests/StandIns/job-platform/Store.cpp
@@ -46,7 +46,8 @@
                        Stream::JobStates,
                        Stream::Owners,
                        Stream::Fleet,
-                       Stream::Quotas }) {
+                       Stream::Quotas,
+                       Stream::Queues }) {
     if (platform::TopicOf(stream) == aTopic) {
       return stream;
     }
