A gang has one checkpoint

Cause: each task of a gang kept a checkpoint of its own, from its executor's last list or end, and nothing made them equal again. Ruled out: run numbers, the moment of the crash, the change of owners.

Change: a gang's checkpoint is kept once, with its step, and with the run that produced it; a value of a former run replaces no newer one, for single tasks too. Progress has it in each member's row, so that a host of the version before starts from one value as well; rows with two values are mended when they are loaded.

--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -1050,6 +1050,11 @@
   this->crashes = val;
 __isset.crashes = true;
 }
+
+void Task::__set_checkpoint_run(const int32_t val) {
+  this->checkpoint_run = val;
+__isset.checkpoint_run = true;
+}
 std::ostream& operator<<(std::ostream& out, const Task& obj)
 {
   obj.printTo(out);
@@ -1197,6 +1202,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->checkpoint_run);
+          this->__isset.checkpoint_run = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1291,6 +1304,11 @@
     xfer += oprot->writeI32(this->crashes);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.checkpoint_run) {
+    xfer += oprot->writeFieldBegin("checkpoint_run", ::apache::thrift::protocol::T_I32, 11);
+    xfer += oprot->writeI32(this->checkpoint_run);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1308,6 +1326,7 @@
   swap(a.executors, b.executors);
   swap(a.incarnations, b.incarnations);
   swap(a.crashes, b.crashes);
+  swap(a.checkpoint_run, b.checkpoint_run);
   swap(a.__isset, b.__isset);
 }
 
@@ -1322,6 +1341,7 @@
   executors = other36.executors;
   incarnations = other36.incarnations;
   crashes = other36.crashes;
+  checkpoint_run = other36.checkpoint_run;
   __isset = other36.__isset;
 }
 Task& Task::operator=(const Task& other37) {
@@ -1335,6 +1355,7 @@
   executors = other37.executors;
   incarnations = other37.incarnations;
   crashes = other37.crashes;
+  checkpoint_run = other37.checkpoint_run;
   __isset = other37.__isset;
   return *this;
 }
@@ -1351,6 +1372,7 @@
   out << ", " << "executors="; (__isset.executors ? (out << to_string(executors)) : (out << "<null>"));
   out << ", " << "incarnations="; (__isset.incarnations ? (out << to_string(incarnations)) : (out << "<null>"));
   out << ", " << "crashes="; (__isset.crashes ? (out << to_string(crashes)) : (out << "<null>"));
+  out << ", " << "checkpoint_run="; (__isset.checkpoint_run ? (out << to_string(checkpoint_run)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -441,7 +441,7 @@
 std::ostream& operator<<(std::ostream& out, const Cancellation& obj);
 
 typedef struct _Task__isset {
-  _Task__isset() : highest_run(false), failed_runs(false), checkpoint(false), done(false), executors(false), incarnations(false), crashes(false) {}
+  _Task__isset() : highest_run(false), failed_runs(false), checkpoint(false), done(false), executors(false), incarnations(false), crashes(false), checkpoint_run(false) {}
   bool highest_run :1;
   bool failed_runs :1;
   bool checkpoint :1;
@@ -449,6 +449,7 @@
   bool executors :1;
   bool incarnations :1;
   bool crashes :1;
+  bool checkpoint_run :1;
 } _Task__isset;
 
 class Task : public virtual ::apache::thrift::TBase {
@@ -463,7 +464,8 @@
          highest_run(0),
          checkpoint(),
          done(0),
-         crashes(0) {
+         crashes(0),
+         checkpoint_run(0) {
   }
 
   virtual ~Task() noexcept;
@@ -477,6 +479,7 @@
   std::vector<std::string>  executors;
   std::vector<int64_t>  incarnations;
   int32_t crashes;
+  int32_t checkpoint_run;
 
   _Task__isset __isset;
 
@@ -500,6 +503,8 @@
 
   void __set_crashes(const int32_t val);
 
+  void __set_checkpoint_run(const int32_t val);
+
   bool operator == (const Task & rhs) const
   {
     if (!(occurrence == rhs.occurrence))
@@ -536,6 +541,10 @@
       return false;
     else if (__isset.crashes && !(crashes == rhs.crashes))
       return false;
+    if (__isset.checkpoint_run != rhs.__isset.checkpoint_run)
+      return false;
+    else if (__isset.checkpoint_run && !(checkpoint_run == rhs.checkpoint_run))
+      return false;
     return true;
   }
   bool operator != (const Task &rhs) const {
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -26,6 +26,16 @@
   return chains;
 }
 
+// Members of a gang that a former version has stored may have different values. Those of the last
+// run are the newest; any of them is valid.
+void
+RestoreCheckpoint(Job& aJob, const TaskId& aName, const TaskProgress& aProgress)
+{
+  if (aProgress.mCheckpointRun > CheckpointOf(aJob, aName).mRun) {
+    KeepCheckpoint(aJob, { aName, aProgress.mCheckpointRun }, aProgress.mCheckpoint);
+  }
+}
+
 void
 RestoreTask(Job& aJob, const TaskProgress& aProgress)
 {
@@ -36,7 +46,7 @@
   }
   task->mHighestRun = aProgress.mHighestRun;
   task->mFailedRuns = aProgress.mFailedRuns;
-  task->mCheckpoint = aProgress.mCheckpoint;
+  RestoreCheckpoint(aJob, name, aProgress);
   for (int i = 0; i < aProgress.mCrashes; ++i) {
     AddCrash(aJob, name);
   }
@@ -179,7 +189,10 @@
         if (!isDone) {
           row.mHighestRun = task.mHighestRun;
           row.mFailedRuns = task.mFailedRuns;
-          row.mCheckpoint = task.mCheckpoint;
+          const auto& checkpoint =
+            CheckpointOf(aJob, { aJob.mId, row.mOccurrence, row.mStep, row.mIndex });
+          row.mCheckpoint = checkpoint.mValue;
+          row.mCheckpointRun = checkpoint.mRun;
           row.mCrashes = task.mCrashes;
           for (const auto& attempt : task.mAttempts) {
             row.mExecutors.push_back({ attempt.mExecutor, attempt.mIncarnation });
@@ -303,6 +316,37 @@
   step.mDone += aState == TaskState::Done ? 1 : 0;
 }
 
+namespace {
+
+template<typename AnyJob>
+auto&
+CheckpointIn(AnyJob& aJob, const TaskId& aName)
+{
+  auto& state = aJob.mOccurrences[static_cast<std::size_t>(aName.mOccurrence)]
+                  .mSteps[static_cast<std::size_t>(aName.mStep)];
+  auto isGang = aJob.mDefinition.mSteps[static_cast<std::size_t>(aName.mStep)].mGang;
+  return isGang ? state.mGangCheckpoint
+                : state.mTasks[static_cast<std::size_t>(aName.mIndex)].mCheckpoint;
+}
+
+}
+
+const Checkpoint&
+CheckpointOf(const Job& aJob, const TaskId& aName)
+{
+  return CheckpointIn(aJob, aName);
+}
+
+void
+KeepCheckpoint(Job& aJob, const TaskRun& aRun, const std::string& aValue)
+{
+  // The end of a former run may be listed long after its task was started again.
+  auto& checkpoint = CheckpointIn(aJob, aRun.mTask);
+  if (!aValue.empty() && aRun.mRun >= checkpoint.mRun) {
+    checkpoint = { aValue, aRun.mRun };
+  }
+}
+
 void
 AddCrash(Job& aJob, const TaskId& aName)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -27,12 +27,22 @@
   std::int64_t mIncarnation = 0;
 };
 
+// Where a task, or a gang as a whole, resumes.
+struct Checkpoint
+{
+  // Opaque; empty if there is none.
+  std::string mValue;
+  // The run that produced it.
+  int mRun = 0;
+};
+
 struct Task
 {
   TaskState mState = TaskState::Waiting;
   int mHighestRun = 0;
   std::vector<int> mFailedRuns;
-  std::string mCheckpoint;
+  // Not used for a task of a gang.
+  Checkpoint mCheckpoint;
   std::vector<Attempt> mAttempts;
   // Executors on which the task has failed; placement prefers others.
   std::vector<ExecutorId> mFailedOn;
@@ -48,6 +58,9 @@
   int mWaiting = 0;
   // Tasks under which an executor has crashed.
   int mSuspects = 0;
+  // That of all tasks of a gang: a value from any member is valid for the gang, and all members of
+  // a run have to start from the same one.
+  Checkpoint mGangCheckpoint;
 };
 
 struct Occurrence
@@ -128,6 +141,14 @@
 void
 SetTaskState(Job& aJob, const TaskId& aName, TaskState aState);
 
+// What the next run of the task resumes from.
+const Checkpoint&
+CheckpointOf(const Job& aJob, const TaskId& aName);
+
+// Keeps a checkpoint that a run of the task has reported, unless a later run has reported one.
+void
+KeepCheckpoint(Job& aJob, const TaskRun& aRun, const std::string& aValue);
+
 // Counts an executor that has crashed under the task.
 void
 AddCrash(Job& aJob, const TaskId& aName);
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -287,6 +287,9 @@
     }
     if (!task.mCheckpoint.empty()) {
       entry.__set_checkpoint(task.mCheckpoint);
+      if (task.mCheckpointRun != task.mHighestRun) {
+        entry.__set_checkpoint_run(task.mCheckpointRun);
+      }
     }
     if (task.mDone) {
       entry.__set_done(true);
@@ -335,6 +338,7 @@
     entry.mHighestRun = task.highest_run;
     entry.mFailedRuns = std::move(task.failed_runs);
     entry.mCheckpoint = std::move(task.checkpoint);
+    entry.mCheckpointRun = task.__isset.checkpoint_run ? task.checkpoint_run : task.highest_run;
     entry.mDone = task.done;
     entry.mCrashes = task.crashes;
     // A record of a former version has no incarnations.
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -52,7 +52,10 @@
   int mIndex = 0;
   int mHighestRun = 0;
   std::vector<int> mFailedRuns;
+  // All tasks of a gang have the same one.
   std::string mCheckpoint;
+  // The run that produced the checkpoint.
+  int mCheckpointRun = 0;
   bool mDone = false;
   // The executors that may still have a run of the task. The last one has the highest run number.
   std::vector<PlacedOn> mExecutors;
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -105,9 +105,7 @@
   if (task->mState == TaskState::Done) {
     return;
   }
-  if (!aEnd.mCheckpoint.empty()) {
-    task->mCheckpoint = aEnd.mCheckpoint;
-  }
+  KeepCheckpoint(*job, aEnd.mRun, aEnd.mCheckpoint);
   if (aEnd.mKind == EndKind::Done && !StepOf(*job, aEnd.mRun.mTask).mLongRunning) {
     CompleteTask(aShard, *job, aEnd.mRun.mTask);
     return;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -106,9 +106,7 @@
     return;
   }
   run.mTargetTailLatency = detail::StepOf(*job, aRunning.mRun.mTask).mTargetTailLatency;
-  if (!aRunning.mCheckpoint.empty()) {
-    task->mCheckpoint = aRunning.mCheckpoint;
-  }
+  KeepCheckpoint(*job, aRunning.mRun, aRunning.mCheckpoint);
   if (task->mCrashes > 0 && HasProvenHarmless(run, aNow.mAt)) {
     ClearCrashes(*job, aRunning.mRun.mTask);
     detail::MarkDirty(aShard, *job);
@@ -580,7 +578,7 @@
   call.mTo = AddressOf(aShard, executor);
   call.mRun = aRun;
   call.mSpec = job->mDefinition.mSpec;
-  call.mCheckpoint = task->mCheckpoint;
+  call.mCheckpoint = CheckpointOf(*job, aRun.mTask).mValue;
   call.mLeaseEnd = LeaseEnd(executor, aShard.mSettings.mLease, aNow.mAt);
   UpdateLeaseExpiry(executor, call.mLeaseEnd);
   found->second.mState = RunState::Starting;
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -61,6 +61,8 @@
   9: optional list<i64> incarnations,
   // How many executors have crashed while a run of the task may have been there.
   10: optional i32 crashes,
+  // The run that produced the checkpoint; absent if it is highest_run.
+  11: optional i32 checkpoint_run,
 }
 
 struct FinishedStep {
--- a/Tests/LibSchedule/TestJob.cpp
+++ b/Tests/LibSchedule/TestJob.cpp
@@ -73,7 +73,7 @@
   auto* placed = FindTask(job, { job.mId, 0, 1, 0 });
   placed->mHighestRun = 4;
   placed->mFailedRuns = { 1, 3 };
-  placed->mCheckpoint = "c";
+  placed->mCheckpoint = { "c", 1 };
   placed->mAttempts.push_back({ ExecutorId("x"), 4 });
   SetTaskState(job, { job.mId, 0, 1, 0 }, TaskState::Placed);
   job.mPhase = JobPhase::Running;
@@ -87,7 +87,7 @@
   const auto* task = FindTask(again, { job.mId, 0, 1, 0 });
   BOOST_TEST(task->mHighestRun == 4);
   BOOST_TEST(task->mFailedRuns.size() == 2u);
-  BOOST_TEST(task->mCheckpoint == "c");
+  BOOST_TEST(task->mCheckpoint.mValue == "c");
   BOOST_REQUIRE(task->mAttempts.size() == 1u);
   BOOST_TEST(task->mAttempts[0].mExecutor.mValue == "x");
 }
