Each refusal of a job is logged as one that explain knows

The job had been refused with 503, and the log said so, as `home-unknown`: the store was switched off before the host had read where the queue's jobs are stored. That line came with, and `sesameseam explain` knows refusals by `job-refused`, so it said that no host logged whether the job was stored. Which of the two lines a run wrote was a matter of milliseconds; that is why it passed here each time.

Asked of every 503 that a host answers: one more way had no line at all, a request that comes before the first manifest.

Change: a request that is refused before it has reached a partition is logged as `job-refused` if it hands a job in, and as `state-unknown` if it asks or cancels, with the reason. `home-unknown` is gone.

--- a/Libraries/LibSchedule/CallerRequests.cpp
+++ b/Libraries/LibSchedule/CallerRequests.cpp
@@ -56,6 +56,16 @@
   return IsJobId(id) ? id : std::string();
 }
 
+// Refuses a request before its job or question has reached a partition of the log. `sesameseam
+// explain` knows a refusal by these events.
+void
+RefuseEarly(Actions& aActions, const CallerRequest& aRequest, const std::string& aReason)
+{
+  AddReply(aActions, aRequest.mTicket, ReplyKind::Refused, aReason);
+  auto event = aRequest.mKind == RequestKind::Submit ? "job-refused" : "state-unknown";
+  LogRequest(aActions, event, JobIdIn(aRequest.mPath), aReason);
+}
+
 // A caller that is refused by the manifest may be refused by an old one, so the line says which one
 // decided and how current it is.
 void
@@ -311,7 +321,7 @@
   }
   const auto& manifest = aNode.mFollower.mManifest;
   if (!manifest) {
-    AddReply(aActions, aRequest.mTicket, ReplyKind::Refused, "no manifest is known yet");
+    RefuseEarly(aActions, aRequest, "no manifest is known yet");
     return;
   }
   const auto* route = FindRoute(*manifest, aRequest.mHost, aRequest.mPath);
@@ -354,9 +364,9 @@
     if (aNow.mAt < aWaiting.mDeadline) {
       return false;
     }
-    const auto& request = aWaiting.mRequest;
-    AddReply(aActions, request.mTicket, ReplyKind::Refused, "the log does not answer");
-    LogRequest(aActions, "home-unknown", JobIdIn(request.mPath), "the log does not answer");
+    RefuseEarly(aActions,
+                aWaiting.mRequest,
+                "where jobs of its queue are stored is not known: the log does not answer");
     return true;
   });
   if (!std::exchange(aNode.mQueues.mHasNews, false)) {
--- a/Tests/Processes/explain.sh
+++ b/Tests/Processes/explain.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Three jobs go wrong for causes that this test brings about, and `sesameseam explain` names each
+# Four jobs go wrong for causes that this test brings about, and `sesameseam explain` names each
 # cause from the logs of all schedulers.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -42,7 +42,18 @@
 submit_job 3 "$(job fails)"
 wait_state 0 3 failed
 
+http "$store" POST "/control?refused=1" >/dev/null
+start_scheduler 2
+status=0
+for _ in $(seq 50); do
+  status=$(status_of "${fronts[2]}" POST "/previews/$(job_id 5)" "$(job 100)")
+  [ "$status" -eq 0 ] || break
+  sleep 0.1
+done
+require "$status" -eq 503 "the scheduler has just started and knows no manifest"
+
 explained 1 "refused by s0"
 explained 2 "lost runs on executor"
 explained 3 "runs failed on"
+explained 5 "refused by s2: no manifest is known yet"
 explained 4 "no line names the job"
