An owner doesn't take a speed for known that another one has set

Callers saw a best-effort task that had been slowed down to 0 percent stand there for good after the shard had changed its owner.

Cause: the speed of a run is kept in memory only, and a run that an owner finds began with 100 percent there. With a low tail that is what it wants, so it sent nothing. The same belief was wrong after an order that was carried out and not answered, and after one that was carried out late. Ruled out: a lost order (none was pending), the tail (40 ms of a target of 100).

Change: the speed is empty while it is unknown; it is then taken from the processor time that the executor lists, and ordered. A speed that was unknown is ordered once more after 10 s, when no older order can follow. The fake executor has speeds, tails and disturbance.

--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -48,10 +48,13 @@
   int mPercent = 0;
   std::int64_t mLoad = 0;
   std::chrono::milliseconds mTargetTailLatency{ 0 };
-  // The percentage of its speed that a best-effort run is limited to.
-  int mThrottlePercent = kFullSpeed;
+  // The percentage of its speed that a best-effort run is limited to. Empty while it is unknown: a
+  // former owner may have changed it, or a change was not answered.
+  std::optional<int> mThrottlePercent;
   bool mThrottlePending = false;
   Instant mThrottleSentAt;
+  // A change without an answer, of this owner or a former one, may be carried out until then.
+  Instant mThrottleDoubtfulUntil;
   // A stop was requested, and no stop call has been answered yet.
   bool mStopRequested = false;
   bool mStopPending = false;
--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -83,8 +83,8 @@
   auto hasBestEffort = false;
   for (const auto& [name, run] : aExecutor.mRuns) {
     hasRuns |= IsOutstanding(run);
-    needsShortPoll |=
-      run.mIsLongRunning && run.mPercent != kFullSpeed && run.mThrottlePercent == kFullSpeed;
+    auto isThrottled = run.mThrottlePercent.value_or(kFullSpeed) != kFullSpeed;
+    needsShortPoll |= run.mIsLongRunning && run.mPercent != kFullSpeed && !isThrottled;
     needsShortPoll |= run.mState == RunState::Stopping || run.mState == RunState::Uncertain;
     hasLatencySensitive |= run.mIsLatencySensitive;
     hasBestEffort |= run.mBestEffort;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -583,6 +583,7 @@
   UpdateLeaseExpiry(executor, call.mLeaseEnd);
   found->second.mState = RunState::Starting;
   found->second.mEpoch = aShard.mEpoch;
+  found->second.mThrottlePercent = kFullSpeed;
   found->second.mStateSince = aNow.mAt;
   ScheduleCheck(aShard, executor);
   ++aShard.mCounters.mStarts;
--- a/Libraries/LibSchedule/Throttle.cpp
+++ b/Libraries/LibSchedule/Throttle.cpp
@@ -14,6 +14,8 @@
 constexpr int kSpeedUpStep = 15;
 // A change of the throttle shows only in the figures of the next half second.
 constexpr Duration kSettleTime = 700ms;
+// An executor may carry an order out seconds late, after newer ones.
+constexpr Duration kMaxOrderDelay = 10s;
 
 // The highest tail latency of the running latency-sensitive tasks, as a share of its target;
 // negative if there is no such task.
@@ -31,7 +33,21 @@
   return worst;
 }
 
+// The speed by the processor time that the run uses. A run that would not use all that it asked for
+// is taken to be slower than it is, and is sped up again.
 int
+MeasuredSpeed(const PlacedRun& aRun)
+{
+  auto asked = aRun.mCounted.mCpuMillicores;
+  if (asked <= 0) {
+    return kFullSpeed;
+  }
+  auto percent = std::clamp<std::int64_t>(aRun.mLoad * kFullSpeed / asked, 0, kFullSpeed);
+  return static_cast<int>(percent);
+}
+
+// The speed that the tail asks for, if it asks for one.
+std::optional<int>
 NextThrottle(int aPercent, double aWorstTail)
 {
   if (aWorstTail < 0) {
@@ -41,7 +57,25 @@
     auto slower = aPercent / kSlowDownDivisor;
     return slower < kMinSpeed ? 0 : slower;
   }
-  return aWorstTail < kSpeedUpThreshold ? std::min(kFullSpeed, aPercent + kSpeedUpStep) : aPercent;
+  if (aWorstTail < kSpeedUpThreshold) {
+    return std::min(kFullSpeed, aPercent + kSpeedUpStep);
+  }
+  return std::nullopt;
+}
+
+// The speed to order now, if any. A known one is ordered once more when no old order can overtake
+// it any longer.
+std::optional<int>
+ThrottleDue(const PlacedRun& aRun, double aWorstTail, Instant aNow)
+{
+  if (!aRun.mThrottlePercent) {
+    return NextThrottle(MeasuredSpeed(aRun), aWorstTail);
+  }
+  auto next = NextThrottle(*aRun.mThrottlePercent, aWorstTail).value_or(*aRun.mThrottlePercent);
+  auto isConfirmationDue =
+    aRun.mThrottleSentAt < aRun.mThrottleDoubtfulUntil && aNow >= aRun.mThrottleDoubtfulUntil;
+  auto isDue = next != *aRun.mThrottlePercent || isConfirmationDue;
+  return isDue ? std::optional(next) : std::nullopt;
 }
 
 }
@@ -60,6 +94,8 @@
   run->second.mThrottlePending = false;
   if (aAnswer.mResult == CallResult::Done) {
     run->second.mThrottlePercent = aAnswer.mCall.mPercent;
+  } else if (aAnswer.mResult == CallResult::Unanswered) {
+    run->second.mThrottlePercent.reset();
   }
 }
 
@@ -74,14 +110,17 @@
     if (!run.mBestEffort || !isAdjustable || aNow - run.mThrottleSentAt < kSettleTime) {
       continue;
     }
-    auto percent = NextThrottle(run.mThrottlePercent, worst);
-    if (percent == run.mThrottlePercent) {
+    auto percent = ThrottleDue(run, worst, aNow);
+    if (!percent) {
       continue;
     }
+    if (!run.mThrottlePercent) {
+      run.mThrottleDoubtfulUntil = aNow + kMaxOrderDelay;
+    }
     ThrottleCall call;
     call.mTo = AddressOf(aShard, aExecutor);
     call.mRun = name;
-    call.mPercent = percent;
+    call.mPercent = *percent;
     run.mThrottlePending = true;
     run.mThrottleSentAt = aNow;
     aActions.emplace_back(std::move(call));
--- a/Libraries/LibStandIn/FakeExecutor.cpp
+++ b/Libraries/LibStandIn/FakeExecutor.cpp
@@ -1,6 +1,7 @@
 #include "LibStandIn/FakeExecutor.h"
 
 #include <absl/strings/numbers.h>
+#include <absl/strings/strip.h>
 #include <algorithm>
 
 namespace sesameseam::standin {
@@ -15,6 +16,10 @@
 
 constexpr std::chrono::milliseconds kStopTime = 200ms;
 constexpr int kReportedPercent = 100;
+// The tail latency of a run that serves undisturbed.
+constexpr std::chrono::milliseconds kCalmTail = 40ms;
+// What a run that fills uses at full speed.
+constexpr std::int64_t kFillingMillicores = 1000;
 
 void
 End(FakeExecutor& aExecutor, const TaskRun& aRun, EndKind aKind)
@@ -36,6 +41,38 @@
   aExecutor.mLeaseEnd = std::max(aExecutor.mLeaseEnd, std::min(aEnd, latest));
 }
 
+std::int64_t
+TailOfServing(const FakeExecutor& aExecutor)
+{
+  auto tail = kCalmTail;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    if (run.mFills) {
+      tail += aExecutor.mDisturbance * run.mPercent / schedule::kFullSpeed;
+    }
+  }
+  return tail.count();
+}
+
+std::int64_t
+LoadOf(const FakeExecutor& aExecutor, const FakeRun& aRun)
+{
+  if (aRun.mFills) {
+    return kFillingMillicores * aRun.mPercent / schedule::kFullSpeed;
+  }
+  return aRun.mServes ? TailOfServing(aExecutor) : 0;
+}
+
+void
+SetSpeed(FakeRun& aRun, int aPercent, Instant aNow)
+{
+  if (aRun.mPercent > 0) {
+    aRun.mWorkLeft = (aRun.mEndsAt - aNow) * aRun.mPercent / schedule::kFullSpeed;
+  }
+  aRun.mPercent = aPercent;
+  aRun.mEndsAt =
+    aPercent == 0 ? Instant::max() : aNow + aRun.mWorkLeft * schedule::kFullSpeed / aPercent;
+}
+
 bool
 HasEnded(const FakeExecutor& aExecutor, const TaskRun& aRun)
 {
@@ -49,11 +86,14 @@
 ParseWork(const std::string& aSpec)
 {
   FakeWork work;
-  work.mRunsUntilStopped = aSpec == "lasts";
+  work.mServes = aSpec == "serves";
+  work.mRunsUntilStopped = aSpec == "lasts" || work.mServes;
   work.mFails = aSpec == "fails";
   work.mCrashesExecutor = aSpec == "crashes";
+  absl::string_view time = aSpec;
+  work.mFills = absl::ConsumePrefix(&time, "fills ");
   int milliseconds = 0;
-  if (absl::SimpleAtoi(aSpec, &milliseconds)) {
+  if (absl::SimpleAtoi(time, &milliseconds)) {
     work.mTime = std::chrono::milliseconds(milliseconds);
   }
   return work;
@@ -113,6 +153,7 @@
     schedule::RunningTask running;
     running.mRun = name;
     running.mPercent = kReportedPercent;
+    running.mLoad = LoadOf(aExecutor, run);
     answer.mRunning.push_back(running);
   }
   return answer;
@@ -153,6 +194,8 @@
   run.mEndsAt = aNow + work.mTime;
   run.mRunsUntilStopped = work.mRunsUntilStopped;
   run.mFails = work.mFails;
+  run.mServes = work.mServes;
+  run.mFills = work.mFills;
   aExecutor.mRuns.emplace(aCall.mRun, run);
   answer.mResult = CallResult::Done;
   return answer;
@@ -178,6 +221,23 @@
   return { aCall, CallResult::Done };
 }
 
+schedule::ThrottleAnswer
+Throttle(FakeExecutor& aExecutor, const schedule::ThrottleCall& aCall, Instant aNow)
+{
+  Advance(aExecutor, aNow);
+  auto isForAnother = aCall.mTo.mExecutor != aExecutor.mEntry.mId;
+  if (isForAnother || aCall.mTo.mEpoch < aExecutor.mFence) {
+    return { aCall, CallResult::Refused };
+  }
+  aExecutor.mFence = aCall.mTo.mEpoch;
+  auto found = aExecutor.mRuns.find(aCall.mRun);
+  if (found == aExecutor.mRuns.end()) {
+    return { aCall, CallResult::Refused };
+  }
+  SetSpeed(found->second, aCall.mPercent, aNow);
+  return { aCall, CallResult::Done };
+}
+
 void
 Restart(FakeExecutor& aExecutor, Instant aNow)
 {
--- a/Libraries/LibStandIn/FakeExecutor.h
+++ b/Libraries/LibStandIn/FakeExecutor.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibSchedule/Calls.h"
+#include "LibSchedule/Executor.h"
 
 #include <map>
 #include <vector>
@@ -15,6 +15,13 @@
   // The run has no end of its own; only a stop or the end of the lease ends it.
   bool mRunsUntilStopped = false;
   bool mFails = false;
+  // It answers requests, and shows their tail latency as its load.
+  bool mServes = false;
+  // It disturbs the runs that serve, and shows the processor time that it uses as its load.
+  bool mFills = false;
+  // The share of its speed at which it works, and the work that is left at a speed of zero.
+  int mPercent = schedule::kFullSpeed;
+  Duration mWorkLeft{ 0 };
   // When a requested stop takes effect.
   std::optional<schedule::Instant> mStoppedAt;
 };
@@ -33,16 +40,20 @@
   std::vector<schedule::TaskEnd> mEnds;
   std::int64_t mNextEnd = 1;
   bool mIsUp = true;
+  // By how much a run that fills raises the tail latency of those that serve, at full speed.
+  std::chrono::milliseconds mDisturbance{ 0 };
 };
 
-// How the tasks of a job behave, according to its specification: "MILLISECONDS", "lasts", "fails",
-// or "crashes", with which the first task of the job ends the executor's process soon after its
-// start.
+// How the tasks of a job behave, according to its specification: "MILLISECONDS", "lasts", "serves",
+// "fills MILLISECONDS", "fails", or "crashes", with which the first task of the job ends the
+// executor's process soon after its start.
 struct FakeWork
 {
   std::chrono::milliseconds mTime{ 100 };
   bool mRunsUntilStopped = false;
   bool mFails = false;
+  bool mServes = false;
+  bool mFills = false;
   bool mCrashesExecutor = false;
 };
 
@@ -59,6 +70,8 @@
 Start(FakeExecutor& aExecutor, const schedule::StartCall& aCall, schedule::Instant aNow);
 schedule::StopAnswer
 Stop(FakeExecutor& aExecutor, const schedule::StopCall& aCall, schedule::Instant aNow);
+schedule::ThrottleAnswer
+Throttle(FakeExecutor& aExecutor, const schedule::ThrottleCall& aCall, schedule::Instant aNow);
 
 // Replaces the process by a new incarnation, without any of the former one's state.
 void
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -135,6 +135,8 @@
   void StoreDown(bool aIsDown) { mStoreDown = aIsDown; }
   // Starts that are sent from now on, and their answers, take this much longer on the way.
   void DelayStarts(CallDelay aDelay) { mStartDelay = aDelay; }
+  // The same for orders that throttle a task.
+  void DelayThrottles(CallDelay aDelay) { mThrottleDelay = aDelay; }
   void CrashExecutor(int aExecutor);
   // Ends an executor's process. Another one starts on the machine after some seconds, under the
   // same id or under a new one.
@@ -301,6 +303,7 @@
   std::mt19937_64 mRandom;
   bool mStoreDown = false;
   CallDelay mStartDelay;
+  CallDelay mThrottleDelay;
   // Set while an executor carries out an order long after its sender gave up on an answer.
   bool mIsOrderLate = false;
   std::set<int> mCutExecutors;
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -419,9 +419,11 @@
 Simulation::Perform(int aHost, const schedule::ThrottleCall& aCall)
 {
   CallExecutor(
-    aHost, aCall.mTo, CallDelay(), schedule::ThrottleAnswer{ aCall }, [=](FakeExecutor&) -> Event {
-      return schedule::ThrottleAnswer{ aCall, CallResult::Done };
-    });
+    aHost,
+    aCall.mTo,
+    mThrottleDelay,
+    schedule::ThrottleAnswer{ aCall },
+    [=, this](FakeExecutor& aExecutor) -> Event { return Throttle(aExecutor, aCall, mNow); });
 }
 
 void
