The executor of a host that is going down takes no work

Cause: the drain for maintenance was lifted once the list of machines showed the host in maintenance, while the list of executors, read at its own interval, still had its executor as ready. Tasks were started there, and owners waited for their leases.

Change: an executor drains until its host's maintenance is recorded as finished.

--- a/Libraries/LibSchedule/WaveDrain.cpp
+++ b/Libraries/LibSchedule/WaveDrain.cpp
@@ -95,7 +95,7 @@
     auto isBack =
       HasAcknowledgedOrder(aMaintenance, aHost) && executor.mDrainReason == DrainReason::None;
     auto needsOrder = !isBack && !IsMaintenanceFinished(aHost);
-    SetDraining(*aHost.mHost, needsOrder && isUp);
+    SetDraining(*aHost.mHost, needsOrder);
     return;
   }
   if (executor.mDrainReason == DrainReason::ForMaintenance) {
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -126,6 +126,30 @@
   BOOST_TEST((executor.mDrainReason == DrainReason::None));
 }
 
+// Guards against tasks that are started on a host that has just been taken down (LOST): the list of
+// machines said so first, the drain was lifted, and the list of executors still had its executor. A
+// task that lasts was away for ten seconds then, till its lease was over.
+BOOST_AUTO_TEST_CASE(the_executor_of_a_host_that_is_going_down_takes_no_work_until_it_is_gone)
+{
+  Owner owner;
+  auto pool = owner.AddPool("previews");
+  auto& executor = owner.AddHost("m1", pool);
+  executor.mEntry.mState = ExecutorState::Ready;
+  executor.mDrainReason = DrainReason::ForMaintenance;
+  owner.mWaves[1] = WaveOf({ MachineId("m1") });
+  MaintenanceKey key{ 1, MachineId("m1") };
+  owner.mLog.mMaintenanceRecords[key] = { MaintenancePhase::Begun, executor.mEntry.mId };
+  owner.mMaintenance.mOrders[key].mFence = 5;
+  for (auto isAcknowledged : { false, true }) {
+    owner.mMaintenance.mOrders[key].mAcknowledged = isAcknowledged;
+    for (auto state : { MachineState::Up, MachineState::Maintenance }) {
+      owner.mMachines.mMachines[MachineId("m1")].mState = state;
+      owner.AdvanceWaves();
+      BOOST_TEST(!IsSchedulable(executor, kNow.mAt));
+    }
+  }
+}
+
 // Guards against a wave that is said to be completed while a host of it hasn't begun its
 // maintenance (MIXED): one list of machines lacked the host, and it was taken for removed.
 BOOST_AUTO_TEST_CASE(a_wave_is_not_completed_by_one_list_that_lacks_a_host)
