A finished wave doesn't lift the drain of another

Once that order was acknowledged, a lifted drain was the sign that the host is back; the host was down, and its executor was still listed as ready.

Change: a host is back when another executor is there than the one that was recorded. A finished wave lifts a drain only if no other wave has the host's maintenance under way.

--- a/Libraries/LibSchedule/WaveDrain.cpp
+++ b/Libraries/LibSchedule/WaveDrain.cpp
@@ -83,19 +83,50 @@
   }
 }
 
+// Whether a wave other than aWave has the maintenance of the host under way.
+bool
+IsBegunInAnother(const FleetContext& aContext, const IndexedHost& aHost, const Wave& aWave)
+{
+  return std::any_of(aHost.mDueIn.begin(), aHost.mDueIn.end(), [&](const Wave* aOther) {
+    const auto* record =
+      aOther == &aWave ? nullptr
+                       : FindMaintenance(*aContext.mLog, { aOther->mNumber, aHost.mMachine->mId });
+    return record != nullptr && record->mPhase == MaintenancePhase::Begun;
+  });
+}
+
+// Updates the drain of an executor whose host has a record of maintenance in the wave.
+void
+RefreshRecordedHost(Maintenance& aMaintenance,
+                    const FleetContext& aContext,
+                    const Wave& aWave,
+                    WaveHost& aHost)
+{
+  if (IsMaintenanceFinished(aHost)) {
+    if (!IsBegunInAnother(aContext, *aHost.mHost, aWave)) {
+      SetDraining(*aHost.mHost, false);
+    }
+    return;
+  }
+  // The list of executors may have the former one for some time after the host went down.
+  auto isBack = HasAcknowledgedOrder(aMaintenance, aHost) &&
+                aHost.mHost->mExecutor->mEntry.mId != aHost.mRecord->mFormerExecutor;
+  SetDraining(*aHost.mHost, !isBack);
+}
+
 // Updates what the executor of a host knows of the wave.
 void
-RefreshHost(Maintenance& aMaintenance, WaveHost& aHost, WaveDrainState& aState)
+RefreshHost(Maintenance& aMaintenance,
+            const FleetContext& aContext,
+            const Wave& aWave,
+            WaveHost& aHost,
+            WaveDrainState& aState)
 {
   auto& executor = *aHost.mHost->mExecutor;
   auto isUp = aHost.mHost->mMachine->mState == MachineState::Up;
   executor.mIsDueForMaintenance = !IsMaintenanceFinished(aHost);
   if (aHost.mRecord != nullptr) {
-    // A host whose order was acknowledged to this owner is down, or back with another executor.
-    auto isBack =
-      HasAcknowledgedOrder(aMaintenance, aHost) && executor.mDrainReason == DrainReason::None;
-    auto needsOrder = !isBack && !IsMaintenanceFinished(aHost);
-    SetDraining(*aHost.mHost, needsOrder);
+    RefreshRecordedHost(aMaintenance, aContext, aWave, aHost);
     return;
   }
   if (executor.mDrainReason == DrainReason::ForMaintenance) {
@@ -120,7 +151,7 @@
   aContext.mHosts->mVisits += static_cast<std::int64_t>(aIndexed.mHosts.size());
   for (auto& host : aIndexed.mHosts) {
     if (host.mHost->mExecutor != nullptr) {
-      RefreshHost(aMaintenance, host, states[host.mHost->mShard]);
+      RefreshHost(aMaintenance, aContext, aWave, host, states[host.mHost->mShard]);
     }
   }
   std::erase_if(aIndexed.mHosts, [&](const WaveHost& aHost) {
--- a/Tests/LibSchedule/TestFleet.cpp
+++ b/Tests/LibSchedule/TestFleet.cpp
@@ -150,6 +150,39 @@
   }
 }
 
+// Guards against the same where the host is listed in a wave that has finished with it, too: each
+// round lifted the drain for that one, and took it for a sign that the host is back.
+BOOST_AUTO_TEST_CASE(a_wave_that_has_finished_with_a_host_does_not_lift_the_drain_of_another)
+{
+  for (auto begun : { 1, 2 }) {
+    Owner owner;
+    auto pool = owner.AddPool("previews");
+    auto& executor = owner.AddHost("m1", pool);
+    executor.mEntry.mState = ExecutorState::Ready;
+    executor.mDrainReason = DrainReason::ForMaintenance;
+    for (auto number : { 1, 2 }) {
+      owner.mWaves[number] = WaveOf({ MachineId("m1") });
+      owner.mWaves[number].mNumber = number;
+      auto phase = number == begun ? MaintenancePhase::Begun : MaintenancePhase::Finished;
+      owner.mLog.mMaintenanceRecords[{ number, MachineId("m1") }] = { phase, executor.mEntry.mId };
+    }
+    auto& order = owner.mMaintenance.mOrders[{ begun, MachineId("m1") }];
+    order.mFence = 5;
+    order.mAcknowledged = true;
+    for (int round = 0; round < 3; ++round) {
+      owner.AdvanceWaves();
+      BOOST_TEST((executor.mDrainReason == DrainReason::ForMaintenance));
+    }
+    // Back with another executor, that host takes work.
+    auto& next = owner.AddHost("m1", pool);
+    next.mDrainReason = DrainReason::None;
+    owner.mLog.mMaintenanceRecords[{ begun, MachineId("m1") }].mFormerExecutor =
+      ExecutorId("former");
+    owner.AdvanceWaves();
+    BOOST_TEST((next.mDrainReason == DrainReason::None));
+  }
+}
+
 // Guards against a wave that is said to be completed while a host of it hasn't begun its
 // maintenance (MIXED): one list of machines lacked the host, and it was taken for removed.
 BOOST_AUTO_TEST_CASE(a_wave_is_not_completed_by_one_list_that_lacks_a_host)
