--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,7 +1,6 @@
 #!/usr/bin/env bash
-# Idle executors crash, one at a time, and start again under their ids as another kind. A task that
-# needs the kind that one had, and comes at that moment, is started there. TROUBLE=0: they start
-# again as the same kind.
+# One job comes that can never be done. All executors of the service are then kept from all work for
+# 16 s, and a task that lasts stays away. TROUBLE=0: that job doesn't come.
 # Exit: 1 broken, 0 held, 2 could not run.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -9,34 +8,26 @@
 . review/6/standin/lib.sh
 
 start_platform
-for i in $(seq 9); do
-  start_executor "i-$i" "k$i"
-done
+start_executors i-1 i-2 i-3 i-4 i-5 i-6 i-7 i-8 i-9
 start_schedulers 3
 
-kind=z
-declare -A since
-for i in $(seq 9); do
-  [ "$trouble" = 0 ] && kind=k$i
-  kill_executor "i-$i"
-  sleep 0.5
-  start_executor "i-$i" "$kind"
-  until [ "$(grep -c " i-$i begins" "$record")" -eq 2 ]; do
-    sleep 0.01
-  done
-  since[$i]=$(now_ms)
-  note "script has started i-$i as $kind"
-  submit "$i" '{"spec":"ms=500","steps":[{"count":1,"cpu":20000,"memMb":100,"estimateMs":500,"requires":"k'"$i"'"}]}'
-  sleep 2
-done
-# No executor has the kinds k1 to k9 any more when the jobs are handed in.
-broken=0
-for i in $(seq 9); do
-  starts=$(runs_of "$i" start | awk -v since="${since[$i]}" '$1 >= since' | wc -l)
-  if [ "$trouble" != 0 ] && [ "$starts" -gt 0 ]; then
-    broken=$((broken + 1))
-    note "ROUTE: job $(job_id "$i"), which requires k$i, was started on i-$i as z"
-  fi
+# A task that lasts; its first run ends as failed after 6 s, as such tasks may at any time.
+submit 1 '{"spec":"lasts fail-at=6000","steps":[{"count":1,"cpu":1000,"memMb":100,"daemon":true,"estimateMs":900,"antiAffinity":1}]}'
+wait_starts 1 1 10 || cannot_run "the task that lasts has not begun"
+sleep 5
+if [ "$trouble" != 0 ]; then
+  submit 2 '{"spec":"ms=50 fail","steps":[{"count":108,"cpu":2500,"memMb":100,"estimateMs":900}]}'
+fi
+for _ in $(seq 100); do
+  [ -n "$(runs_of 1 end-failed)" ] && break
+  sleep 0.1
 done
-echo "$broken of 9 tasks were started on an executor without the label that their step requires" | tee -a "$record"
-[ "$broken" -eq 0 ] || exit 1
+ended=$(runs_of 1 end-failed | head -n 1 | cut -d' ' -f1)
+[ -n "$ended" ] || cannot_run "the task that lasts has not ended"
+wait_starts 1 2 40 || true
+again=$(runs_of 1 start | sed -n 2p | cut -d' ' -f1)
+away=$((${again:-$(now_ms)} - ended))
+quiet=$(grep -E '^[0-9]+ i-[0-9]+ (start|end-[a-z]+) ' "$record" | awk -v from="$ended" -v until="$((ended + away))" '$1 > from + 2000 && $1 < until - 100' | wc -l)
+echo "the task that lasts was away for $away ms; $quiet starts and ends of any task in that time but its first 2 s" | tee -a "$record"
+# From 6 s after its last run, nothing of it runs for 3 s, and there is room for it.
+[ "$away" -le 9000 ] || exit 1
--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,57 +1,60 @@
 #!/usr/bin/env bash
-# A job with many tasks that keep checkpoints: its progress outgrows a record of the store, and from
-# then on no job of its service makes progress. TROUBLE=0: the same with a tenth of the tasks.
+# An idle executor crashes and starts again under its id. A task is started there, and the executor
+# is cut off and runs on. Its lease lasts longer than the system takes it to, and the task is started
+# elsewhere while it still runs there. TROUBLE=0: no crash and no cut.
 # Exit: 1 broken, 0 held, 2 could not run.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 folder=review/6
 . review/6/standin/lib.sh
 
-tasks=4096
-[ "$trouble" = 0 ] && tasks=400
 start_platform
-ids=()
-for i in $(seq 9); do
-  ids+=("$(printf '7c9e6679-7425-40de-944b-e07fc1f9%04x' "$i")")
-done
-start_executors "${ids[@]}"
+mapfile -t ports < <("$bin/ports" 2)
+listed=127.0.0.1:${ports[0]}
+behind=127.0.0.1:${ports[1]}
+# The executor of rack r9, whose steady clock is 2% slow, is reached through a proxy.
+start proxy "$bin/proxy" "$listed" "$behind"
+proxy=$process
+start_far_executor() {
+  start i-1 "$bin/executor" "$behind" "$store" i-1 studio a r9 32000 "$record" \
+    "$listed" 0.98
+  process_of[i-1]=$process
+}
+start_far_executor
+start_executors i-2 i-3 i-4 i-5 i-6 i-7 i-8 i-9
 start_schedulers 3
 
-submit 1 '{"spec":"ms=20000 save","steps":[{"count":'$tasks',"cpu":50,"memMb":16,"estimateMs":20000,"checkpoint":true}]}'
-begun=$(now_ms)
-wait_starts 1 "$tasks" 15 || note "script sees $(runs_of 1 start | wc -l) starts of job 1 after 15 s"
-# Small jobs, one a second, until 35 s after the large one: its tasks have ended by then.
-small=1
-while [ $(($(now_ms) - begun)) -lt 35000 ]; do
-  small=$((small + 1))
-  submit "$small" '{"spec":"ms=300","steps":[{"count":2,"cpu":1000,"memMb":10,"estimateMs":300}]}'
-  sleep 1
-done
-traffic_end=$(now_ms)
-note "script ends the traffic"
-# finish_s is 14: then each job is asked for, and those that are not completed are watched for 3 s.
-while [ $(($(now_ms) - traffic_end)) -lt 14000 ]; do
-  sleep 0.2
+submit 1 '{"spec":"ms=500","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":500,"affinity":"r9"}]}'
+for _ in $(seq 100); do
+  grep -q " i-1 noted-done" "$record" && break
+  sleep 0.02
 done
-open=()
-for number in $(seq "$small"); do
-  ask "$number"
-  [ "$state" = completed ] || open+=("$number")
-done
-from=$(now_ms)
-sleep 4
-broken=0
-for number in "${open[@]}"; do
-  ask "$number"
-  [ "$state" = completed ] && continue
-  # A task of a small job needs one core of 288, and nothing else runs by now.
-  running=$(($(runs_of "$number" start | wc -l) - $(runs_of "$number" 'end-[a-z]+' | wc -l)))
-  recent=$(runs_of "$number" | awk -v from="$from" '$1 >= from' | wc -l)
-  if [ "$running" -eq 0 ] && [ "$recent" -eq 0 ]; then
-    broken=$((broken + 1))
-    note "LOST: job $(job_id "$number") is $state and has had nothing running for 4 s"
-  fi
-done
-echo "$broken of $small accepted jobs stand still $((($(now_ms) - traffic_end) / 1000)) s after the end of the traffic" | tee -a "$record"
-[ "$broken" -eq 0 ] || exit 1
-[ ${#open[@]} -eq 0 ] || cannot_run "${#open[@]} jobs are late, and run"
+if [ "$trouble" != 0 ]; then
+  kill_executor i-1
+  sleep 1
+  start_far_executor
+  until [ "$(grep -c " i-1 begins" "$record")" -eq 2 ]; do
+    sleep 0.01
+  done
+fi
+submit 2 '{"spec":"ms=9000","steps":[{"count":1,"cpu":1000,"memMb":100,"estimateMs":9000,"affinity":"r9"}]}'
+wait_starts 2 1 10 || cannot_run "the second job has not begun"
+[ "$(runs_of 2 start | cut -d' ' -f2)" = i-1 ] || cannot_run "the second job is not where its data is"
+if [ "$trouble" != 0 ]; then
+  sleep 1.2
+  kill -STOP "$proxy"
+  note "script cuts i-1 off"
+  sleep 5.5
+  kill -CONT "$proxy"
+  note "script ends the cut"
+fi
+wait_starts 2 2 6 || true
+sleep 2
+ended=$(runs_of 2 'end-[a-z]+' | grep " i-1 " | head -n 1 | cut -d' ' -f1)
+again=$(runs_of 2 start | sed -n 2p | cut -d' ' -f1)
+if [ -n "$again" ] && [ "$again" -lt "${ended:-$(now_ms)}" ]; then
+  echo "TWICE: the second run began $((${ended:-$(now_ms)} - again)) ms before the first one ended" | tee -a "$record"
+  exit 1
+fi
+echo "no two runs of the task at the same time; first end ${ended:-none}, second start ${again:-none}" | tee -a "$record"
+[ "$trouble" = 0 ] || [ -n "$again" ] || cannot_run "the task was not started again"
--- a/review/6/standin/Executor.cpp
+++ b/review/6/standin/Executor.cpp
@@ -96,13 +96,23 @@
   std::list<Waiting> mWaiting;
 };
 
+// How fast the executor's steady clock runs.
+double&
+ClockRate()
+{
+  static double rate = 1;
+  return rate;
+}
+
 // The executor's steady clock, which begins with its process.
 std::int64_t
 Clock()
 {
   static const auto kStart = std::chrono::steady_clock::now();
   auto since = std::chrono::steady_clock::now() - kStart;
-  return std::chrono::duration_cast<std::chrono::milliseconds>(since).count() + 1;
+  return static_cast<std::int64_t>(
+           std::chrono::duration<double, std::milli>(since * ClockRate()).count()) +
+         1;
 }
 
 Work
@@ -384,18 +394,23 @@
 }
 
 // Usage: executor ADDRESS STORE-ADDRESS ID SERVICE KIND RACK CPU-MILLICORES RECORD-FILE
+//          [LISTED-ADDRESS CLOCK-RATE]
 int
 main(int aCount, char** aArguments)
 {
   constexpr int kArguments = 9;
   constexpr int kTickMs = 5;
-  if (aCount != kArguments) {
+  if (aCount != kArguments && aCount != kArguments + 2) {
     return 2;
   }
   signal(SIGPIPE, SIG_IGN);
   auto* base = event_base_new();
   Executor executor;
   executor.mAddress = aArguments[1];
+  if (aCount > kArguments) {
+    executor.mAddress = aArguments[kArguments];
+    ClockRate() = std::stod(aArguments[kArguments + 1]);
+  }
   executor.mStore = aArguments[2];
   executor.mId = aArguments[3];
   executor.mService = aArguments[4];
@@ -405,9 +420,9 @@
   executor.mRecordFile = aArguments[8];
   executor.mBorn = review::UnixMilliseconds();
   auto isListening = review::Serve(
-    base, executor.mAddress, [&](const Incoming& aIncoming) { OnRequest(executor, aIncoming); });
+    base, aArguments[1], [&](const Incoming& aIncoming) { OnRequest(executor, aIncoming); });
   if (!isListening) {
-    std::cerr << "cannot listen on " << executor.mAddress << "\n";
+    std::cerr << "cannot listen on " << aArguments[1] << "\n";
     return 2;
   }
   review::Record(executor.mRecordFile, executor.mId + " begins");
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -13,4 +13,5 @@
 }
 compile platform "$sources/Platform.cpp" "$sources/Http.cpp"
 compile executor "$sources/Executor.cpp" "$sources/Http.cpp"
+compile proxy "$sources/Proxy.cpp"
 compile ports "$sources/Ports.cpp"
