--- a/review/6/standin/lib.sh
+++ b/review/6/standin/lib.sh
@@ -9,7 +9,7 @@
 record=$PWD/$folder/record.txt
 work=$(mktemp -d)
 started=()
-declare -A address_of process_of kind_of
+declare -A address_of process_of node_of
 fronts=()
 
 # Ends all processes that the script has started, by their ids.
@@ -133,6 +133,7 @@
   "log_lines_per_second": 60 }
 JSON
     start "n$i" "$scheduler" --settings "$work/n$i.json"
+    node_of[$i]=$process
     readies[$i]=127.0.0.1:${ports[1]}
   done
   for i in $(seq "$1"); do
