--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -49,12 +49,17 @@
   note "script ends the cut"
 fi
 wait_starts 2 2 6 || true
-sleep 2
-ended=$(runs_of 2 'end-[a-z]+' | grep " i-1 " | head -n 1 | cut -d' ' -f1)
+# Until the first run has ended.
+for _ in $(seq 100); do
+  ended=$(runs_of 2 'end-[a-z]+' | awk '$2 == "i-1" { print $1; exit }')
+  [ -n "$ended" ] && break
+  sleep 0.1
+done
+[ -n "$ended" ] || cannot_run "the first run has not ended"
 again=$(runs_of 2 start | sed -n 2p | cut -d' ' -f1)
-if [ -n "$again" ] && [ "$again" -lt "${ended:-$(now_ms)}" ]; then
-  echo "TWICE: the second run began $((${ended:-$(now_ms)} - again)) ms before the first one ended" | tee -a "$record"
+if [ -n "$again" ] && [ "$again" -lt "$ended" ]; then
+  echo "TWICE: the second run began $((ended - again)) ms before the first one ended" | tee -a "$record"
   exit 1
 fi
-echo "no two runs of the task at the same time; first end ${ended:-none}, second start ${again:-none}" | tee -a "$record"
+echo "no two runs of the task at the same time; first end $ended, second start ${again:-none}" | tee -a "$record"
 [ "$trouble" = 0 ] || [ -n "$again" ] || cannot_run "the task was not started again"
--- a/review/6/standin/lib.sh
+++ b/review/6/standin/lib.sh
@@ -26,6 +26,10 @@
   exit 2
 }
 
+# Only a broken rule ends a script with 1.
+set -E
+trap 'cannot_run "a command failed in line $LINENO"' ERR
+
 [ -x "$bin/platform" ] && [ -x "$scheduler" ] || cannot_run "something is not built"
 : >"$record"
 
