--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -16,7 +16,7 @@
 wait_starts 1 1 10 || cannot_run "the task that lasts has not begun"
 sleep 5
 if [ "$trouble" != 0 ]; then
-  submit 2 '{"spec":"ms=50 fail","steps":[{"count":108,"cpu":2500,"memMb":100,"estimateMs":900}]}'
+  submit 2 '{"spec":"ms=50 fail","steps":[{"count":24,"cpu":5300,"memMb":100,"estimateMs":900}]}'
 fi
 for _ in $(seq 100); do
   [ -n "$(runs_of 1 end-failed)" ] && break
