--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,7 +5,8 @@
 # Exit: 1 broken, 0 held, 2 could not run.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-folder=review/6
+# What was sent, answered and run.
+record=$PWD/review/6/record.txt
 . review/6/standin/lib.sh
 
 start_platform
@@ -44,7 +45,7 @@
   sleep 1.2
   kill -STOP "$proxy"
   note "script cuts i-1 off"
-  sleep 5.5
+  sleep 5.3
   kill -CONT "$proxy"
   note "script ends the cut"
 fi
--- a/review/6/standin/lib.sh
+++ b/review/6/standin/lib.sh
@@ -1,12 +1,11 @@
 # What the scripts of review/6 to review/10 share. To be sourced from the root of the repository,
-# with `folder` set to the folder of the case. The processes are those of deploy/system.toml and
+# with `record` set to the record.txt of the case. The processes are those of deploy/system.toml and
 # the stand-ins of review/build-2.sh, on loopback addresses. The bounds are those of the site
 # citra-sesame.
 
 bin=target/review-2
 scheduler=target/Services/sesameseam-schedulerd
 trouble=${TROUBLE:-1}
-record=$PWD/$folder/record.txt
 work=$(mktemp -d)
 started=()
 declare -A address_of process_of node_of
