--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,7 +5,8 @@
 # Exit: 1 broken, 0 held, 2 could not run.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-folder=review/10
+# What was sent, answered and run.
+record=$PWD/review/10/record.txt
 . review/6/standin/lib.sh
 
 start_platform
