A seed of the simulation means the same play with every compiler

Cause: PlayRandomFaults drew several random numbers within the arguments of one call, whose order of evaluation is the compiler's choice: GCC takes them from the left on arm64 and from the right on x86-64. Ruled out: order of iteration over hashes (none in the stand-ins; the unordered maps of LibSchedule are only looked up), uninitialised memory (two runs on x86-64 were the same). Not tried: contracted floating-point operations on arm64, for want of such a machine. Change: one number a statement, in the order of arm64, so that recorded seeds keep their meaning.

--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -98,16 +98,23 @@
   auto pick = [&](int aBelow) {
     return static_cast<int>(random() % static_cast<unsigned>(aBelow));
   };
+  // One number a statement: compilers differ in the order in which they evaluate arguments, and a
+  // seed has to mean the same play on all of them.
+  auto pickStep = [&](int aMaxTasks, int aMaxCores) {
+    auto tasks = 1 + pick(aMaxTasks);
+    auto cores = 1 + pick(aMaxCores);
+    return MakeStep(tasks, cores);
+  };
   simulation.RunFor(kStart);
   std::vector<JobId> jobs;
+  auto pickJob = [&] { return jobs.empty() ? JobId() : jobs[random() % jobs.size()]; };
   for (int round = 0; round < 60; ++round) {
     auto host = pick(3);
     if (simulation.mHosts[static_cast<std::size_t>(host)].mIsUp) {
       auto isDeadly = aSettings.mDeadlyJobs > 0 && pick(100) < aSettings.mDeadlyJobs;
-      jobs.push_back(simulation.Submit(
-        host,
-        { MakeStep(1 + pick(4), 1 + pick(3)), After(MakeStep(1 + pick(3), 1), { 0 }) },
-        isDeadly ? "crashes" : "250"));
+      auto first = pickStep(4, 3);
+      auto second = After(MakeStep(1 + pick(3), 1), { 0 });
+      jobs.push_back(simulation.Submit(host, { first, second }, isDeadly ? "crashes" : "250"));
     }
     auto executor = pick(4);
     switch (pick(14)) {
@@ -135,9 +142,11 @@
       case 7:
         simulation.StoreDown(true);
         break;
-      case 8:
-        simulation.Cancel(pick(3), jobs[random() % jobs.size()]);
+      case 8: {
+        auto at = pick(3);
+        simulation.Cancel(at, pickJob());
         break;
+      }
       case 9:
       case 10:
         if (aOptions.mReplacesExecutors) {
@@ -157,7 +166,8 @@
         simulation.Repeat(pick(3), again);
       }
     }
-    simulation.AskState(pick(3), jobs.empty() ? JobId() : jobs[random() % jobs.size()]);
+    auto asked = pick(3);
+    simulation.AskState(asked, pickJob());
     for (int i = 0; i < 3 && aOptions.mHasCountQueries; ++i) {
       simulation.AskCount(i);
     }
