--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -6,58 +6,19 @@
 
 namespace {
 
-// The slowest rate at which the steady clock of an executor may run.
-constexpr double kMinClockRate = 0.98;
-// Renewals ask for slightly less than the maximum, because the executor shortens longer leases.
-constexpr std::chrono::milliseconds kLeaseMargin = 300ms;
-constexpr std::chrono::milliseconds kExpiryMargin = 150ms;
 // A single failure may be the task's fault; this many in a row are attributed to the executor.
 constexpr int kFailuresBeforeBackOff = 3;
 constexpr Duration kInitialBackOff = 2s;
 constexpr int kMaxBackOffDoublings = 3;
 
-// The time that passes while the slowest clock counts aTime.
-Duration
-LongestElapsed(std::chrono::milliseconds aTime)
-{
-  auto length = static_cast<double>(aTime.count()) / kMinClockRate;
-  return std::chrono::milliseconds(static_cast<std::int64_t>(length));
-}
-
 }
 
-std::chrono::milliseconds
-LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow)
-{
-  if (!aExecutor.mClockReading) {
-    return std::chrono::milliseconds(0);
-  }
-  auto clock =
-    aExecutor.mClockReading->mClock + ToMilliseconds(aNow - aExecutor.mClockReading->mAt);
-  return clock + aLimits.mMaximum - kLeaseMargin;
-}
-
-Instant
-LatestLeaseExpiry(const LeaseLimits& aLimits, Instant aNow)
-{
-  return aNow + LongestElapsed(aLimits.mMaximum) + kExpiryMargin;
-}
-
-void
-UpdateLeaseExpiry(Executor& aExecutor, std::chrono::milliseconds aEnd)
-{
-  if (!aExecutor.mClockReading || aEnd.count() == 0) {
-    return;
-  }
-  auto lapsed = aExecutor.mClockReading->mAt +
-                LongestElapsed(aEnd - aExecutor.mClockReading->mClock) + kExpiryMargin;
-  aExecutor.mLeasesExpiredAt = std::max(aExecutor.mLeasesExpiredAt, lapsed);
-}
-
-void
-UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow)
+bool
+MayHaveRestarted(const Executor& aExecutor)
 {
-  aExecutor.mClockReading = ClockReading{ aClock, aNow };
+  auto listed = aExecutor.mEntry.mIncarnation;
+  auto answered = aExecutor.mProcess.mIncarnation;
+  return listed != 0 && answered != 0 && listed != answered;
 }
 
 Resources
@@ -109,13 +70,15 @@
       aExecutor.mDrainReason != DrainReason::None) {
     return PlacementObstacle::Draining;
   }
-  if (aExecutor.mEntry.mState != ExecutorState::Ready || !aExecutor.mHasAnsweredHeartbeat) {
+  if (aExecutor.mEntry.mState != ExecutorState::Ready || !aExecutor.mHasAnsweredHeartbeat ||
+      MayHaveRestarted(aExecutor)) {
     return PlacementObstacle::NotReady;
   }
   if (aExecutor.mUnansweredCalls > 0 || aExecutor.mIsUnresponsive) {
     return PlacementObstacle::Unresponsive;
   }
-  return aExecutor.mBackOffUntil > aNow ? PlacementObstacle::BackingOff : PlacementObstacle::None;
+  return aExecutor.mProcess.mBackOffUntil > aNow ? PlacementObstacle::BackingOff
+                                                 : PlacementObstacle::None;
 }
 
 PlacementObstacle
@@ -141,10 +104,10 @@
 void
 RecordFailure(Executor& aExecutor, Instant aNow)
 {
-  ++aExecutor.mConsecutiveFailures;
-  auto excess = aExecutor.mConsecutiveFailures - kFailuresBeforeBackOff;
+  ++aExecutor.mProcess.mConsecutiveFailures;
+  auto excess = aExecutor.mProcess.mConsecutiveFailures - kFailuresBeforeBackOff;
   if (excess >= 0) {
-    aExecutor.mBackOffUntil =
+    aExecutor.mProcess.mBackOffUntil =
       aNow + kInitialBackOff * (1 << std::min(excess, kMaxBackOffDoublings));
   }
 }
@@ -152,8 +115,8 @@
 void
 RecordSuccess(Executor& aExecutor)
 {
-  aExecutor.mConsecutiveFailures = 0;
-  aExecutor.mBackOffUntil = Instant();
+  aExecutor.mProcess.mConsecutiveFailures = 0;
+  aExecutor.mProcess.mBackOffUntil = Instant();
 }
 
 }
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -66,6 +66,8 @@
   Isolation mIsolation = Isolation::None;
   // The incarnation of the executor that the run was placed on; 0 if it is unknown.
   std::int64_t mIncarnation = 0;
+  // The incarnation that is known to have it; 0 if it is not known which one has, if any.
+  std::int64_t mKnownIn = 0;
   // When it is first known to have run: its start was answered, or the executor listed it.
   std::optional<Instant> mBeganAt;
 };
@@ -80,13 +82,33 @@
   ForMove,
 };
 
-// The value of an executor's clock, and when it was received here.
+// The value of an executor's clock, when it was asked for, and when it was received here.
 struct ClockReading
 {
   std::chrono::milliseconds mClock{ 0 };
+  Instant mAskedAt;
   Instant mAt;
 };
 
+// What the owner has learned of one process of an executor. Another process under the same id knows
+// and counts nothing of it, so that all of this is replaced together.
+struct ExecutorProcess
+{
+  // As reported in its heartbeat answers; 0 before the first one.
+  std::int64_t mIncarnation = 0;
+  std::optional<ClockReading> mClockReading;
+  // By this time every run that is known to be in this process has ended, unless a lease is
+  // renewed.
+  Instant mLeasesExpiredAt;
+  // The number of the last processed end.
+  std::int64_t mProcessedEnds = 0;
+  // The number of the last end that is also stored in the log and may be acknowledged.
+  std::int64_t mRecordedEnds = 0;
+  std::int64_t mAcknowledgedEnds = 0;
+  int mConsecutiveFailures = 0;
+  Instant mBackOffUntil;
+};
+
 // When the process of an executor ended, as far as its owner can tell.
 struct TimeOfEnd
 {
@@ -102,12 +124,10 @@
   ExecutorEntry mEntry;
   // Its address in the log; empty if the log has none.
   std::string mRecordedAddress;
-  std::optional<ClockReading> mClockReading;
-  // By this time every run there has ended, unless a lease is renewed.
-  Instant mLeasesExpiredAt;
+  ExecutorProcess mProcess;
+  // By this time every run there has ended, whichever process has it, unless a lease is renewed.
+  Instant mAllLeasesExpiredAt;
   Instant mRenewedAt;
-  // The incarnation that the ends and runs below belong to, as reported in its heartbeat answers.
-  std::int64_t mListedIncarnation = 0;
   // It has answered a heartbeat of this owner, which fenced off the former owner.
   bool mHasAnsweredHeartbeat = false;
   bool mHeartbeatPending = false;
@@ -118,11 +138,6 @@
   // The log records it as unresponsive. No lease is renewed and no run is started until that record
   // is removed from the log.
   bool mIsUnresponsive = false;
-  // The number of the last processed end.
-  std::int64_t mProcessedEnds = 0;
-  // The number of the last end that is also stored in the log and may be acknowledged.
-  std::int64_t mRecordedEnds = 0;
-  std::int64_t mAcknowledgedEnds = 0;
   std::map<TaskRun, PlacedRun> mRuns;
   DrainReason mDrainReason = DrainReason::None;
   // Its entry said that it drains before it was removed.
@@ -138,8 +153,6 @@
   // Its host is still due for maintenance in a wave, so that a long-running task would soon
   // have to move.
   bool mIsDueForMaintenance = false;
-  int mConsecutiveFailures = 0;
-  Instant mBackOffUntil;
   // Its place in Shard::mChecks.
   std::size_t mCheckIndex = 0;
   // It is in Shard::mExecutorsToCheck.
@@ -148,26 +161,10 @@
   bool mIsCandidateStale = false;
 };
 
-struct LeaseLimits
-{
-  // The longest lease that an executor grants.
-  std::chrono::milliseconds mMaximum{ 6000 };
-};
-
-// The end of a lease that is renewed now, on the executor's clock; 0 while that clock is unknown.
-std::chrono::milliseconds
-LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow);
-
-// Extends mLeasesExpiredAt for a lease that may have been renewed until aEnd.
-void
-UpdateLeaseExpiry(Executor& aExecutor, std::chrono::milliseconds aEnd);
-
-// The time by which the longest lease that an executor may grant now has expired.
-Instant
-LatestLeaseExpiry(const LeaseLimits& aLimits, Instant aNow);
-
-void
-UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
+// Whether its entry in the list and its last answer are of different processes, so that what is
+// known of the one may not hold for the other.
+bool
+MayHaveRestarted(const Executor& aExecutor);
 
 Resources
 ReservedResources(const Executor& aExecutor);
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -25,6 +25,21 @@
   std::int64_t mRelayTicket = 0;
 };
 
+// How long an executor may take for an answer, beyond the wait that it is asked for. Then the call
+// is given up and its connection closed.
+inline constexpr std::chrono::milliseconds kExecutorAnswerTimeout = 900ms;
+// A relay that gets calls later than this does not make them: an executor that has restarted in the
+// meantime knows no fencing token. An owner that is held up for some hundred milliseconds still
+// gets its calls through.
+inline constexpr std::chrono::milliseconds kRelayedCallLifetime = 500ms;
+
+// The last moment at which a process that starts later than the call may still receive it.
+inline Instant
+LatestArrival(Instant aSentAt, std::chrono::milliseconds aWait)
+{
+  return aSentAt + kRelayedCallLifetime + aWait + kExecutorAnswerTimeout;
+}
+
 // Renews the leases on an executor, acknowledges ended runs, and lists the runs that are running or
 // have ended.
 struct HeartbeatCall
--- a/Libraries/LibSchedule/ExecutorEnds.cpp
+++ b/Libraries/LibSchedule/ExecutorEnds.cpp
@@ -77,7 +77,7 @@
 void
 NoteAnswered(Executor& aExecutor, std::int64_t aIncarnation, Instant aNow)
 {
-  auto known = aExecutor.mListedIncarnation;
+  auto known = aExecutor.mProcess.mIncarnation;
   if (known != 0 && known != aIncarnation) {
     NoteMissing(aExecutor, aExecutor.mHeartbeatAnsweredAt, aNow);
   } else if (aExecutor.mIsMissing) {
@@ -105,8 +105,8 @@
 EndSign
 SignOfEnd(const Executor& aExecutor, const PlacedRun& aRun)
 {
-  auto hasRestarted = aRun.mIncarnation != 0 && aExecutor.mListedIncarnation != 0 &&
-                      aRun.mIncarnation != aExecutor.mListedIncarnation;
+  auto hasRestarted = aRun.mIncarnation != 0 && aExecutor.mProcess.mIncarnation != 0 &&
+                      aRun.mIncarnation != aExecutor.mProcess.mIncarnation;
   if (hasRestarted) {
     return EndSign::Restarted;
   }
--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -28,17 +28,14 @@
 bool
 MayAcknowledgeEnds(const Executor& aExecutor, Instant aNow)
 {
-  auto listed = aExecutor.mEntry.mIncarnation;
-  auto hasRestarted =
-    listed != 0 && aExecutor.mListedIncarnation != 0 && listed != aExecutor.mListedIncarnation;
-  return aExecutor.mUnansweredCalls == 0 && !hasRestarted &&
+  return aExecutor.mUnansweredCalls == 0 && !MayHaveRestarted(aExecutor) &&
          aNow - aExecutor.mHeartbeatAnsweredAt < kMaxAnswerAgeToAcknowledge;
 }
 
 bool
 HasEndsToAcknowledge(const Executor& aExecutor)
 {
-  return aExecutor.mRecordedEnds > aExecutor.mAcknowledgedEnds;
+  return aExecutor.mProcess.mRecordedEnds > aExecutor.mProcess.mAcknowledgedEnds;
 }
 
 }
@@ -56,10 +53,11 @@
   if (aExecutor.mEntry.mState == ExecutorState::Gone && !hasRuns) {
     return false;
   }
-  if (!aExecutor.mHasAnsweredHeartbeat || aExecutor.mUnansweredCalls > 0) {
+  if (!aExecutor.mHasAnsweredHeartbeat || aExecutor.mUnansweredCalls > 0 ||
+      MayHaveRestarted(aExecutor)) {
     return true;
   }
-  if (aExecutor.mProcessedEnds > aExecutor.mRecordedEnds) {
+  if (aExecutor.mProcess.mProcessedEnds > aExecutor.mProcess.mRecordedEnds) {
     // A heartbeat now would only list the same ends again.
     return hasRuns && aNow - aExecutor.mRenewedAt > kRenewInterval;
   }
@@ -70,7 +68,8 @@
 HeartbeatPollTime(const Executor& aExecutor, Instant aNow)
 {
   if (!aExecutor.mHasAnsweredHeartbeat || aExecutor.mUnansweredCalls > 0 ||
-      aExecutor.mProcessedEnds > aExecutor.mRecordedEnds) {
+      MayHaveRestarted(aExecutor) ||
+      aExecutor.mProcess.mProcessedEnds > aExecutor.mProcess.mRecordedEnds) {
     return 0ms;
   }
   if (HasEndsToAcknowledge(aExecutor) && !MayAcknowledgeEnds(aExecutor, aNow)) {
@@ -100,7 +99,7 @@
 EndsToAcknowledge(const Executor& aExecutor, Instant aNow)
 {
   auto mayAcknowledge = HasEndsToAcknowledge(aExecutor) && MayAcknowledgeEnds(aExecutor, aNow);
-  return mayAcknowledge ? aExecutor.mRecordedEnds : 0;
+  return mayAcknowledge ? aExecutor.mProcess.mRecordedEnds : 0;
 }
 
 }
--- /dev/null
+++ b/Libraries/LibSchedule/Lease.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "LibSchedule/Executor.h"
+
+// When the leases on an executor expire at the latest.
+//
+// An executor ends all its runs when its lease expires. Its owner asks for a lease until a time on
+// the executor's clock. An executor never grants more than LeaseLimits::mMaximum from the arrival
+// of the call on. Two bounds follow:
+//
+// - For a run that is known to be in the process whose clock was read: only calls that this process
+//   has received count, and they name a time on its own clock. That clock reaches it, at the
+//   slowest rate, at a time that is known when the call is sent, however late the call arrives.
+// - For any other run, such as one whose start was not answered: the process that has it may have
+//   started after the last answer, and its clock is not known. The call has arrived by the time at
+//   which its sender gave up, and a lease lasts for the maximum from then on.
+//
+// A process that becomes known may have received each call that was sent before. Its leases
+// therefore expire no later than by the second bound.
+namespace sesameseam::schedule {
+
+struct LeaseLimits
+{
+  // The longest lease that an executor grants.
+  std::chrono::milliseconds mMaximum{ 6000 };
+};
+
+// The end of a lease that is renewed now, on the executor's clock; 0 while that clock is unknown.
+std::chrono::milliseconds
+LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow);
+
+// A call that asks for a lease: until when on the executor's clock (0 asks for none), and the last
+// moment at which it may arrive there.
+struct LeaseRequest
+{
+  std::chrono::milliseconds mEnd{ 0 };
+  Instant mArrivesBy;
+};
+
+// Notes that a call is sent which asks for a lease.
+void
+NoteLeaseRequest(Executor& aExecutor, const LeaseLimits& aLimits, const LeaseRequest& aRequest);
+
+// The time by which the longest lease that an executor may grant now has expired.
+Instant
+LatestLeaseExpiry(const LeaseLimits& aLimits, Instant aNow);
+
+// The time by which the run has ended, unless a lease is renewed.
+Instant
+LeaseExpiryOf(const Executor& aExecutor, const PlacedRun& aRun);
+
+// The time by which all runs of the executor have ended, unless a lease is renewed.
+Instant
+LeaseExpiryOfAll(const Executor& aExecutor);
+
+// What a heartbeat answer says of the clock of the process that gave it. aAskedAt is when the
+// heartbeat was sent.
+void
+UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aAskedAt, Instant aNow);
+
+// Whether the answer to another call, with that clock, is certain to come from the process whose
+// clock is known. A process that has started since then can't show as much.
+bool
+IsFromKnownProcess(const Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
+
+// What the bounds for a run rest on, for the log.
+std::string
+DescribeLease(const Executor& aExecutor, const PlacedRun& aRun, Instant aNow);
+
+}
--- a/Libraries/LibSchedule/RelayedCalls.cpp
+++ b/Libraries/LibSchedule/RelayedCalls.cpp
@@ -25,10 +25,6 @@
 // Relays are filled up to this before another one is used.
 constexpr int kRelayedExecutorsPerCore = 100;
 constexpr int kMillicoresPerCore = 1000;
-// A relay that gets calls later than this does not make them: an executor that has restarted in the
-// meantime knows no fencing token. An owner that is held up for some hundred milliseconds still
-// gets its calls through.
-constexpr Duration kCallLifetime = 500ms;
 // Clocks of hosts run at the same rate, but not exactly.
 constexpr Duration kMaxClockAge = 10s;
 constexpr Duration kMinExchangeInterval = 10ms;
@@ -349,7 +345,7 @@
     auto decidedAt =
       aRelay.mQueue.empty() ? aNow.mAt : aRelay.mPending.at(aRelay.mQueue.front()).mSentAt;
     call.mRequest.mDecidedAt = decidedAt + aRelay.mClockLead;
-    call.mRequest.mExpiresAt = call.mRequest.mDecidedAt + kCallLifetime;
+    call.mRequest.mExpiresAt = call.mRequest.mDecidedAt + kRelayedCallLifetime;
     AddCalls(aRelay, call.mRequest.mCalls);
   }
   return call;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -24,7 +24,7 @@
   if (isNew) {
     found->second.mEntry.mId = aId;
     found->second.mEntry.mState = ExecutorState::Gone;
-    found->second.mLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, aId, aNow);
+    found->second.mAllLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, aId, aNow);
     found->second.mIsUnresponsive = aShard.mLoadedUnresponsive.contains(aId);
     NoteChange(aShard.mPlacement, found->second);
     detail::ApplyLoadedAddress(aShard, found->second);
@@ -130,10 +130,11 @@
   }
   executor.mHasAnnouncedLeave = false;
   auto becameReady = executor.mEntry.mState != aEntry.mState;
-  if (executor.mEntry.mAddress != aEntry.mAddress) {
+  auto isMoved = executor.mEntry.mAddress != aEntry.mAddress;
+  executor.mEntry = aEntry;
+  if (isMoved || MayHaveRestarted(executor)) {
     executor.mRetryAt = aNow.mAt;
   }
-  executor.mEntry = aEntry;
   NoteChange(aShard.mPlacement, executor);
   detail::ScheduleCheck(aShard, executor);
   aShard.mNeedsPlacementPass |= becameReady;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -6,6 +6,7 @@
 #include "LibSchedule/EndedJobs.h"
 #include "LibSchedule/Executor.h"
 #include "LibSchedule/Job.h"
+#include "LibSchedule/Lease.h"
 #include "LibSchedule/PlacementState.h"
 #include "LibSchedule/ShardHandOver.h"
 #include "LibSchedule/ShardLoad.h"
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -177,11 +177,11 @@
           Actions& aActions)
 {
   for (const auto& end : aAnswer.mEnds) {
-    if (end.mNumber <= aExecutor.mProcessedEnds) {
+    if (end.mNumber <= aExecutor.mProcess.mProcessedEnds) {
       continue;
     }
     ApplyEnd(aShard, aNow, aExecutor, end, aActions);
-    aExecutor.mProcessedEnds = end.mNumber;
+    aExecutor.mProcess.mProcessedEnds = end.mNumber;
     aShard.mEndsToRecord[aExecutor.mEntry.mId] = end.mNumber;
   }
 }
--- a/Libraries/LibSchedule/ShardPlace.cpp
+++ b/Libraries/LibSchedule/ShardPlace.cpp
@@ -57,7 +57,7 @@
   auto& job = *aReady.mJob;
   const auto& step = job.mDefinition.mSteps[static_cast<std::size_t>(aName.mStep)];
   auto* task = FindTask(job, aName);
-  auto incarnation = aCandidate.mExecutor->mListedIncarnation;
+  auto incarnation = aCandidate.mExecutor->mProcess.mIncarnation;
   task->mHighestRun = aRun;
   task->mKeptWaitingSince.reset();
   task->mAttempts.push_back({ aCandidate.mExecutor->mEntry.mId, aRun, incarnation });
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -22,6 +22,8 @@
 // it prepared.
 constexpr Duration kMaxUnconfirmedToStart = 1s;
 constexpr int kMaxRetryDoublings = 3;
+// How often an executor is asked which process it is, while its entry names another one.
+constexpr Duration kRestartCheckInterval = 500ms;
 constexpr Duration kStopRetryDelay = 400ms;
 // The longest delay before work that becomes due at a known time is noticed.
 constexpr Duration kSweepInterval = 20ms;
@@ -111,6 +113,7 @@
     found = aExecutor.mRuns.find(aRunning.mRun);
   }
   auto& run = found->second;
+  run.mKnownIn = aExecutor.mProcess.mIncarnation;
   NoteBegin(aShard, run, aExecutor.mEntry.mId, aRunning.mRun, aNow.mAt);
   if (IsAsKnown(run, aRunning)) {
     run.mLoad = aRunning.mLoad;
@@ -183,11 +186,11 @@
             Executor& aExecutor,
             const TaskRun& aRun,
             const CrashEvidence& aEvidence,
-            const char* aReason,
+            std::string aReason,
             Actions& aActions)
 {
   ++aShard.mCounters.mTasksLost;
-  detail::LogRun("task-lost", aRun, aExecutor, aReason, aActions);
+  detail::LogRun("task-lost", aRun, aExecutor, std::move(aReason), aActions);
   auto run = aExecutor.mRuns.at(aRun);
   detail::DropRun(aShard, aExecutor, aRun);
   if (HasCrashedUnder(aExecutor, run)) {
@@ -195,18 +198,24 @@
   }
 }
 
+// A run that has stopped without reporting an end, and how that is known.
+struct LostRun
+{
+  TaskRun mName;
+  std::string mReason;
+};
+
 // Drops runs that have stopped without reporting an end, and counts them as lost. The loss is
 // stored before their tasks are started again.
 void
 MarkRunsLost(Shard& aShard,
              const Now& aNow,
              Executor& aExecutor,
-             const std::vector<TaskRun>& aRuns,
-             const char* aReason,
+             const std::vector<LostRun>& aRuns,
              Actions& aActions)
 {
-  auto hasEnded = std::any_of(aRuns.begin(), aRuns.end(), [&](const TaskRun& aName) {
-    return HasCrashedUnder(aExecutor, aExecutor.mRuns.at(aName));
+  auto hasEnded = std::any_of(aRuns.begin(), aRuns.end(), [&](const LostRun& aLost) {
+    return HasCrashedUnder(aExecutor, aExecutor.mRuns.at(aLost.mName));
   });
   if (hasEnded) {
     NoteEnd(aExecutor, aNow.mAt);
@@ -214,11 +223,11 @@
   // Before any of them is dropped: each is judged by what was beside it.
   std::vector<CrashEvidence> evidence;
   evidence.reserve(aRuns.size());
-  for (const auto& name : aRuns) {
-    evidence.push_back(EvidenceAgainst(aShard, aNow, aExecutor, name));
+  for (const auto& lost : aRuns) {
+    evidence.push_back(EvidenceAgainst(aShard, aNow, aExecutor, lost.mName));
   }
   for (std::size_t i = 0; i < aRuns.size(); ++i) {
-    MarkRunLost(aShard, aExecutor, aRuns[i], evidence[i], aReason, aActions);
+    MarkRunLost(aShard, aExecutor, aRuns[i].mName, evidence[i], aRuns[i].mReason, aActions);
   }
 }
 
@@ -257,7 +266,7 @@
                  Actions& aActions)
 {
   auto listed = ListedRuns(aAnswer.mRunning);
-  std::vector<TaskRun> ended;
+  std::vector<LostRun> ended;
   for (auto& [name, run] : aExecutor.mRuns) {
     auto isSettled = run.mState != RunState::Recording && run.mState != RunState::Starting;
     if (!isSettled || run.mStateSince >= aAnswer.mSentAt || IsListed(name, listed)) {
@@ -268,22 +277,25 @@
       detail::RequestStop(aExecutor, name);
       continue;
     }
-    ended.push_back(name);
+    ended.push_back({ name, "the executor does not list it" });
   }
-  MarkRunsLost(aShard, aNow, aExecutor, ended, "the executor does not list it", aActions);
+  MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
 }
 
-// Drops all runs on an executor after their leases have expired.
+// Drops the runs on an executor whose leases have expired.
 void
 DropExpiredRuns(Shard& aShard, const Now& aNow, Executor& aExecutor, Actions& aActions)
 {
-  std::vector<TaskRun> names;
+  std::vector<LostRun> expired;
   for (const auto& [name, run] : aExecutor.mRuns) {
-    if (run.mState != RunState::Recording) {
-      names.push_back(name);
+    if (run.mState != RunState::Recording && LeaseExpiryOf(aExecutor, run) < aNow.mAt) {
+      expired.push_back({ name, DescribeLease(aExecutor, run, aNow.mAt) });
     }
   }
-  MarkRunsLost(aShard, aNow, aExecutor, names, "its lease has expired", aActions);
+  MarkRunsLost(aShard, aNow, aExecutor, expired, aActions);
+  if (!expired.empty() && aExecutor.mIsUnresponsive) {
+    aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
+  }
 }
 
 // Drops the runs of an executor whose address another executor has, provided that they were there
@@ -296,39 +308,46 @@
                    Actions& aActions)
 {
   aExecutor.mIsReplaced = true;
-  std::vector<TaskRun> names;
+  std::vector<LostRun> ended;
   for (const auto& [name, run] : aExecutor.mRuns) {
     if (run.mState != RunState::Recording && run.mStateSince < aCalledAt) {
-      names.push_back(name);
+      ended.push_back({ name, "another executor has its address" });
     }
   }
-  MarkRunsLost(aShard, aNow, aExecutor, names, "another executor has its address", aActions);
-  if (!names.empty() && aExecutor.mIsUnresponsive) {
+  MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
+  if (!ended.empty() && aExecutor.mIsUnresponsive) {
     aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
   }
 }
 
-// A new incarnation numbers its ends from 1 again. Only its list decides which runs remain, because
-// a run may have been started after the restart.
+// Takes note of which process has answered. Only its list decides which runs remain, because a run
+// may have been started after a restart.
 void
 ApplyIncarnation(Shard& aShard,
                  Executor& aExecutor,
                  const HeartbeatAnswer& aAnswer,
+                 Instant aNow,
                  Actions& aActions)
 {
-  auto known = std::exchange(aExecutor.mListedIncarnation, aAnswer.mIncarnation);
-  if (known == 0 || known == aAnswer.mIncarnation) {
+  auto known = aExecutor.mProcess.mIncarnation;
+  if (known == aAnswer.mIncarnation) {
     return;
   }
-  LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
-  aActions.emplace_back(std::move(entry));
-  aExecutor.mProcessedEnds = 0;
-  aExecutor.mRecordedEnds = 0;
-  aExecutor.mAcknowledgedEnds = 0;
-  aShard.mEndsToRecord.erase(aExecutor.mEntry.mId);
-  if (aShard.mWrite) {
-    aShard.mWrite->mEnds.erase(aExecutor.mEntry.mId);
+  if (known != 0) {
+    LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
+    auto expiresIn = ToMilliseconds(std::max(Duration(0), aExecutor.mAllLeasesExpiredAt - aNow));
+    entry.mReason = "process " + std::to_string(aAnswer.mIncarnation) + " has answered after " +
+                    std::to_string(known) + "; what was sent before may keep runs there for " +
+                    std::to_string(expiresIn.count()) + " ms";
+    aActions.emplace_back(std::move(entry));
+    aShard.mEndsToRecord.erase(aExecutor.mEntry.mId);
+    if (aShard.mWrite) {
+      aShard.mWrite->mEnds.erase(aExecutor.mEntry.mId);
+    }
   }
+  aExecutor.mProcess = {};
+  aExecutor.mProcess.mIncarnation = aAnswer.mIncarnation;
+  aExecutor.mProcess.mLeasesExpiredAt = aExecutor.mAllLeasesExpiredAt;
 }
 
 void
@@ -341,7 +360,8 @@
   if (aExecutor.mUnansweredCalls == 0 && !aExecutor.mIsUnresponsive) {
     // No lease is renewed on an unresponsive executor, so that its runs are certain to end.
     call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
-    UpdateLeaseExpiry(aExecutor, call.mLeaseEnd);
+    NoteLeaseRequest(
+      aExecutor, aShard.mSettings.mLease, { call.mLeaseEnd, LatestArrival(aNow, call.mWait) });
     aExecutor.mRenewedAt = aNow;
   }
   aExecutor.mHeartbeatPending = true;
@@ -416,7 +436,7 @@
     next = std::min(next, aExecutor.mRetryAt);
   }
   if (IsUnreachable(aExecutor) && !aExecutor.mRuns.empty()) {
-    next = std::min(next, std::max(aNow, aExecutor.mLeasesExpiredAt));
+    next = std::min(next, std::max(aNow, aExecutor.mProcess.mLeasesExpiredAt));
   }
   return next;
 }
@@ -424,12 +444,8 @@
 void
 AdvanceExecutor(Shard& aShard, Executor& aExecutor, const Now& aNow, Actions& aActions)
 {
-  if (IsUnreachable(aExecutor) && aExecutor.mLeasesExpiredAt < aNow.mAt &&
-      !aExecutor.mRuns.empty()) {
+  if (IsUnreachable(aExecutor)) {
     DropExpiredRuns(aShard, aNow, aExecutor, aActions);
-    if (aExecutor.mIsUnresponsive) {
-      aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
-    }
   }
   detail::StopLongRunningTasks(aShard, aExecutor, aNow.mAt);
   if (NeedsHeartbeat(aExecutor, aNow.mAt)) {
@@ -503,12 +519,16 @@
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
   if (!executor->mHasAnsweredHeartbeat) {
     // The former owner is fenced off, and the last lease that it renewed expires by itself.
-    executor->mLeasesExpiredAt = LatestLeaseExpiry(aShard.mSettings.mLease, aNow.mAt);
+    executor->mAllLeasesExpiredAt = LatestLeaseExpiry(aShard.mSettings.mLease, aNow.mAt);
   }
   executor->mHasAnsweredHeartbeat = true;
-  executor->mAcknowledgedEnds = std::max(executor->mAcknowledgedEnds, aAnswer.mCall.mLastSeen);
-  ApplyIncarnation(aShard, *executor, aAnswer, aActions);
-  UpdateClock(*executor, aAnswer.mClock, aNow.mAt);
+  auto& acknowledged = executor->mProcess.mAcknowledgedEnds;
+  acknowledged = std::max(acknowledged, aAnswer.mCall.mLastSeen);
+  ApplyIncarnation(aShard, *executor, aAnswer, aNow.mAt, aActions);
+  UpdateClock(*executor, aAnswer.mClock, aAnswer.mSentAt, aNow.mAt);
+  if (MayHaveRestarted(*executor)) {
+    executor->mRetryAt = aNow.mAt + kRestartCheckInterval;
+  }
   detail::ApplyEnds(aShard, aNow, *executor, aAnswer, aActions);
   for (const auto& running : aAnswer.mRunning) {
     ApplyRunningTask(aShard, aNow, *executor, running);
@@ -544,8 +564,9 @@
   if (aAnswer.mResult == CallResult::Done) {
     run.mState = RunState::Running;
     NoteBegin(aShard, run, executor->mEntry.mId, aAnswer.mCall.mRun, aNow.mAt);
-    if (aAnswer.mClock.count() != 0) {
-      UpdateClock(*executor, aAnswer.mClock, aNow.mAt);
+    // The answer doesn't say which process has given it.
+    if (run.mKnownIn == 0 && IsFromKnownProcess(*executor, aAnswer.mClock, aNow.mAt)) {
+      run.mKnownIn = executor->mProcess.mIncarnation;
     }
     return;
   }
@@ -573,7 +594,8 @@
   if (aAnswer.mRefusal == StartRefusal::Unhealthy ||
       aAnswer.mRefusal == StartRefusal::InsufficientCapacity) {
     RecordFailure(*executor, aNow.mAt);
-    executor->mBackOffUntil = std::max(executor->mBackOffUntil, aNow.mAt + kStopRetryDelay);
+    executor->mProcess.mBackOffUntil =
+      std::max(executor->mProcess.mBackOffUntil, aNow.mAt + kStopRetryDelay);
   } else if (aAnswer.mRefusal != StartRefusal::NotSent) {
     // Its clock or its runs differ from what is known here; the next heartbeat answer updates them.
     executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
@@ -670,7 +692,8 @@
   call.mSpec = job->mDefinition.mSpec;
   call.mCheckpoint = CheckpointOf(*job, aRun.mTask).mValue;
   call.mLeaseEnd = LeaseEnd(executor, aShard.mSettings.mLease, aNow.mAt);
-  UpdateLeaseExpiry(executor, call.mLeaseEnd);
+  NoteLeaseRequest(
+    executor, aShard.mSettings.mLease, { call.mLeaseEnd, LatestArrival(aNow.mAt, 0ms) });
   found->second.mState = RunState::Starting;
   found->second.mEpoch = aShard.mEpoch;
   found->second.mThrottlePercent = kFullSpeed;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -130,7 +130,7 @@
   aShard.mLoadedUnresponsive[id] = *lapsed;
   auto found = aShard.mExecutors.find(id);
   if (found != aShard.mExecutors.end()) {
-    found->second.mLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, id, aNow);
+    found->second.mAllLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, id, aNow);
     found->second.mIsUnresponsive = true;
   }
 }
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -65,7 +65,7 @@
     }
     // From here on, no lease is renewed until its unresponsive record is removed from the log.
     executor.mIsUnresponsive = true;
-    auto lapsed = aNow.mWall + (executor.mLeasesExpiredAt - aNow.mAt) + kWallClockError;
+    auto lapsed = aNow.mWall + (LeaseExpiryOfAll(executor) - aNow.mAt) + kWallClockError;
     aWrite.mCall.mRecords.push_back({ LeaseExpiryKey(id), EncodeLeaseExpiry(lapsed) });
   }
 }
@@ -143,7 +143,7 @@
   for (const auto& [id, number] : write.mEnds) {
     auto found = aShard.mExecutors.find(id);
     if (found != aShard.mExecutors.end()) {
-      found->second.mRecordedEnds = std::max(found->second.mRecordedEnds, number);
+      found->second.mProcess.mRecordedEnds = std::max(found->second.mProcess.mRecordedEnds, number);
       detail::ScheduleCheck(aShard, found->second);
     }
   }
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -230,7 +230,11 @@
                   [=, this] { AnswerHeartbeat(aHost, aIncarnation, aCall, aUntil); });
     return;
   }
-  auto answer = Heartbeat(*executor, aCall, mNow);
+  // The lease was granted on arrival, to the process that was there then.
+  auto answered = aCall;
+  answered.mLeaseEnd = 0ms;
+  auto answer = Heartbeat(*executor, answered, mNow);
+  answer.mCall = aCall;
   answer.mSentAt = lost.mSentAt;
   for (const auto& end : answer.mEnds) {
     if (end.mKind == schedule::EndKind::Done) {
--- a/Tests/LibSchedule/TestCrashIsolation.cpp
+++ b/Tests/LibSchedule/TestCrashIsolation.cpp
@@ -43,7 +43,7 @@
 BOOST_AUTO_TEST_CASE(a_crash_is_told_from_a_lapse_and_from_an_executor_that_leaves)
 {
   Executor executor;
-  executor.mListedIncarnation = 7;
+  executor.mProcess.mIncarnation = 7;
   PlacedRun run;
   run.mState = RunState::Running;
   run.mIncarnation = 7;
@@ -58,7 +58,7 @@
   BOOST_TEST(!HasCrashedUnder(executor, run));
   executor.mDrainReason = DrainReason::None;
   executor.mEntry.mState = ExecutorState::Ready;
-  executor.mListedIncarnation = 8;
+  executor.mProcess.mIncarnation = 8;
   BOOST_TEST(HasCrashedUnder(executor, run));
   run.mState = RunState::Recording;
   BOOST_TEST(!HasCrashedUnder(executor, run));
--- a/Tests/LibSchedule/TestPlacementPreview.cpp
+++ b/Tests/LibSchedule/TestPlacementPreview.cpp
@@ -75,7 +75,7 @@
   AddExecutor("small", 1);
   AddExecutor("draining", 8).mDrainReason = DrainReason::ForMove;
   AddExecutor("silent", 8).mUnansweredCalls = 1;
-  AddExecutor("failing", 8).mBackOffUntil = kNow + 1s;
+  AddExecutor("failing", 8).mProcess.mBackOffUntil = kNow + 1s;
   AddExecutor("other", 8).mEntry.mService = ServiceName("t");
   auto step = Preview({ MakeStep(1, 2) }).mSteps.at(0);
   BOOST_TEST(step.mPlaced.empty());
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -97,8 +97,8 @@
 BOOST_AUTO_TEST_CASE(ends_are_acknowledged_to_an_executor_that_has_just_answered)
 {
   Owner owner;
-  owner.TheExecutor().mRecordedEnds = 5;
-  owner.TheExecutor().mProcessedEnds = 5;
+  owner.TheExecutor().mProcess.mRecordedEnds = 5;
+  owner.TheExecutor().mProcess.mProcessedEnds = 5;
   owner.Advance(Later(20ms));
   BOOST_TEST(owner.OnlyHeartbeat().mLastSeen == 5);
 }
@@ -109,8 +109,8 @@
 BOOST_AUTO_TEST_CASE(ends_are_not_acknowledged_to_an_executor_that_may_have_restarted)
 {
   Owner owner;
-  owner.TheExecutor().mRecordedEnds = 5;
-  owner.TheExecutor().mProcessedEnds = 5;
+  owner.TheExecutor().mProcess.mRecordedEnds = 5;
+  owner.TheExecutor().mProcess.mProcessedEnds = 5;
   owner.Advance(Later(1s));
   auto call = owner.OnlyHeartbeat();
   BOOST_TEST(call.mLastSeen == 0);
@@ -124,8 +124,8 @@
 BOOST_AUTO_TEST_CASE(ends_of_a_former_incarnation_are_never_acknowledged)
 {
   Owner owner;
-  owner.TheExecutor().mRecordedEnds = 5;
-  owner.TheExecutor().mProcessedEnds = 5;
+  owner.TheExecutor().mProcess.mRecordedEnds = 5;
+  owner.TheExecutor().mProcess.mProcessedEnds = 5;
   auto entry = owner.TheExecutor().mEntry;
   ++entry.mIncarnation;
   UpdateExecutor(owner.mShard, Later(10ms), entry);
@@ -135,8 +135,8 @@
   end.mNumber = 1;
   end.mRun = { { JobId("0000000000000009"), 0, 0, 0 }, 1 };
   owner.Answer(Later(30ms), { 0, entry.mIncarnation, { end } });
-  BOOST_TEST(owner.TheExecutor().mRecordedEnds == 0);
-  BOOST_TEST(owner.TheExecutor().mProcessedEnds == 1);
+  BOOST_TEST(owner.TheExecutor().mProcess.mRecordedEnds == 0);
+  BOOST_TEST(owner.TheExecutor().mProcess.mProcessedEnds == 1);
 }
 
 BOOST_AUTO_TEST_CASE(an_owner_with_recent_news_of_the_jobs_places_tasks)
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -207,6 +207,50 @@
   return problems;
 }
 
+// What the simulation says of a task that is started too often after it has crashed executors.
+constexpr std::string_view kTooManyStarts =
+  "was started again and again although it crashes its executors";
+
+SimulationSettings
+DrawDeadlyPlay()
+{
+  SimulationSettings settings;
+  settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+  settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
+  settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
+  settings.mDeadlyJobs = *rc::gen::element(2, 10);
+  return settings;
+}
+
+SimulationSettings
+DrawPlayWithSharedCalls()
+{
+  SimulationSettings settings;
+  settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+  settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
+  settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
+  settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+  settings.mDeadlyJobs = *rc::gen::element(0, 5);
+  // The hosts hand all calls over.
+  settings.mShareCallsDelay = 0ms;
+  settings.mHostMillicores = 1;
+  return settings;
+}
+
+// Checks a play for all that can be wrong but what ends in aLeftOut, unless that is empty.
+void
+CheckPlay(const SimulationSettings& aSettings, std::string_view aLeftOut)
+{
+  auto problems = PlayRandomFaults(aSettings);
+  std::erase_if(problems, [&](const std::string& aProblem) {
+    return !aLeftOut.empty() && aProblem.ends_with(aLeftOut);
+  });
+  for (const auto& problem : problems) {
+    RC_LOG() << problem << "\n";
+  }
+  RC_ASSERT(problems.empty());
+}
+
 }
 
 BOOST_AUTO_TEST_SUITE(TheSimulation)
@@ -711,18 +755,15 @@
 // given up along with them, while hosts, calls and executors fail for other reasons.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_random_faults_and_tasks_that_crash_executors)
 {
-  auto holds = rc::check([] {
-    SimulationSettings settings;
-    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
-    settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
-    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
-    settings.mDeadlyJobs = *rc::gen::element(2, 10);
-    auto problems = PlayRandomFaults(settings);
-    for (const auto& problem : problems) {
-      RC_LOG() << problem << "\n";
-    }
-    RC_ASSERT(problems.empty());
-  });
+  auto holds = rc::check([] { CheckPlay(DrawDeadlyPlay(), {}); });
+  BOOST_TEST(holds);
+}
+
+// The same without the bound on starts after crashes, which is broken with some seeds: what else
+// holds must go on to hold.
+BOOST_AUTO_TEST_CASE(nothing_but_the_bound_on_starts_is_broken_by_tasks_that_crash_executors)
+{
+  auto holds = rc::check([] { CheckPlay(DrawDeadlyPlay(), kTooManyStarts); });
   BOOST_TEST(holds);
 }
 
@@ -769,22 +810,14 @@
 // Guards against calls that another host makes late, twice or for an owner that has lost its shard.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_random_faults_while_hosts_call_for_one_another)
 {
-  auto holds = rc::check([] {
-    SimulationSettings settings;
-    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
-    settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
-    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
-    settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
-    settings.mDeadlyJobs = *rc::gen::element(0, 5);
-    // The hosts hand all calls over.
-    settings.mShareCallsDelay = 0ms;
-    settings.mHostMillicores = 1;
-    auto problems = PlayRandomFaults(settings);
-    for (const auto& problem : problems) {
-      RC_LOG() << problem << "\n";
-    }
-    RC_ASSERT(problems.empty());
-  });
+  auto holds = rc::check([] { CheckPlay(DrawPlayWithSharedCalls(), {}); });
+  BOOST_TEST(holds);
+}
+
+// The same without the bound on starts after crashes.
+BOOST_AUTO_TEST_CASE(nothing_but_the_bound_on_starts_is_broken_while_hosts_call_for_one_another)
+{
+  auto holds = rc::check([] { CheckPlay(DrawPlayWithSharedCalls(), kTooManyStarts); });
   BOOST_TEST(holds);
 }
 
