--- a/Libraries/LibSchedule/Executor.cpp
+++ b/Libraries/LibSchedule/Executor.cpp
@@ -4,15 +4,6 @@
 
 namespace sesameseam::schedule {
 
-namespace {
-
-// A single failure may be the task's fault; this many in a row are attributed to the executor.
-constexpr int kFailuresBeforeBackOff = 3;
-constexpr Duration kInitialBackOff = 2s;
-constexpr int kMaxBackOffDoublings = 3;
-
-}
-
 bool
 MayHaveRestarted(const Executor& aExecutor)
 {
@@ -101,22 +92,4 @@
   return SchedulingObstacle(aExecutor, aNow) == PlacementObstacle::None;
 }
 
-void
-RecordFailure(Executor& aExecutor, Instant aNow)
-{
-  ++aExecutor.mProcess.mConsecutiveFailures;
-  auto excess = aExecutor.mProcess.mConsecutiveFailures - kFailuresBeforeBackOff;
-  if (excess >= 0) {
-    aExecutor.mProcess.mBackOffUntil =
-      aNow + kInitialBackOff * (1 << std::min(excess, kMaxBackOffDoublings));
-  }
-}
-
-void
-RecordSuccess(Executor& aExecutor)
-{
-  aExecutor.mProcess.mConsecutiveFailures = 0;
-  aExecutor.mProcess.mBackOffUntil = Instant();
-}
-
 }
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -90,6 +90,16 @@
   Instant mAt;
 };
 
+// A step of which an executor has failed runs. Refused starts stand under an empty name.
+struct FailedStep
+{
+  StepName mName;
+  int mRuns = 0;
+  Instant mLastAt;
+  // The failures are the step's own fault, and don't speak against the executor.
+  bool mIsAtFault = false;
+};
+
 // What the owner has learned of one process of an executor. Another process under the same id knows
 // and counts nothing of it, so that all of this is replaced together.
 struct ExecutorProcess
@@ -105,7 +115,10 @@
   // The number of the last end that is also stored in the log and may be acknowledged.
   std::int64_t mRecordedEnds = 0;
   std::int64_t mAcknowledgedEnds = 0;
-  int mConsecutiveFailures = 0;
+  // Since its last success.
+  std::vector<FailedStep> mFailedSteps;
+  Instant mRefusedUntil;
+  // It gets no work until then, since it has failed or refused runs.
   Instant mBackOffUntil;
 };
 
@@ -207,10 +220,4 @@
 bool
 IsSchedulable(const Executor& aExecutor, Instant aNow);
 
-// Excludes the executor from placement after repeated failures, with exponential back-off.
-void
-RecordFailure(Executor& aExecutor, Instant aNow);
-void
-RecordSuccess(Executor& aExecutor);
-
 }
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -61,6 +61,17 @@
   Instant mNotBefore;
 };
 
+// How the runs of a step have ended, as far as this owner has seen them.
+struct StepOutcomes
+{
+  // Executors on which runs have failed, each once.
+  std::vector<ExecutorId> mFailedOn;
+  // A run is done or, if it lasts, has been at work.
+  bool mHasSucceeded = false;
+  // Its failures are taken to be its own fault.
+  bool mIsAtFault = false;
+};
+
 struct StepState
 {
   std::vector<Task> mTasks;
@@ -68,6 +79,7 @@
   int mWaiting = 0;
   // Tasks under which an executor has crashed.
   int mSuspects = 0;
+  StepOutcomes mOutcomes;
   // That of all tasks of a gang: a value from any member is valid for the gang, and all members of
   // a run have to start from the same one.
   Checkpoint mGangCheckpoint;
--- a/Libraries/LibSchedule/Model.h
+++ b/Libraries/LibSchedule/Model.h
@@ -147,6 +147,22 @@
   auto operator<=>(const TaskId&) const = default;
 };
 
+// A step of one occurrence of a job.
+struct StepName
+{
+  JobId mJob;
+  int mOccurrence = 0;
+  int mStep = 0;
+
+  auto operator<=>(const StepName&) const = default;
+};
+
+inline StepName
+StepNameOf(const TaskId& aTask)
+{
+  return { aTask.mJob, aTask.mOccurrence, aTask.mStep };
+}
+
 // One attempt to execute a task. The run numbers of a task increase.
 struct TaskRun
 {
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -1,6 +1,7 @@
 #include "LibSchedule/ShardEnds.h"
 
 #include "LibSchedule/CrashIsolation.h"
+#include "LibSchedule/ExecutorBackOff.h"
 #include "LibSchedule/ExecutorEnds.h"
 
 #include <algorithm>
@@ -98,6 +99,58 @@
          std::to_string(bystanders.mPresent) + " others at work ended then";
 }
 
+// Decides anew whose fault the failures of the step are, and tells the executors on which it has
+// failed if that has changed.
+void
+UpdateBlame(Shard& aShard, Instant aNow, Job& aJob, const TaskId& aTask, Actions& aActions)
+{
+  auto& outcomes = StepStateOf(aJob, aTask).mOutcomes;
+  auto isAtFault = IsAtFault(outcomes, aShard.mExecutors);
+  if (isAtFault == outcomes.mIsAtFault) {
+    return;
+  }
+  outcomes.mIsAtFault = isAtFault;
+  for (const auto& id : outcomes.mFailedOn) {
+    auto found = aShard.mExecutors.find(id);
+    if (found != aShard.mExecutors.end()) {
+      SetStepAtFault(found->second, StepNameOf(aTask), isAtFault);
+      LimitBackOff(aShard.mExecutors, found->second, aNow);
+    }
+  }
+  aShard.mNeedsPlacementPass = true;
+  LogEntry entry{ LogLevel::Info, "step-blamed", aJob.mId.mValue };
+  entry.mSubject = std::to_string(aTask.mOccurrence) + "." + std::to_string(aTask.mStep);
+  entry.mOutcome = isAtFault ? "at fault itself" : "not at fault";
+  entry.mReason = "its runs have failed on " + std::to_string(outcomes.mFailedOn.size()) +
+                  " executors and " + (outcomes.mHasSucceeded ? "one" : "none") + " has succeeded";
+  aActions.emplace_back(std::move(entry));
+}
+
+// Counts a failed run, against its executor unless the step is at fault.
+void
+NoteRunFailed(Shard& aShard,
+              Instant aNow,
+              Job& aJob,
+              Executor& aExecutor,
+              const TaskId& aTask,
+              Actions& aActions)
+{
+  auto& outcomes = StepStateOf(aJob, aTask).mOutcomes;
+  auto& failedOn = outcomes.mFailedOn;
+  if (std::find(failedOn.begin(), failedOn.end(), aExecutor.mEntry.mId) == failedOn.end()) {
+    failedOn.push_back(aExecutor.mEntry.mId);
+  }
+  RecordFailure(aExecutor, StepNameOf(aTask), outcomes.mIsAtFault, aNow);
+  UpdateBlame(aShard, aNow, aJob, aTask, aActions);
+  LimitBackOff(aShard.mExecutors, aExecutor, aNow);
+  if (aExecutor.mProcess.mBackOffUntil > aNow) {
+    LogEntry entry{ LogLevel::Info, "executor-put-off", {}, aExecutor.mEntry.mId.mValue };
+    entry.mReason = std::to_string(CountFailures(aExecutor)) + " runs in a row have failed there";
+    entry.mAge = ToMilliseconds(aExecutor.mProcess.mBackOffUntil - aNow);
+    aActions.emplace_back(std::move(entry));
+  }
+}
+
 // An end frees the resources of its run, whether or not the task is known here.
 void
 ApplyEnd(Shard& aShard,
@@ -108,14 +161,17 @@
 {
   RemoveRun(aShard, aExecutor, aEnd.mRun);
   aShard.mNeedsPlacementPass = true;
-  if (aEnd.mKind == EndKind::Done) {
-    RecordSuccess(aExecutor);
-  } else if (aEnd.mKind == EndKind::Failed) {
-    RecordFailure(aExecutor, aNow.mAt);
-  }
   auto* job = FindJob(aShard, aEnd.mRun.mTask.mJob);
   RecordBegin(aShard, job);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aEnd.mRun.mTask);
+  if (aEnd.mKind == EndKind::Done) {
+    RecordSuccess(aExecutor);
+  }
+  if (task != nullptr && aEnd.mKind == EndKind::Done) {
+    NoteStepSucceeded(aShard, aNow.mAt, *job, aEnd.mRun.mTask, aActions);
+  } else if (task != nullptr && aEnd.mKind == EndKind::Failed) {
+    NoteRunFailed(aShard, aNow.mAt, *job, aExecutor, aEnd.mRun.mTask, aActions);
+  }
   if (task == nullptr || IsFinal(job->mPhase)) {
     return;
   }
@@ -140,6 +196,16 @@
 
 }
 
+void
+NoteStepSucceeded(Shard& aShard, Instant aNow, Job& aJob, const TaskId& aTask, Actions& aActions)
+{
+  auto& outcomes = StepStateOf(aJob, aTask).mOutcomes;
+  if (!outcomes.mHasSucceeded) {
+    outcomes.mHasSucceeded = true;
+    UpdateBlame(aShard, aNow, aJob, aTask, aActions);
+  }
+}
+
 void
 RecordCrash(Shard& aShard,
             const Executor& aExecutor,
--- a/Libraries/LibSchedule/ShardEnds.h
+++ b/Libraries/LibSchedule/ShardEnds.h
@@ -16,6 +16,11 @@
           const HeartbeatAnswer& aAnswer,
           Actions& aActions);
 
+// Notes that a run of the task's step is done or, if it lasts, is at work: failures of the step
+// elsewhere are not its own fault.
+void
+NoteStepSucceeded(Shard& aShard, Instant aNow, Job& aJob, const TaskId& aTask, Actions& aActions);
+
 const Step&
 StepOf(const Job& aJob, const TaskId& aTask);
 
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -1,4 +1,5 @@
 #include "LibSchedule/CrashIsolation.h"
+#include "LibSchedule/ExecutorBackOff.h"
 #include "LibSchedule/ExecutorDrain.h"
 #include "LibSchedule/ExecutorEnds.h"
 #include "LibSchedule/ExecutorHeartbeat.h"
@@ -104,7 +105,11 @@
 }
 
 void
-ApplyRunningTask(Shard& aShard, const Now& aNow, Executor& aExecutor, const RunningTask& aRunning)
+ApplyRunningTask(Shard& aShard,
+                 const Now& aNow,
+                 Executor& aExecutor,
+                 const RunningTask& aRunning,
+                 Actions& aActions)
 {
   auto found = aExecutor.mRuns.find(aRunning.mRun);
   auto isNew = found == aExecutor.mRuns.end();
@@ -136,6 +141,9 @@
     detail::RequestStop(aExecutor, aRunning.mRun);
     return;
   }
+  if (run.mIsLongRunning && aRunning.mPercent == kFullSpeed) {
+    detail::NoteStepSucceeded(aShard, aNow.mAt, *job, aRunning.mRun.mTask, aActions);
+  }
   run.mTargetTailLatency = detail::StepOf(*job, aRunning.mRun.mTask).mTargetTailLatency;
   KeepCheckpoint(*job, aRunning.mRun, aRunning.mCheckpoint);
   if (task->mCrashes > 0 && HasProvenHarmless(run, aNow.mAt)) {
@@ -531,7 +539,7 @@
   }
   detail::ApplyEnds(aShard, aNow, *executor, aAnswer, aActions);
   for (const auto& running : aAnswer.mRunning) {
-    ApplyRunningTask(aShard, aNow, *executor, running);
+    ApplyRunningTask(aShard, aNow, *executor, running, aActions);
   }
   if (aAnswer.mUnreadable > 0) {
     LogEntry entry{ LogLevel::Warning, "list-unreadable", {}, executor->mEntry.mId.mValue };
@@ -593,9 +601,7 @@
   }
   if (aAnswer.mRefusal == StartRefusal::Unhealthy ||
       aAnswer.mRefusal == StartRefusal::InsufficientCapacity) {
-    RecordFailure(*executor, aNow.mAt);
-    executor->mProcess.mBackOffUntil =
-      std::max(executor->mProcess.mBackOffUntil, aNow.mAt + kStopRetryDelay);
+    RecordRefusal(*executor, aNow.mAt);
   } else if (aAnswer.mRefusal != StartRefusal::NotSent) {
     // Its clock or its runs differ from what is known here; the next heartbeat answer updates them.
     executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
--- a/Libraries/LibStandIn/FakeExecutor.cpp
+++ b/Libraries/LibStandIn/FakeExecutor.cpp
@@ -15,6 +15,8 @@
 using schedule::TaskRun;
 
 constexpr std::chrono::milliseconds kStopTime = 200ms;
+// How soon a run on a sick executor fails.
+constexpr std::chrono::milliseconds kTimeToFail = 50ms;
 constexpr int kReportedPercent = 100;
 // The tail latency of a run that serves undisturbed.
 constexpr std::chrono::milliseconds kCalmTail = 40ms;
@@ -191,9 +193,9 @@
   ExtendLease(aExecutor, aCall.mLeaseEnd, aNow);
   auto work = ParseWork(aCall.mSpec);
   FakeRun run;
-  run.mEndsAt = aNow + work.mTime;
-  run.mRunsUntilStopped = work.mRunsUntilStopped;
-  run.mFails = work.mFails;
+  run.mEndsAt = aNow + (aExecutor.mIsSick ? std::min(work.mTime, kTimeToFail) : work.mTime);
+  run.mRunsUntilStopped = work.mRunsUntilStopped && !aExecutor.mIsSick;
+  run.mFails = work.mFails || aExecutor.mIsSick;
   run.mServes = work.mServes;
   run.mFills = work.mFills;
   aExecutor.mRuns.emplace(aCall.mRun, run);
--- a/Libraries/LibStandIn/FakeExecutor.h
+++ b/Libraries/LibStandIn/FakeExecutor.h
@@ -40,6 +40,8 @@
   std::vector<schedule::TaskEnd> mEnds;
   std::int64_t mNextEnd = 1;
   bool mIsUp = true;
+  // All that it starts fails soon.
+  bool mIsSick = false;
   // By how much a run that fills raises the tail latency of those that serve, at full speed.
   std::chrono::milliseconds mDisturbance{ 0 };
 };
--- a/Tests/LibSchedule/FleetPlay.h
+++ b/Tests/LibSchedule/FleetPlay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "Actions.h"
+#include "LibSchedule/ExecutorBackOff.h"
 #include "LibSchedule/HostIndex.h"
 #include "LibSchedule/Rebalance.h"
 #include "Steps.h"
@@ -265,7 +266,7 @@
           EndRun(aShard, executor, run, TaskState::Done);
           continue;
         }
-        RecordFailure(executor, mNow.mAt);
+        RecordFailure(executor, StepNameOf(run.mTask), false, mNow.mAt);
         if (auto job = aShard.mJobs.find(run.mTask.mJob); job != aShard.mJobs.end()) {
           AddCrash(job->second, run.mTask);
         }
--- a/Tests/LibSchedule/TestPlacement.cpp
+++ b/Tests/LibSchedule/TestPlacement.cpp
@@ -1,3 +1,4 @@
+#include "LibSchedule/ExecutorBackOff.h"
 #include "LibSchedule/Placement.h"
 #include "LibSchedule/QueueOrder.h"
 #include "Steps.h"
@@ -193,10 +194,11 @@
   executor.mUnansweredCalls = 1;
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
   executor.mUnansweredCalls = 0;
-  RecordFailure(executor, kNow);
+  StepName step{ JobId("0000000000000001"), 0, 0 };
+  RecordFailure(executor, step, false, kNow);
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
-  RecordFailure(executor, kNow);
-  RecordFailure(executor, kNow);
+  RecordFailure(executor, step, false, kNow);
+  RecordFailure(executor, step, false, kNow);
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "");
   RecordSuccess(executor);
   BOOST_TEST(fleet.Choose(MakeStep(1, 1)) == "x");
