--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -1,11 +1,15 @@
 #include "LibHttp/EventHttpClient.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
+#include <cerrno>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
+#include <netinet/in.h>
+#include <utility>
 
 namespace sesameseam {
 
@@ -43,6 +47,28 @@
   return body;
 }
 
+// Whether no connection could be opened. libevent then gives the request back without a response; a
+// connection that breaks later gives no request.
+bool
+HasNotConnected(evhttp_request* aRequest, bool aIsNewConnection)
+{
+  return aRequest != nullptr && aIsNewConnection && evhttp_request_get_response_code(aRequest) == 0;
+}
+
+struct Endpoint
+{
+  std::string mHost;
+  std::uint16_t mPort = 0;
+};
+
+Endpoint
+ParseEndpoint(const std::string& aAddress)
+{
+  auto colon = aAddress.rfind(':');
+  auto port = std::atoi(aAddress.c_str() + colon + 1);
+  return { aAddress.substr(0, colon), static_cast<std::uint16_t>(port) };
+}
+
 // The bytes of an answer's body that have arrived. libevent leaves them with the connection until
 // the body is complete.
 std::size_t
@@ -79,6 +105,8 @@
   evhttp_connection* mConnection = nullptr;
   // Owned by the connection, which frees it along with itself.
   evhttp_request* mSent = nullptr;
+  // The connection that only tells whether anything listens.
+  bufferevent* mCheck = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
   std::chrono::steady_clock::time_point mSentAt;
   Duration mWaitedForConnection{ 0 };
@@ -118,6 +146,9 @@
       if (exchange->mConnection != nullptr) {
         evhttp_connection_free(exchange->mConnection);
       }
+      if (exchange->mCheck != nullptr) {
+        bufferevent_free(exchange->mCheck);
+      }
     }
     for (const auto& idle : lane->mIdle) {
       evhttp_connection_free(idle.mConnection);
@@ -198,10 +229,8 @@
 evhttp_connection*
 EventHttpClient::Connect(const Lane& aLane)
 {
-  auto colon = aLane.mAddress.rfind(':');
-  auto host = aLane.mAddress.substr(0, colon);
-  auto port = static_cast<std::uint16_t>(std::atoi(aLane.mAddress.c_str() + colon + 1));
-  auto* connection = evhttp_connection_base_new(mBase, nullptr, host.c_str(), port);
+  auto to = ParseEndpoint(aLane.mAddress);
+  auto* connection = evhttp_connection_base_new(mBase, nullptr, to.mHost.c_str(), to.mPort);
   evhttp_connection_set_retries(connection, 0);
   evhttp_connection_set_timeout(connection, kIdleLimitSeconds);
   evhttp_connection_set_max_body_size(connection, mSettings.mMaxBodyBytes);
@@ -214,6 +243,10 @@
 {
   auto& exchange = *static_cast<Exchange*>(aExchange);
   EventHttpResponse response;
+  if (exchange.mRequest.mAsksForListener && HasNotConnected(aRequest, !exchange.mIdleBefore)) {
+    exchange.mClient->CheckListener(exchange);
+    return;
+  }
   if (aRequest != nullptr && evhttp_request_get_response_code(aRequest) != 0) {
     response.mAnswered = true;
     response.mStatus = evhttp_request_get_response_code(aRequest);
@@ -223,6 +256,48 @@
   exchange.mClient->Finish(exchange, std::move(response));
 }
 
+void
+EventHttpClient::Abandon(Exchange& aExchange)
+{
+  --aExchange.mLane->mOpen;
+  mBroken.push_back(std::exchange(aExchange.mConnection, nullptr));
+  timeval now{};
+  evtimer_add(mCleanUp, &now);
+}
+
+void
+EventHttpClient::CheckListener(Exchange& aExchange)
+{
+  Abandon(aExchange);
+  auto to = ParseEndpoint(aExchange.mRequest.mAddress);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(to.mPort);
+  auto isValid = inet_pton(AF_INET, to.mHost.c_str(), &address.sin_addr) == 1;
+  aExchange.mCheck =
+    isValid ? bufferevent_socket_new(mBase, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)
+            : nullptr;
+  if (aExchange.mCheck == nullptr) {
+    Finish(aExchange, {});
+    return;
+  }
+  bufferevent_setcb(aExchange.mCheck, nullptr, nullptr, OnListenerCheck, &aExchange);
+  auto* to4 = reinterpret_cast<sockaddr*>(&address);
+  if (bufferevent_socket_connect(aExchange.mCheck, to4, sizeof address) != 0) {
+    Finish(aExchange, {});
+  }
+}
+
+void
+EventHttpClient::OnListenerCheck(bufferevent* /*aConnection*/, short aWhat, void* aExchange)
+{
+  auto error = EVUTIL_SOCKET_ERROR();
+  auto& exchange = *static_cast<Exchange*>(aExchange);
+  EventHttpResponse response;
+  response.mHasNoListener = (aWhat & BEV_EVENT_ERROR) != 0 && error == ECONNREFUSED;
+  exchange.mClient->Finish(exchange, std::move(response));
+}
+
 void
 EventHttpClient::OnTimeout(int /*aDescriptor*/, short /*aWhat*/, void* aExchange)
 {
@@ -293,10 +368,10 @@
   if (aExchange.mConnection != nullptr && aResponse.mAnswered) {
     lane.mIdle.push_back({ aExchange.mConnection, std::chrono::steady_clock::now() });
   } else if (aExchange.mConnection != nullptr) {
-    --lane.mOpen;
-    mBroken.push_back(aExchange.mConnection);
-    timeval now{};
-    evtimer_add(mCleanUp, &now);
+    Abandon(aExchange);
+  }
+  if (aExchange.mCheck != nullptr) {
+    bufferevent_free(aExchange.mCheck);
   }
   auto callback = std::move(aExchange.mCallback);
   lane.mExchanges.erase(aExchange.mSelf);
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -14,6 +14,7 @@
 #include <utility>
 #include <vector>
 
+struct bufferevent;
 struct event;
 struct event_base;
 struct evhttp_connection;
@@ -41,12 +42,18 @@
   Duration mTimeoutWhileReceiving{ 0 };
   // 0 for mTimeout.
   Duration mStallTimeout{ 0 };
+  // If no connection can be opened, the answer says whether one was refused. That takes a second
+  // attempt to connect.
+  bool mAsksForListener = false;
 };
 
 struct EventHttpResponse
 {
   // There is a whole answer. Otherwise the request may have been carried out, or may be later.
   bool mAnswered = false;
+  // Nothing listens at the address, so that no process has received the request. Only if that was
+  // asked for.
+  bool mHasNoListener = false;
   int mStatus = 0;
   std::string mBody;
   // The bytes of the body that have arrived, also of an answer that is not complete.
@@ -101,12 +108,17 @@
   struct Exchange;
 
   static void OnAnswer(evhttp_request* aRequest, void* aExchange);
+  static void OnListenerCheck(bufferevent* aConnection, short aWhat, void* aExchange);
   static void OnTimeout(int aDescriptor, short aWhat, void* aExchange);
   static void OnCleanUp(int aDescriptor, short aWhat, void* aClient);
 
   void Send(Lane& aLane, Exchange& aExchange);
   void Finish(Exchange& aExchange, EventHttpResponse aResponse);
   void SendNext(Lane& aLane);
+  // Opens a connection only to see whether it is refused, which libevent doesn't tell of its own.
+  void CheckListener(Exchange& aExchange);
+  // Gives the connection of the exchange up.
+  void Abandon(Exchange& aExchange);
   // Closes the idle connections to an address that have had no answer since the given time, in all
   // lanes. Connections can fall silent together without being closed, and each would cost a
   // timeout.
--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -155,8 +155,10 @@
   DrainReason mDrainReason = DrainReason::None;
   // Its entry said that it drains before it was removed.
   bool mHasAnnouncedLeave = false;
-  // Another executor has answered at its address: its process has ended, and all runs with it.
+  // Another executor has answered at its address, or nothing listens there: its process has ended,
+  // and all runs with it.
   bool mIsReplaced = false;
+  bool mHasNoListener = false;
   // It does not answer, or is no longer listed: its process may have ended.
   bool mIsMissing = false;
   // When its process ended, if it did. Kept after it answers again, if it had restarted.
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -89,6 +89,8 @@
   // Another executor answered at the address, so that the process of the one that was called has
   // ended.
   bool mIsFromAnother = false;
+  // Nothing listens at the address, so that the process has ended too.
+  bool mHasNoListener = false;
   std::int64_t mIncarnation = 0;
   std::chrono::milliseconds mClock{ 0 };
   std::vector<RunningTask> mRunning;
@@ -126,6 +128,8 @@
   OtherIncarnation,
   // The relay got the call too late and did not make it.
   NotSent,
+  // Nothing listens at the executor's address. Only for heartbeats that a relay has made.
+  NoListener,
 };
 
 struct StartAnswer
--- a/Libraries/LibSchedule/ExecutorEnds.cpp
+++ b/Libraries/LibSchedule/ExecutorEnds.cpp
@@ -98,6 +98,8 @@
       return "it has left the list";
     case EndSign::Replaced:
       return "another executor has its address";
+    case EndSign::NoListener:
+      return "nothing listens at its address";
   }
   return "unknown";
 }
@@ -116,8 +118,13 @@
   if (aExecutor.mEntry.mState == ExecutorState::Gone) {
     return EndSign::LeftList;
   }
-  auto isReplaced = aExecutor.mIsReplaced && aExecutor.mEntry.mState != ExecutorState::Draining;
-  return isReplaced ? EndSign::Replaced : EndSign::None;
+  if (aExecutor.mEntry.mState == ExecutorState::Draining) {
+    return EndSign::None;
+  }
+  if (aExecutor.mIsReplaced) {
+    return EndSign::Replaced;
+  }
+  return aExecutor.mHasNoListener ? EndSign::NoListener : EndSign::None;
 }
 
 bool
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -129,7 +129,9 @@
 Fill(const HeartbeatAnswer& aAnswer, RelayedResult& aResult)
 {
   aResult.mFenced = aAnswer.mFenced;
-  aResult.mRefusal = aAnswer.mIsFromAnother ? StartRefusal::OtherIncarnation : StartRefusal::None;
+  aResult.mRefusal = aAnswer.mIsFromAnother   ? StartRefusal::OtherIncarnation
+                     : aAnswer.mHasNoListener ? StartRefusal::NoListener
+                                              : StartRefusal::None;
   aResult.mIncarnation = aAnswer.mIncarnation;
   aResult.mClock = aAnswer.mClock;
   aResult.mRunning = aAnswer.mRunning;
@@ -160,6 +162,7 @@
   HeartbeatAnswer answer{ std::move(aCall), aResult.mResult };
   answer.mFenced = aResult.mFenced;
   answer.mIsFromAnother = aResult.mRefusal == StartRefusal::OtherIncarnation;
+  answer.mHasNoListener = aResult.mRefusal == StartRefusal::NoListener;
   answer.mIncarnation = aResult.mIncarnation;
   answer.mClock = aResult.mClock;
   answer.mRunning = std::move(aResult.mRunning);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -46,9 +46,10 @@
 void
 RecordUnansweredHeartbeat(Executor& aExecutor, const HeartbeatAnswer& aAnswer, Instant aNow)
 {
-  // Another executor at its address has not come in this moment.
-  auto wait = aAnswer.mIsFromAnother ? 0ms : aAnswer.mCall.mWait;
-  auto calledAt = aAnswer.mIsFromAnother ? aExecutor.mHeartbeatAnsweredAt : aAnswer.mSentAt;
+  // A process of which only the absence is found has not ended in this moment.
+  auto hasEnded = aAnswer.mIsFromAnother || aAnswer.mHasNoListener;
+  auto wait = hasEnded ? 0ms : aAnswer.mCall.mWait;
+  auto calledAt = hasEnded ? aExecutor.mHeartbeatAnsweredAt : aAnswer.mSentAt;
   NoteUnanswered(aExecutor, calledAt, wait, aNow);
   auto doublings = std::min(aExecutor.mUnansweredCalls, kMaxRetryDoublings);
   aExecutor.mRetryAt = aNow + kInitialRetryDelay * (1 << doublings);
@@ -306,20 +307,37 @@
   }
 }
 
-// Drops the runs of an executor whose address another executor has, provided that they were there
-// when that one was called.
-void
-DropRunsOfReplaced(Shard& aShard,
-                   const Now& aNow,
-                   Executor& aExecutor,
-                   Instant aCalledAt,
-                   Actions& aActions)
+// Whether the process of an executor that had ended by aCalledAt may still be followed by one that
+// carries out the start of the run: it was not answered, or was sent by a former owner, which may
+// have sent it some time after it had lost the shard.
+bool
+MayStillArrive(const Shard& aShard, const PlacedRun& aRun, Instant aCalledAt)
 {
-  aExecutor.mIsReplaced = true;
+  if (aRun.mKnownIn != 0 || aRun.mState == RunState::Running) {
+    return false;
+  }
+  auto isOwn = aRun.mEpoch == aShard.mEpoch;
+  return LatestArrival(aRun.mStateSince + (isOwn ? 0ms : kMaxUnconfirmedToStart), 0ms) > aCalledAt;
+}
+
+// Drops the runs of an executor whose process has ended, provided that they were there when a call
+// found that out.
+void
+DropRunsOfEnded(Shard& aShard,
+                const Now& aNow,
+                Executor& aExecutor,
+                const HeartbeatAnswer& aAnswer,
+                Actions& aActions)
+{
+  aExecutor.mIsReplaced = aAnswer.mIsFromAnother;
+  aExecutor.mHasNoListener = aAnswer.mHasNoListener;
+  auto sign = aAnswer.mIsFromAnother ? EndSign::Replaced : EndSign::NoListener;
   std::vector<LostRun> ended;
   for (const auto& [name, run] : aExecutor.mRuns) {
-    if (run.mState != RunState::Recording && run.mStateSince < aCalledAt) {
-      ended.push_back({ name, "another executor has its address" });
+    // A call for the former executor is not carried out by another one.
+    auto mayArrive = aAnswer.mHasNoListener && MayStillArrive(aShard, run, aAnswer.mSentAt);
+    if (run.mState != RunState::Recording && run.mStateSince < aAnswer.mSentAt && !mayArrive) {
+      ended.push_back({ name, std::string(NameOf(sign)) });
     }
   }
   MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
@@ -507,8 +525,9 @@
     RecordUnansweredHeartbeat(*executor, aAnswer, aNow.mAt);
     ++aShard.mAnswerChanges;
     // An executor that answers at another address by now may go on.
-    if (aAnswer.mIsFromAnother && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
-      DropRunsOfReplaced(aShard, aNow, *executor, aAnswer.mSentAt, aActions);
+    auto hasEnded = aAnswer.mIsFromAnother || aAnswer.mHasNoListener;
+    if (hasEnded && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
+      DropRunsOfEnded(aShard, aNow, *executor, aAnswer, aActions);
     }
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
       aShard.mResponsivenessToRecord.insert(executor->mEntry.mId);
@@ -523,6 +542,7 @@
   aShard.mAnswerChanges += hasBegunToAnswer ? 1 : 0;
   executor->mUnansweredCalls = 0;
   executor->mIsReplaced = false;
+  executor->mHasNoListener = false;
   NoteAnswered(*executor, aAnswer.mIncarnation, aNow.mAt);
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
   if (!executor->mHasAnsweredHeartbeat) {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -33,6 +33,8 @@
   double mAnswerLoss = 0;
   // Probability that an order to an executor is not answered and is executed 2 to 8 s late.
   double mLateOrders = 0;
+  // Whether a connection to an executor that is down is refused; otherwise calls to it are lost.
+  bool mRefusesWhenDown = false;
   // Of a hundred jobs that a test with random faults submits, how many crash their executors.
   int mDeadlyJobs = 0;
   // The time that the store takes for each call.
@@ -255,6 +257,8 @@
                     const schedule::Event& aWithoutAnswer,
                     const std::function<schedule::Event(FakeExecutor&)>& aWork);
   FakeExecutor* FindExecutor(const schedule::ExecutorAddress& aTo);
+  // Whether a call there finds a machine, but no process.
+  [[nodiscard]] bool HasNoListener(const schedule::ExecutorAddress& aTo) const;
   void AnswerRead(int aHost,
                   int aIncarnation,
                   const schedule::ReadCall& aCall,
--- a/Libraries/LibStandIn/SimulationCalls.cpp
+++ b/Libraries/LibStandIn/SimulationCalls.cpp
@@ -119,6 +119,20 @@
   return nullptr;
 }
 
+bool
+Simulation::HasNoListener(const schedule::ExecutorAddress& aTo) const
+{
+  if (!mSettings.mRefusesWhenDown) {
+    return false;
+  }
+  for (std::size_t i = 0; i < mExecutors.size(); ++i) {
+    if (mExecutors[i].mEntry.mAddress == aTo.mAddress) {
+      return !mExecutors[i].mIsUp && !mCutExecutors.contains(static_cast<int>(i));
+    }
+  }
+  return false;
+}
+
 void
 Simulation::CallExecutor(int aHost,
                          const schedule::ExecutorAddress& aTo,
@@ -351,6 +365,11 @@
   schedule::HeartbeatAnswer lost;
   lost.mCall = aCall;
   lost.mSentAt = sentAt;
+  if (HasNoListener(aCall.mTo)) {
+    lost.mHasNoListener = true;
+    ScheduleAfter(2 * kNetworkLatency, [=, this] { Deliver(aHost, incarnation, lost); });
+    return;
+  }
   if (FindExecutor(aCall.mTo) == nullptr || Chance(mSettings.mAnswerLoss)) {
     ScheduleAfter(kCallTimeout, [=, this] { Deliver(aHost, incarnation, lost); });
     return;
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -44,6 +44,14 @@
   return request;
 }
 
+EventHttpRequest
+AskForListener(const std::string& aAddress)
+{
+  auto request = Order(aAddress);
+  request.mAsksForListener = true;
+  return request;
+}
+
 // Makes the calls one after the other and gives their answers.
 std::vector<EventHttpResponse>
 CallInTurn(event_base* aBase,
@@ -377,6 +385,51 @@
   BOOST_TEST(!CallInTurn(base.get(), client, Order(address, 500ms), 1)[0].mAnswered);
 }
 
+// Guards against runs that are taken to have ended with a process that goes on (TWICE): only a
+// connection that is refused says that nothing listens, not one that breaks or stays silent.
+BOOST_AUTO_TEST_CASE(only_a_refused_connection_says_that_nothing_listens)
+{
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto nobody = std::make_unique<RawServer>([](int, int) { return false; });
+  auto closed = AddressOf(*nobody);
+  nobody.reset();
+  RawServer breaks([](int, int) { return false; });
+  RawServer silent([](int, int) {
+    std::this_thread::sleep_for(400ms);
+    return false;
+  });
+  for (int i = 0; i < 2; ++i) {
+    BOOST_TEST(CallInTurn(base.get(), client, AskForListener(closed), 1)[0].mHasNoListener);
+    BOOST_TEST(!CallInTurn(base.get(), client, Order(closed), 1)[0].mHasNoListener);
+    BOOST_TEST(
+      !CallInTurn(base.get(), client, AskForListener(AddressOf(breaks)), 1)[0].mHasNoListener);
+    auto late = AskForListener(AddressOf(silent));
+    late.mTimeout = 100ms;
+    BOOST_TEST(!CallInTurn(base.get(), client, late, 1)[0].mHasNoListener);
+  }
+}
+
+// An open connection that breaks because the process has ended tells nothing of the address.
+BOOST_AUTO_TEST_CASE(a_connection_that_was_open_before_never_says_that_nothing_listens)
+{
+  RawServer server([](int aDescriptor, int aRequest) {
+    if (aRequest == 1) {
+      SendText(aDescriptor, kWholeAnswer);
+    }
+    return aRequest == 1;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  BOOST_TEST(CallInTurn(base.get(), client, AskForListener(AddressOf(server)), 1)[0].mAnswered);
+  server.CloseListener();
+  auto second = CallInTurn(base.get(), client, AskForListener(AddressOf(server)), 1)[0];
+  BOOST_TEST(!second.mAnswered);
+  BOOST_TEST(!second.mHasNoListener);
+  BOOST_TEST(
+    CallInTurn(base.get(), client, AskForListener(AddressOf(server)), 1)[0].mHasNoListener);
+}
+
 BOOST_AUTO_TEST_CASE(calls_beyond_the_connections_wait_their_turn)
 {
   RawServer server([](int aDescriptor, int) {
--- a/Tests/LibSchedule/TestLostExecutors.cpp
+++ b/Tests/LibSchedule/TestLostExecutors.cpp
@@ -26,6 +26,23 @@
   return -1;
 }
 
+// The host that owns the shard of the jobs in these tests.
+int
+OwnerOf(const Simulation& aSimulation)
+{
+  auto partition = PartitionOf(ServiceName("previews"), aSimulation.mStore.mGroup.mPartitions);
+  for (std::size_t i = 0; i < aSimulation.mHosts.size(); ++i) {
+    const auto& host = aSimulation.mHosts[i];
+    auto shard = host.mNode.mShards.find(partition);
+    auto isOwner = shard != host.mNode.mShards.end() && shard->second.mPhase == ShardPhase::Active;
+    if (host.mIsUp && isOwner) {
+      return static_cast<int>(i);
+    }
+  }
+  BOOST_REQUIRE_MESSAGE(false, "no host owns the shard");
+  return -1;
+}
+
 // Waits until the job runs, for half a minute at most.
 int
 AwaitRun(Simulation& aSimulation, const JobId& aJob)
@@ -57,6 +74,40 @@
 
 BOOST_AUTO_TEST_SUITE(ExecutorsThatAreLost)
 
+// Guards against a task that lasts and is away for 11.5 s (LOST): its executor and the owner of its
+// shard ended at the same moment, and the next owner waited for the longest lease that may have
+// been given, although nothing listened at the executor's address.
+BOOST_AUTO_TEST_CASE(a_task_that_lasts_is_soon_back_after_its_executor_and_its_owner_have_ended)
+{
+  Simulation simulation({ .mExecutors = 4, .mRefusesWhenDown = true });
+  simulation.RunFor(kStart);
+  auto lasting = simulation.Submit(0, { MakeLongRunningStep(1, 1, 0) }, "lasts");
+  auto executor = AwaitRun(simulation, lasting);
+  BOOST_REQUIRE(executor >= 0);
+  simulation.RunFor(4s);
+  simulation.CrashExecutorFor(executor, 1000s, false);
+  simulation.Kill(OwnerOf(simulation));
+  simulation.RunFor(6s);
+  BOOST_TEST(ExecutorOf(simulation, lasting) >= 0);
+  CheckInvariants(simulation);
+}
+
+// The opposite error: the executor is only cut off, and two runs of the task would be at work.
+BOOST_AUTO_TEST_CASE(a_task_on_an_executor_that_is_cut_off_waits_for_its_lease_when_its_owner_ends)
+{
+  Simulation simulation({ .mExecutors = 4, .mRefusesWhenDown = true });
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(1, 1, 20s) }, "20000");
+  auto executor = AwaitRun(simulation, job);
+  BOOST_REQUIRE(executor >= 0);
+  simulation.RunFor(4s);
+  simulation.CutExecutor(executor, true);
+  simulation.Kill(OwnerOf(simulation));
+  simulation.RunFor(14s);
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  CheckInvariants(simulation);
+}
+
 // Guards against a job that lasts and is shown as failed, with its other tasks stopped, after three
 // executors have crashed under one of its tasks (LOST, AVAIL).
 BOOST_AUTO_TEST_CASE(a_job_that_lasts_is_not_given_up_however_often_its_executors_crash)
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -673,6 +673,9 @@
   HeartbeatAnswer fromAnother{ heartbeat, CallResult::Refused };
   fromAnother.mIsFromAnother = true;
   response.mResults.push_back(ToRelayedResult(3, fromAnother));
+  HeartbeatAnswer fromNobody{ heartbeat };
+  fromNobody.mHasNoListener = true;
+  response.mResults.push_back(ToRelayedResult(4, fromNobody));
   auto returned = DecodeRelayResponse(EncodeRelayResponse(response)).value();
   BOOST_TEST((returned.mClock == Instant(15s)));
   auto back =
@@ -687,6 +690,9 @@
   BOOST_TEST(!back.mIsFromAnother);
   auto third = ToExecutorAnswer(heartbeat, Instant(1s), returned.mResults[2]);
   BOOST_TEST(std::get<HeartbeatAnswer>(third).mIsFromAnother);
+  BOOST_TEST(!std::get<HeartbeatAnswer>(third).mHasNoListener);
+  auto fourth = ToExecutorAnswer(heartbeat, Instant(1s), returned.mResults[3]);
+  BOOST_TEST(std::get<HeartbeatAnswer>(fourth).mHasNoListener);
 }
 
 BOOST_AUTO_TEST_CASE(a_truncated_message_is_a_typed_error)
--- a/Tests/LibSchedule/TestSimulation.cpp
+++ b/Tests/LibSchedule/TestSimulation.cpp
@@ -840,6 +840,26 @@
   BOOST_TEST(holds);
 }
 
+// Guards against a task that starts anew while its former run goes on (TWICE), because a refused
+// connection was taken for more than it proves.
+BOOST_AUTO_TEST_CASE(no_invariant_is_broken_while_ended_executors_refuse_connections)
+{
+  auto holds = rc::check([] {
+    SimulationSettings settings;
+    settings.mRefusesWhenDown = true;
+    settings.mSeed = *rc::gen::arbitrary<std::uint64_t>();
+    settings.mRequestLoss = *rc::gen::element(0.0, 0.02);
+    settings.mAnswerLoss = *rc::gen::element(0.0, 0.02);
+    settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+    auto problems = PlayRandomFaults(settings, { .mReplacesExecutors = true });
+    for (const auto& problem : problems) {
+      RC_LOG() << problem << "\n";
+    }
+    RC_ASSERT(problems.empty());
+  });
+  BOOST_TEST(holds);
+}
+
 // Settings under which an invariant was broken once.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_under_faults_that_broke_one_before)
 {
