--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -9,6 +9,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <netinet/in.h>
+#include <sys/socket.h>
 #include <utility>
 
 namespace sesameseam {
@@ -69,6 +70,17 @@
   return { aAddress.substr(0, colon), static_cast<std::uint16_t>(port) };
 }
 
+// Has the connection reset when it is closed: what was not delivered yet is discarded.
+void
+ResetOnClose(evhttp_connection* aConnection)
+{
+  auto descriptor = bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection));
+  linger discard{ 1, 0 };
+  if (descriptor >= 0) {
+    setsockopt(descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  }
+}
+
 // The bytes of an answer's body that have arrived. libevent leaves them with the connection until
 // the body is complete.
 std::size_t
@@ -311,6 +323,9 @@
   }
   exchange.mLane->mWaiting.remove(&exchange);
   if (exchange.mConnection != nullptr) {
+    if (exchange.mRequest.mResetsWhenGivenUp) {
+      ResetOnClose(exchange.mConnection);
+    }
     // At once and without a callback: an answer may be there already, and would find no call.
     evhttp_connection_free(exchange.mConnection);
     exchange.mConnection = nullptr;
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -42,6 +42,9 @@
   Duration mTimeoutWhileReceiving{ 0 };
   // 0 for mTimeout.
   Duration mStallTimeout{ 0 };
+  // Resets the connection if there is no answer in time, so that a request that is still on its way
+  // is lost instead of being carried out after the call was given up.
+  bool mResetsWhenGivenUp = false;
   // If no connection can be opened, the answer says whether one was refused. That takes a second
   // attempt to connect.
   bool mAsksForListener = false;
--- a/Libraries/LibSchedule/Lease.h
+++ b/Libraries/LibSchedule/Lease.h
@@ -13,7 +13,8 @@
 //   slowest rate, at a time that is known when the call is sent, however late the call arrives.
 // - For any other run, such as one whose start was not answered: the process that has it may have
 //   started after the last answer, and its clock is not known. The call has arrived by the time at
-//   which its sender gave up, and a lease lasts for the maximum from then on.
+//   which its sender gave up and reset the connection, and a lease lasts for the maximum from then
+//   on.
 //
 // A process that becomes known may have received each call that was sent before. Its leases
 // therefore expire no later than by the second bound.
--- a/Tests/LibHttp/TestEventHttp.cpp
+++ b/Tests/LibHttp/TestEventHttp.cpp
@@ -7,11 +7,15 @@
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <event2/event.h>
+#include <map>
 #include <memory>
 #include <mutex>
+#include <netinet/in.h>
 #include <random>
 #include <set>
+#include <sys/socket.h>
 #include <thread>
+#include <unistd.h>
 
 using namespace sesameseam;
 
@@ -410,6 +414,44 @@
   }
 }
 
+// Guards against two runs of a task (TWICE): a start that was given up, and that its sender's
+// machine still held, was delivered seconds later.
+BOOST_AUTO_TEST_CASE(what_is_not_delivered_of_a_request_that_was_given_up_never_is)
+{
+  // More than both machines' buffers hold.
+  constexpr std::size_t kBody = 16 << 20;
+  constexpr int kReceiveBuffer = 16 << 10;
+  std::map<bool, std::size_t> received;
+  for (auto resets : { false, true }) {
+    auto listener = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &kReceiveBuffer, sizeof kReceiveBuffer);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof address;
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    BOOST_REQUIRE(bind(listener, generic, length) == 0);
+    BOOST_REQUIRE(listen(listener, 4) == 0);
+    BOOST_REQUIRE(getsockname(listener, generic, &length) == 0);
+    Base base(event_base_new());
+    EventHttpClient client(base.get(), {});
+    auto order = Order("127.0.0.1:" + std::to_string(ntohs(address.sin_port)), 200ms);
+    order.mBody.assign(kBody, 'x');
+    order.mResetsWhenGivenUp = resets;
+    BOOST_TEST(!CallInTurn(base.get(), client, order, 1)[0].mAnswered);
+    auto connection = accept(listener, nullptr, nullptr);
+    std::vector<char> buffer(1 << 16);
+    for (ssize_t count = 1; count > 0;) {
+      count = recv(connection, buffer.data(), buffer.size(), 0);
+      received[resets] += count > 0 ? static_cast<std::size_t>(count) : 0;
+    }
+    close(connection);
+    close(listener);
+  }
+  // Of what was given up, the receiver gets only what it had already.
+  BOOST_TEST(received[true] < received[false]);
+}
+
 // An open connection that breaks because the process has ended tells nothing of the address.
 BOOST_AUTO_TEST_CASE(a_connection_that_was_open_before_never_says_that_nothing_listens)
 {
