--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -117,6 +117,7 @@
   std::int64_t mAcknowledgedEnds = 0;
   // Since its last success.
   std::vector<FailedStep> mFailedSteps;
+  // It gets no work until then, since it has refused a start.
   Instant mRefusedUntil;
   // It gets no work until then, since it has failed or refused runs.
   Instant mBackOffUntil;
@@ -155,9 +156,9 @@
   DrainReason mDrainReason = DrainReason::None;
   // Its entry said that it drains before it was removed.
   bool mHasAnnouncedLeave = false;
-  // Another executor has answered at its address, or nothing listens there: its process has ended,
-  // and all runs with it.
+  // Another executor has answered at its address: its process has ended, and all runs with it.
   bool mIsReplaced = false;
+  // Nothing listens at its address, which says the same.
   bool mHasNoListener = false;
   // It does not answer, or is no longer listed: its process may have ended.
   bool mIsMissing = false;
--- a/Libraries/LibSchedule/ExecutorBackOff.cpp
+++ b/Libraries/LibSchedule/ExecutorBackOff.cpp
@@ -32,6 +32,7 @@
   return aSteps.emplace_back(FailedStep{ aName });
 }
 
+// Reckons anew how long the executor gets no work.
 void
 UpdateBackOff(ExecutorProcess& aProcess)
 {
@@ -51,6 +52,7 @@
   }
 }
 
+// Whether it has failed so many steps since its last success that it may fail whatever it gets.
 bool
 FailsEverything(const Executor& aExecutor)
 {
@@ -78,6 +80,8 @@
   return count;
 }
 
+// Whether the step has failed only on executors that fail everything, which most of their pool
+// don't.
 bool
 HasFailedOnlyWhereAllFails(const StepOutcomes& aOutcomes, const Executors& aExecutors)
 {
