--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -33,6 +33,13 @@
   Alone,
 };
 
+// The value of an executor's clock, and when it was received here.
+struct ClockReading
+{
+  std::chrono::milliseconds mClock{ 0 };
+  Instant mAt;
+};
+
 struct PlacedRun
 {
   Resources mReserved;
@@ -68,6 +75,8 @@
   std::int64_t mIncarnation = 0;
   // The incarnation that is known to have it; 0 if it is not known which one has, if any.
   std::int64_t mKnownIn = 0;
+  // What the clock of the process that has it showed in the answer to its start.
+  std::optional<ClockReading> mClockAtStart;
   // When it is first known to have run: its start was answered, or the executor listed it.
   std::optional<Instant> mBeganAt;
 };
@@ -82,14 +91,6 @@
   ForMove,
 };
 
-// The value of an executor's clock, when it was asked for, and when it was received here.
-struct ClockReading
-{
-  std::chrono::milliseconds mClock{ 0 };
-  Instant mAskedAt;
-  Instant mAt;
-};
-
 // A step of which an executor has failed runs. Refused starts stand under an empty name.
 struct FailedStep
 {
@@ -110,6 +111,10 @@
   // By this time every run that is known to be in this process has ended, unless a lease is
   // renewed.
   Instant mLeasesExpiredAt;
+  // What that was when the process became known, for calls that were sent before.
+  Instant mFormerLeasesExpiredAt;
+  // The latest end of a lease that was asked for since, on its clock.
+  std::chrono::milliseconds mLatestLeaseEnd{ 0 };
   // The number of the last processed end.
   std::int64_t mProcessedEnds = 0;
   // The number of the last end that is also stored in the log and may be acknowledged.
--- a/Libraries/LibSchedule/Lease.cpp
+++ b/Libraries/LibSchedule/Lease.cpp
@@ -6,9 +6,8 @@
 
 namespace {
 
-// The rates at which the steady clock of an executor may run.
+// The slowest rate at which the steady clock of an executor may run.
 constexpr double kMinClockRate = 0.98;
-constexpr double kMaxClockRate = 1.02;
 // Renewals ask for slightly less than the maximum, because the executor shortens longer leases.
 constexpr std::chrono::milliseconds kLeaseMargin = 300ms;
 constexpr std::chrono::milliseconds kExpiryMargin = 150ms;
@@ -21,6 +20,13 @@
   return std::chrono::milliseconds(static_cast<std::int64_t>(length));
 }
 
+// The time by which the slowest clock has come from the reading to the end.
+Instant
+ExpiryByClock(const ClockReading& aReading, std::chrono::milliseconds aEnd)
+{
+  return aReading.mAt + LongestElapsed(aEnd - aReading.mClock) + kExpiryMargin;
+}
+
 bool
 IsInKnownProcess(const Executor& aExecutor, const PlacedRun& aRun)
 {
@@ -46,8 +52,8 @@
   if (!process.mClockReading || aRequest.mEnd.count() == 0) {
     return;
   }
-  auto byItsClock = process.mClockReading->mAt +
-                    LongestElapsed(aRequest.mEnd - process.mClockReading->mClock) + kExpiryMargin;
+  auto byItsClock = ExpiryByClock(*process.mClockReading, aRequest.mEnd);
+  process.mLatestLeaseEnd = std::max(process.mLatestLeaseEnd, aRequest.mEnd);
   process.mLeasesExpiredAt = std::max(process.mLeasesExpiredAt, byItsClock);
   aExecutor.mAllLeasesExpiredAt =
     std::max(aExecutor.mAllLeasesExpiredAt, LatestLeaseExpiry(aLimits, aRequest.mArrivesBy));
@@ -62,8 +68,18 @@
 Instant
 LeaseExpiryOf(const Executor& aExecutor, const PlacedRun& aRun)
 {
-  return IsInKnownProcess(aExecutor, aRun) ? aExecutor.mProcess.mLeasesExpiredAt
-                                           : aExecutor.mAllLeasesExpiredAt;
+  const auto& process = aExecutor.mProcess;
+  if (IsInKnownProcess(aExecutor, aRun)) {
+    return process.mLeasesExpiredAt;
+  }
+  // What was asked for by the clock of another process than at its start may have reached it too.
+  auto isOfThisTime = aRun.mIncarnation != 0 && aRun.mIncarnation == process.mIncarnation;
+  if (!aRun.mClockAtStart || !isOfThisTime) {
+    return aExecutor.mAllLeasesExpiredAt;
+  }
+  auto byItsClock = std::max(process.mFormerLeasesExpiredAt,
+                             ExpiryByClock(*aRun.mClockAtStart, process.mLatestLeaseEnd));
+  return std::min(aExecutor.mAllLeasesExpiredAt, byItsClock);
 }
 
 Instant
@@ -77,20 +93,21 @@
 }
 
 void
-UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aAskedAt, Instant aNow)
+UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow)
 {
-  aExecutor.mProcess.mClockReading = ClockReading{ aClock, aAskedAt, aNow };
+  aExecutor.mProcess.mClockReading = ClockReading{ aClock, aNow };
 }
 
-bool
-IsFromKnownProcess(const Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow)
+void
+NoteLeaseOutcome(Executor& aExecutor,
+                 const LeaseLimits& aLimits,
+                 std::chrono::milliseconds aEnd,
+                 Instant aNow)
 {
-  const auto& reading = aExecutor.mProcess.mClockReading;
-  if (!reading) {
-    return false;
+  if (aEnd.count() != 0) {
+    aExecutor.mAllLeasesExpiredAt =
+      std::max(aExecutor.mAllLeasesExpiredAt, LatestLeaseExpiry(aLimits, aNow));
   }
-  auto mostOfLater = std::chrono::duration<double, std::milli>(aNow - reading->mAskedAt);
-  return std::chrono::duration<double, std::milli>(aClock) > mostOfLater * kMaxClockRate;
 }
 
 std::string
--- a/Libraries/LibSchedule/Lease.h
+++ b/Libraries/LibSchedule/Lease.h
@@ -6,15 +6,16 @@
 //
 // An executor ends all its runs when its lease expires. Its owner asks for a lease until a time on
 // the executor's clock. An executor never grants more than LeaseLimits::mMaximum from the arrival
-// of the call on. Two bounds follow:
+// of the call on. Its process may have restarted unnoticed, and the clock of another process may
+// show anything. Three bounds follow:
 //
 // - For a run that is known to be in the process whose clock was read: only calls that this process
 //   has received count, and they name a time on its own clock. That clock reaches it, at the
 //   slowest rate, at a time that is known when the call is sent, however late the call arrives.
-// - For any other run, such as one whose start was not answered: the process that has it may have
-//   started after the last answer, and its clock is not known. The call has arrived by the time at
-//   which its sender gave up and reset the connection, and a lease lasts for the maximum from then
-//   on.
+// - For any run: a call has arrived by the time at which its sender gave up and reset the
+//   connection, and a lease lasts for the maximum from then on.
+// - For a run whose start was answered, the answer shows the clock of the process that has it,
+//   whichever that is. No lease there goes beyond the latest end that was asked for, by that clock.
 //
 // A process that becomes known may have received each call that was sent before. Its leases
 // therefore expire no later than by the second bound.
@@ -54,15 +55,17 @@
 Instant
 LeaseExpiryOfAll(const Executor& aExecutor);
 
-// What a heartbeat answer says of the clock of the process that gave it. aAskedAt is when the
-// heartbeat was sent.
+// What a heartbeat answer says of the clock of the process that gave it.
 void
-UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aAskedAt, Instant aNow);
+UpdateClock(Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
 
-// Whether the answer to another call, with that clock, is certain to come from the process whose
-// clock is known. A process that has started since then can't show as much.
-bool
-IsFromKnownProcess(const Executor& aExecutor, std::chrono::milliseconds aClock, Instant aNow);
+// Notes that a call that asked for a lease was answered or given up: it has arrived by now, or
+// never will. That is later than was expected if this host was suspended in between.
+void
+NoteLeaseOutcome(Executor& aExecutor,
+                 const LeaseLimits& aLimits,
+                 std::chrono::milliseconds aEnd,
+                 Instant aNow);
 
 // What the bounds for a run rest on, for the log.
 std::string
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -181,6 +181,7 @@
   aExecutor.mProcess = {};
   aExecutor.mProcess.mIncarnation = aAnswer.mIncarnation;
   aExecutor.mProcess.mLeasesExpiredAt = aExecutor.mAllLeasesExpiredAt;
+  aExecutor.mProcess.mFormerLeasesExpiredAt = aExecutor.mAllLeasesExpiredAt;
 }
 
 void
@@ -323,6 +324,7 @@
     // Called anew at once. Whether it is silent only its own answers tell.
     return;
   }
+  NoteLeaseOutcome(*executor, aShard.mSettings.mLease, aAnswer.mCall.mLeaseEnd, aNow.mAt);
   if (aAnswer.mResult != CallResult::Done) {
     if (executor->mUnansweredCalls == 0) {
       LogEntry entry{ LogLevel::Info, "executor-silent", {}, executor->mEntry.mId.mValue };
@@ -360,7 +362,7 @@
   auto& acknowledged = executor->mProcess.mAcknowledgedEnds;
   acknowledged = std::max(acknowledged, aAnswer.mCall.mLastSeen);
   ApplyIncarnation(aShard, *executor, aAnswer, aNow.mAt, aActions);
-  UpdateClock(*executor, aAnswer.mClock, aAnswer.mSentAt, aNow.mAt);
+  UpdateClock(*executor, aAnswer.mClock, aNow.mAt);
   if (MayHaveRestarted(*executor)) {
     executor->mRetryAt = aNow.mAt + kRestartCheckInterval;
   }
@@ -387,6 +389,9 @@
   if (executor == nullptr) {
     return;
   }
+  if (!aAnswer.mIsRelayFailure) {
+    NoteLeaseOutcome(*executor, aShard.mSettings.mLease, aAnswer.mCall.mLeaseEnd, aNow.mAt);
+  }
   if (aAnswer.mResult == CallResult::Done) {
     detail::RecordBegin(aShard, detail::FindJob(aShard, aAnswer.mCall.mRun.mTask.mJob));
   }
@@ -399,9 +404,8 @@
   if (aAnswer.mResult == CallResult::Done) {
     run.mState = RunState::Running;
     NoteBegin(aShard, run, executor->mEntry.mId, aAnswer.mCall.mRun, aNow.mAt);
-    // The answer doesn't say which process has given it.
-    if (run.mKnownIn == 0 && IsFromKnownProcess(*executor, aAnswer.mClock, aNow.mAt)) {
-      run.mKnownIn = executor->mProcess.mIncarnation;
+    if (aAnswer.mClock.count() != 0) {
+      run.mClockAtStart = ClockReading{ aAnswer.mClock, aNow.mAt };
     }
     return;
   }
--- a/Tests/LibSchedule/TestLeases.cpp
+++ b/Tests/LibSchedule/TestLeases.cpp
@@ -21,7 +21,7 @@
 {
   Executor executor;
   executor.mProcess.mIncarnation = kFirst;
-  UpdateClock(executor, 10s, Instant(100s), Instant(100s));
+  UpdateClock(executor, 10s, Instant(100s));
   return executor;
 }
 
@@ -119,12 +119,32 @@
   BOOST_TEST((expiry - Instant(100s) < 6s));
 }
 
-BOOST_AUTO_TEST_CASE(only_a_clock_that_a_later_process_cannot_show_is_taken_for_the_known_one)
+// Guards against two runs of a task (TWICE): the clock of another process may show anything, also
+// more than that of the process before.
+BOOST_AUTO_TEST_CASE(the_clock_in_the_answer_to_a_start_bounds_the_lease_of_that_run_alone)
 {
   auto executor = MakeExecutor();
-  BOOST_TEST(IsFromKnownProcess(executor, 11s, Instant(101s)));
-  BOOST_TEST(!IsFromKnownProcess(executor, 1s, Instant(101s)));
-  BOOST_TEST(!IsFromKnownProcess(executor, 20s, Instant(120s)));
+  RequestLease(executor, Instant(100s));
+  auto run = MakeRunIn(0);
+  run.mIncarnation = kFirst;
+  auto whole = LeaseExpiryOf(executor, run);
+  run.mClockAtStart = ClockReading{ 10s, Instant(100s) };
+  BOOST_TEST((LeaseExpiryOf(executor, run) - Instant(100s) < 6s));
+  run.mClockAtStart = ClockReading{ 1s, Instant(100s) };
+  BOOST_TEST((LeaseExpiryOf(executor, run) == whole));
+  // A later renewal may reach it too, and counts by the same clock.
+  run.mClockAtStart = ClockReading{ 10s, Instant(100s) };
+  RequestLease(executor, Instant(102s));
+  BOOST_TEST((LeaseExpiryOf(executor, run) - Instant(102s) > Duration(5700ms)));
+}
+
+// Guards against two runs of a task (TWICE): the owner was suspended while a start was on its way.
+BOOST_AUTO_TEST_CASE(a_call_that_is_given_up_late_may_have_arrived_until_then)
+{
+  auto executor = MakeExecutor();
+  auto end = RequestLease(executor, Instant(100s));
+  NoteLeaseOutcome(executor, kLimits, end, Instant(109s));
+  BOOST_TEST((LeaseExpiryOf(executor, MakeRunIn(0)) - Instant(109s) > Duration(6s) * 100 / 98));
 }
 
 // What the owner reckons, against what an executor does: each lease has really expired by the time
@@ -139,10 +159,12 @@
     Instant now = Instant(100s) + age;
     fake.mStartedAt = Instant(100s);
     auto executor = MakeExecutor();
-    UpdateClock(executor, ClockOf(fake, now), now, now);
+    UpdateClock(executor, ClockOf(fake, now), now);
     now += std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
     if (*rc::gen::arbitrary<bool>()) {
       Restart(fake, now);
+      // The clock of a process may start anywhere.
+      fake.mStartedAt -= *rc::gen::element(Duration(0), Duration(5s), Duration(3600s));
     }
     now += std::chrono::milliseconds(*rc::gen::inRange(0, 1000));
     StartCall call;
@@ -156,10 +178,17 @@
       return;
     }
     auto answeredAt = arrival + std::chrono::milliseconds(*rc::gen::inRange(0, 300));
-    auto isAnswered = *rc::gen::arbitrary<bool>();
-    auto isKnown = isAnswered && IsFromKnownProcess(executor, answer.mClock, answeredAt);
-    RC_ASSERT(!isKnown || fake.mEntry.mIncarnation == kFirst);
-    auto expiry = LeaseExpiryOf(executor, MakeRunIn(isKnown ? kFirst : 0));
+    auto run = MakeRunIn(0);
+    run.mIncarnation = kFirst;
+    if (*rc::gen::arbitrary<bool>()) {
+      run.mClockAtStart = ClockReading{ answer.mClock, answeredAt };
+    }
+    // A renewal by the clock that the owner knows, of which it hears nothing.
+    now = answeredAt + std::chrono::milliseconds(*rc::gen::inRange(0, 2000));
+    HeartbeatCall renewal;
+    renewal.mLeaseEnd = RequestLease(executor, now);
+    Heartbeat(fake, renewal, now + std::chrono::milliseconds(*rc::gen::inRange(0, 1400)));
+    auto expiry = LeaseExpiryOf(executor, run);
     Advance(fake, expiry);
     RC_ASSERT(fake.mRuns.empty());
   });
@@ -193,21 +222,27 @@
 // after its new clock had become known.
 BOOST_AUTO_TEST_CASE(a_start_that_a_later_process_carries_out_never_leads_to_two_runs)
 {
-  OneFreeExecutor pool;
-  auto& simulation = pool.mSimulation;
-  simulation.DelayStarts({ .mRequest = 700ms });
-  auto job = simulation.Submit(0, { MakeStep(1, 1) }, "12000");
-  simulation.RunFor(300ms);
-  BOOST_REQUIRE(simulation.mExecutors[1].mRuns.empty());
-  simulation.CrashExecutor(1);
-  simulation.RunFor(600ms);
-  BOOST_REQUIRE(simulation.mExecutors[1].mRuns.size() == 1u);
-  simulation.CutExecutor(1, true);
-  simulation.DelayStarts({});
-  pool.FreeTheFirst();
-  simulation.RunFor(9s);
-  BOOST_TEST(simulation.CountRuns(job) == 2);
-  CheckInvariants(simulation);
+  // The clock of a process may start anywhere.
+  for (auto clock : { 0s, 5s }) {
+    OneFreeExecutor pool;
+    auto& simulation = pool.mSimulation;
+    simulation.Submit(0, { MakeStep(1, 1) }, "100");
+    simulation.RunFor(1s);
+    simulation.DelayStarts({ .mRequest = 700ms });
+    auto job = simulation.Submit(0, { MakeStep(1, 1) }, "12000");
+    simulation.RunFor(300ms);
+    BOOST_REQUIRE(simulation.mExecutors[1].mRuns.empty());
+    // No entry tells of it yet.
+    Restart(simulation.mExecutors[1], simulation.Time().mAt - clock);
+    simulation.RunFor(600ms);
+    BOOST_REQUIRE(simulation.mExecutors[1].mRuns.size() == 1u);
+    simulation.CutExecutor(1, true);
+    simulation.DelayStarts({});
+    pool.FreeTheFirst();
+    simulation.RunFor(10s);
+    BOOST_TEST(simulation.CountRuns(job) == 2);
+    CheckInvariants(simulation);
+  }
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -357,6 +357,24 @@
   }
 }
 
+// Guards against two runs of a task (TWICE): while the owner was suspended, a start that it had
+// sent stayed on its way.
+BOOST_AUTO_TEST_CASE(a_start_that_was_given_up_late_may_have_arrived_until_then)
+{
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto run = owner.TheExecutor().mRuns.begin()->first;
+  owner.TheExecutor().mRuns.at(run).mState = RunState::Starting;
+  StartAnswer answer;
+  answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+  answer.mCall.mRun = run;
+  answer.mCall.mLeaseEnd = 6700ms;
+  answer.mSentAt = Later(20ms).mAt;
+  OnStartAnswer(owner.mShard, Later(9s), answer, owner.mActions);
+  BOOST_TEST((owner.TheExecutor().mAllLeasesExpiredAt > Later(15s).mAt));
+}
+
 // Guards against a job that is given up after three starts that never reached an executor (LOST):
 // their executors had ended before, and were still listed.
 BOOST_AUTO_TEST_CASE(a_run_that_never_began_is_not_counted_as_a_crash)
