The log says when a start was given up, and by which sign it is taken for ended

Whether a task ran twice because its lease was reckoned wrongly, because a start that was given up arrived later, or because a stop that one process had answered was taken to hold for the next one could not be told from the log: start-unanswered said only "no answer in time", and task-lost only "the executor does not list it".

start-unanswered says after how long the start was given up, in which process it was placed, and which one answered last. task-lost says of a run that is not known to have begun whether a stop was answered, when, and which process the list is of. No decision changes.

--- a/Libraries/LibSchedule/ShardLosses.cpp
+++ b/Libraries/LibSchedule/ShardLosses.cpp
@@ -122,6 +122,20 @@
   return found != aListed.end() && **found == aRun;
 }
 
+// By which sign a run that is not listed is taken for ended, for the log.
+std::string
+DescribeUnlisted(const Executor& aExecutor, const PlacedRun& aRun, Instant aNow)
+{
+  std::string reason = "the executor does not list it";
+  if (aRun.mBeganAt) {
+    return reason;
+  }
+  auto since = std::to_string(ToMilliseconds(aNow - aRun.mStateSince).count()) + " ms ago";
+  reason += aRun.mState == RunState::Stopping ? "; a stop was answered " + since
+                                              : "; it is not known to have begun";
+  return reason + "; process " + std::to_string(aExecutor.mProcess.mIncarnation) + " has answered";
+}
+
 // Whether the process of an executor that had ended by aCalledAt may still be followed by one that
 // carries out the start of the run: it was not answered, or was sent by a former owner, which may
 // have sent it some time after it had lost the shard.
@@ -156,7 +170,7 @@
       RequestStop(aExecutor, name);
       continue;
     }
-    ended.push_back({ name, "the executor does not list it" });
+    ended.push_back({ name, DescribeUnlisted(aExecutor, run, aNow.mAt) });
   }
   MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
 }
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -92,6 +92,19 @@
   detail::MarkDirty(aShard, *job);
 }
 
+// When a start was given up, and which process it was for, for the log.
+std::string
+DescribeUnanswered(const Executor& aExecutor,
+                   const PlacedRun& aRun,
+                   const StartAnswer& aAnswer,
+                   Instant aNow)
+{
+  auto waited = ToMilliseconds(aNow - aAnswer.mSentAt).count();
+  return "no answer after " + std::to_string(waited) + " ms; it was placed in process " +
+         std::to_string(aRun.mIncarnation) + ", process " +
+         std::to_string(aExecutor.mProcess.mIncarnation) + " answered last";
+}
+
 // Whether the list says nothing of the run that has to be acted on. What the end of its job asks of
 // a run was decided when the job ended.
 bool
@@ -416,8 +429,11 @@
       executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
       NoteUnanswered(*executor, aAnswer.mSentAt, 0ms, aNow.mAt);
     }
-    detail::LogRun(
-      "start-unanswered", aAnswer.mCall.mRun, *executor, "no answer in time", aActions);
+    detail::LogRun("start-unanswered",
+                   aAnswer.mCall.mRun,
+                   *executor,
+                   DescribeUnanswered(*executor, run, aAnswer, aNow.mAt),
+                   aActions);
     return;
   }
   ++aShard.mCounters.mStartsRefused;
