--- a/Meta/scheduler-processes.sh
+++ b/Meta/scheduler-processes.sh
@@ -1,5 +1,5 @@
 # Starts the scheduler daemons and the stand-in of the users' platform. To be sourced after
-# Meta/processes.sh.
+# Meta/processes.sh. SESAMESEAM_SCHEDULERD names the program of another build of the schedulers.
 
 start_job_platform() { # start_job_platform EXECUTORS
   local ports flags=()
@@ -38,9 +38,9 @@
   "cpu_cores": ${scheduler_cores:-1.0}, "share_calls_delay": "${share_calls_delay:-15ms}",
   "store": "${stores[$index]:-$store}",
   "machines": "${stores[$index]:-$store}", "partitions": 24,
-  "log_lines_per_second": 1000 }
+  "log_lines_per_second": 1000${scheduler_settings:-} }
 JSON
-  start "s$index" "$build/Services/sesameseam-schedulerd" --settings "$work/s$index.json"
+  start "s$index" "${SESAMESEAM_SCHEDULERD:-$build/Services/sesameseam-schedulerd}" --settings "$work/s$index.json"
   schedulers[$index]=${processes[-1]}
 }
 
--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -1,9 +1,16 @@
 // Stands between the processes of a soak: each link passes connections on from one loopback address
 // to another, and delays, holds back or resets them as it is told to.
 //
-// POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1]
+// POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1][&park=1]
+//   [&pass=TEXT]
+// GET /parked?link=N: how many of the link's parked connections hold bytes for the target
 //
-// "silence" drops for good what the link's present connections carry, without closing them.
+// "silence" drops for good what the link's present connections carry, without closing them. "park"
+// holds the link's present connections either way, whatever is opened later; "pass" passes on what
+// those of them hold for the target that has the text in it, and still nothing back.
+//
+// As in a queue of new connections, the target sees a connection when something is passed on, and
+// what has arrived here is passed on also if its sender has reset the connection since.
 
 #include "LibHttp/EventHttpServer.h"
 
@@ -62,6 +69,10 @@
   Flow mToTarget;
   Flow mFromTarget;
   bool mIsSilent = false;
+  bool mIsConnected = false;
+  bool mIsParked = false;
+  // What a parked connection holds for the target is passed on.
+  bool mPasses = false;
 };
 
 struct Link
@@ -147,6 +158,15 @@
   return aConnection.mToTarget.mEnded;
 }
 
+void
+Connect(const Link& aLink, Connection& aConnection)
+{
+  aConnection.mIsConnected = true;
+  auto address = aLink.mTarget;
+  bufferevent_socket_connect(
+    aConnection.mToTarget.mTo, reinterpret_cast<sockaddr*>(&address), sizeof address);
+}
+
 void
 PumpLink(Link& aLink)
 {
@@ -158,10 +178,16 @@
       }
       return isClosed;
     }
-    auto isOver = Pump(aConnection->mToTarget, aLink.mHoldsTo);
-    isOver |= Pump(aConnection->mFromTarget, aLink.mHoldsFrom);
+    auto& connection = *aConnection;
+    auto holdsTo = connection.mIsParked ? !connection.mPasses : aLink.mHoldsTo;
+    auto holdsFrom = connection.mIsParked || aLink.mHoldsFrom;
+    if (!holdsTo && !connection.mIsConnected) {
+      Connect(aLink, connection);
+    }
+    auto isOver = Pump(connection.mToTarget, holdsTo);
+    isOver |= Pump(connection.mFromTarget, holdsFrom);
     if (isOver) {
-      Free(*aConnection, false);
+      Free(connection, false);
     }
     return isOver;
   });
@@ -180,8 +206,16 @@
   bufferevent_setcb(target, OnBytes, nullptr, OnEnd, new Reading{ &link, &connection.mFromTarget });
   bufferevent_enable(caller, EV_READ | EV_WRITE);
   bufferevent_enable(target, EV_READ | EV_WRITE);
-  bufferevent_socket_connect(
-    target, reinterpret_cast<sockaddr*>(&link.mTarget), sizeof link.mTarget);
+}
+
+bool
+HoldsText(const Flow& aFlow, const std::string& aText)
+{
+  std::string bytes;
+  for (const auto& chunk : aFlow.mChunks) {
+    bytes += chunk.mBytes;
+  }
+  return bytes.find(aText) != std::string::npos;
 }
 
 void
@@ -197,6 +231,14 @@
     for (auto& connection : aLink.mConnections) {
       connection->mIsSilent = true;
     }
+  } else if (aName == "park") {
+    for (auto& connection : aLink.mConnections) {
+      connection->mIsParked = true;
+    }
+  } else if (aName == "pass") {
+    for (auto& connection : aLink.mConnections) {
+      connection->mPasses |= connection->mIsParked && HoldsText(connection->mToTarget, aValue);
+    }
   } else if (aName == "reset") {
     for (auto& connection : aLink.mConnections) {
       Free(*connection, true);
@@ -205,14 +247,24 @@
   }
 }
 
+// The parked connections that hold bytes for a target that hasn't seen them.
+std::int64_t
+ParkedWithBytes(const Link& aLink)
+{
+  return std::count_if(
+    aLink.mConnections.begin(), aLink.mConnections.end(), [](const auto& aEntry) {
+      return aEntry->mIsParked && !aEntry->mIsConnected && !aEntry->mToTarget.mChunks.empty();
+    });
+}
+
 struct Proxy
 {
   std::vector<std::unique_ptr<Link>> mLinks;
 
-  int Control(const std::string& aQuery)
+  EventHttpReply Control(const EventHttpIncoming& aIncoming)
   {
     Link* link = nullptr;
-    std::istringstream query(aQuery);
+    std::istringstream query(aIncoming.mQuery);
     for (std::string part; std::getline(query, part, '&');) {
       auto name = part.substr(0, part.find('='));
       auto value = part.substr(std::min(part.size(), name.size() + 1));
@@ -223,7 +275,13 @@
         Set(*link, name, value);
       }
     }
-    return link == nullptr ? kBadRequest : kOk;
+    if (link == nullptr) {
+      return { kBadRequest };
+    }
+    if (aIncoming.mPath == "/parked") {
+      return { kOk, "text/plain", std::to_string(ParkedWithBytes(*link)) + "\n" };
+    }
+    return { kOk };
   }
 };
 
@@ -259,7 +317,7 @@
   EventHttpServer* server = nullptr;
   EventHttpServer orders(
     base, EventHttpServerSettings{ control }, [&](const EventHttpIncoming& aIncoming) {
-      server->Reply(aIncoming.mTicket, { proxy.Control(aIncoming.mQuery) });
+      server->Reply(aIncoming.mTicket, proxy.Control(aIncoming));
     });
   server = &orders;
   auto started = orders.Start();
--- a/Tests/StandIns/job-platform/Executors.cpp
+++ b/Tests/StandIns/job-platform/Executors.cpp
@@ -1,9 +1,8 @@
 #include "JobPlatform.h"
 
+#include "../job-executor/ExecutorAnswers.h"
 #include "platform/CallSender.h"
-#include "platform/ExecutorWire.h"
 #include "platform/JobWire.h"
-#include "platform/JsonReading.h"
 #include "platform/WireNames.h"
 
 #include <iostream>
@@ -196,29 +195,16 @@
 EventHttpReply
 Platform::AnswerStart(std::size_t aIndex, const std::string& aBody)
 {
-  rapidjson::Document document;
-  platform::ParseObject(aBody, document);
-  auto name = platform::DecodeTaskName(platform::StringOr(document, "task", {}));
-  if (!name.ok()) {
+  auto call = DecodeStartCall(mExecutors[aIndex].mEntry.mId, aBody);
+  if (!call) {
     return { kBadRequest, kJson, "{}" };
   }
-  schedule::StartCall call;
-  call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
-  call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
-  call.mRun = { *name, static_cast<int>(platform::IntegerOr(document, "run", 0)) };
-  call.mSpec = platform::StringOr(document, "spec", {});
-  call.mLeaseEnd = std::chrono::milliseconds(platform::IntegerOr(document, "deadlineMs", 0));
-  auto isNew = !mExecutors[aIndex].mRuns.contains(call.mRun);
-  auto answer = Start(mExecutors[aIndex], call, platform::CurrentTime().mAt);
-  auto clock = "{\"clockMs\":" + std::to_string(answer.mClock.count());
-  if (answer.mResult == CallResult::Done) {
-    if (isNew) {
-      RecordStart(call);
-    }
-    return { kOk, kJson, clock + "}" };
+  auto isNew = !mExecutors[aIndex].mRuns.contains(call->mRun);
+  auto answer = Start(mExecutors[aIndex], *call, platform::CurrentTime().mAt);
+  if (answer.mResult == CallResult::Done && isNew) {
+    RecordStart(*call);
   }
-  auto isFenced = answer.mRefusal == schedule::StartRefusal::Fenced;
-  return { kConflict, kJson, clock + ",\"reason\":\"" + (isFenced ? "fence" : "old") + "\"}" };
+  return EncodeStartAnswer(answer);
 }
 
 EventHttpReply
@@ -231,33 +217,7 @@
       LogRun("acknowledged as done", end.mRun, executor.mEntry.mId);
     }
   }
-  auto answer = Heartbeat(executor, aCall, platform::CurrentTime().mAt);
-  if (answer.mFenced) {
-    return { kConflict, kJson, R"({"reason":"fence"})" };
-  }
-  std::string running;
-  for (const auto& task : answer.mRunning) {
-    running += running.empty() ? "" : ",";
-    running += "[\"" + platform::EncodeTaskName(task.mRun.mTask) + "\"," +
-               std::to_string(task.mRun.mRun) + ",\"\",100]";
-  }
-  static const std::map<schedule::EndKind, const char*> kNames{
-    { schedule::EndKind::Done, "done" },
-    { schedule::EndKind::Failed, "failed" },
-    { schedule::EndKind::Stopped, "stopped" },
-    { schedule::EndKind::LeaseExpired, "lapsed" },
-  };
-  std::string ends;
-  for (const auto& end : answer.mEnds) {
-    ends += ends.empty() ? "" : ",";
-    ends += "[" + std::to_string(end.mNumber) + ",\"" + platform::EncodeTaskName(end.mRun.mTask) +
-            "\"," + std::to_string(end.mRun.mRun) + ",\"" + kNames.at(end.mKind) + "\",\"\"]";
-  }
-  return { kOk,
-           kJson,
-           "{\"clockMs\":" + std::to_string(answer.mClock.count()) +
-             ",\"born\":" + std::to_string(answer.mIncarnation) + ",\"running\":[" + running +
-             "],\"finished\":[" + ends + "]}" };
+  return EncodeHeartbeatAnswer(Heartbeat(executor, aCall, platform::CurrentTime().mAt));
 }
 
 void
@@ -268,16 +228,9 @@
     server.Reply(aIncoming.mTicket, AnswerStart(aIndex, aIncoming.mBody));
     return;
   }
-  rapidjson::Document document;
-  platform::ParseObject(aIncoming.mBody, document);
   if (aIncoming.mPath == platform::kHeartbeatPath) {
-    schedule::HeartbeatCall call;
-    call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
-    call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
-    call.mLastSeen = platform::IntegerOr(document, "lastSeen", 0);
-    call.mLeaseEnd = std::chrono::milliseconds(platform::IntegerOr(document, "deadlineMs", 0));
-    auto now = platform::CurrentTime().mAt;
-    auto until = now + std::chrono::milliseconds(platform::IntegerOr(document, "waitMs", 0));
+    auto call = DecodeHeartbeatCall(mExecutors[aIndex].mEntry.mId, aIncoming.mBody);
+    auto until = platform::CurrentTime().mAt + call.mWait;
     auto first = AnswerHeartbeat(aIndex, call);
     // Task ends are acknowledged only once, on arrival of the call.
     call.mLastSeen = 0;
@@ -293,13 +246,9 @@
     return;
   }
   if (aIncoming.mPath == platform::kStopPath) {
-    auto name = platform::DecodeTaskName(platform::StringOr(document, "task", {}));
-    schedule::StopCall call;
-    call.mTo.mExecutor = mExecutors[aIndex].mEntry.mId;
-    call.mTo.mEpoch = platform::IntegerOr(document, "fence", 0);
-    if (name.ok()) {
-      call.mRun = { *name, static_cast<int>(platform::IntegerOr(document, "run", 0)) };
-      Stop(mExecutors[aIndex], call, platform::CurrentTime().mAt);
+    auto call = DecodeStopCall(mExecutors[aIndex].mEntry.mId, aIncoming.mBody);
+    if (call) {
+      Stop(mExecutors[aIndex], *call, platform::CurrentTime().mAt);
     }
     server.Reply(aIncoming.mTicket, { kOk, kJson, "{}" });
     return;
