--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -81,6 +81,14 @@
   }
 }
 
+// Whether the connection that was opened last still stands. libevent opens a closed one again for
+// the next request.
+bool
+IsOpen(evhttp_connection* aConnection)
+{
+  return bufferevent_getfd(evhttp_connection_get_bufferevent(aConnection)) >= 0;
+}
+
 // The bytes of an answer's body that have arrived. libevent leaves them with the connection until
 // the body is complete.
 std::size_t
@@ -104,6 +112,34 @@
 
 // Connections close by the deadline of each call; libevent's own limit only has to be longer.
 constexpr int kIdleLimitSeconds = 60;
+// How often in a row a server has to close the connection of an introduction before requests for
+// one process are sent on new connections. A server may close one because it ends.
+constexpr int kMinClosedToReopen = 2;
+
+// How far a call has come.
+enum class Stage
+{
+  Waiting,
+  Introducing,
+  Sent,
+};
+
+// The time since some start, also while the process or the machine is suspended.
+Duration
+BootTime()
+{
+  timespec time{};
+  clock_gettime(CLOCK_BOOTTIME, &time);
+  auto since = std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+  return std::chrono::duration_cast<Duration>(since);
+}
+
+void
+SetTimer(event* aTimer, Duration aTime)
+{
+  auto time = ToTimeval(std::max(aTime, Duration(0)));
+  evtimer_add(aTimer, &time);
+}
 
 }
 
@@ -123,9 +159,20 @@
   std::chrono::steady_clock::time_point mSentAt;
   Duration mWaitedForConnection{ 0 };
   std::optional<Duration> mIdleBefore;
+  // The process that has named itself on the connection; 0 if none has.
+  std::int64_t mProcessThere = 0;
+  Stage mStage = Stage::Waiting;
+  // By the clock that goes on in a suspension: a request is not sent long after it was decided on.
+  Duration mCalledAtBoot{ 0 };
   // What had arrived of the answer when the timer was last set.
   std::size_t mReceivedBytes = 0;
   std::list<std::unique_ptr<Exchange>>::iterator mSelf;
+
+  // The time that is left for the whole call, with its introduction.
+  [[nodiscard]] Duration TimeLeft() const
+  {
+    return mRequest.mTimeout - (BootTime() - mCalledAtBoot);
+  }
 };
 
 struct EventHttpClient::Lane
@@ -134,6 +181,8 @@
   {
     evhttp_connection* mConnection = nullptr;
     std::chrono::steady_clock::time_point mAnsweredAt;
+    // The process that has named itself on it; 0 if none has.
+    std::int64_t mProcess = 0;
   };
 
   std::string mAddress;
@@ -141,6 +190,8 @@
   std::size_t mOpen = 0;
   std::list<std::unique_ptr<Exchange>> mExchanges;
   std::list<Exchange*> mWaiting;
+  // How many answers to introductions in a row have closed their connection.
+  int mClosedInTurn = 0;
 };
 
 EventHttpClient::EventHttpClient(event_base* aBase, const EventHttpClientSettings& aSettings)
@@ -185,9 +236,9 @@
   exchange.mCallback = std::move(aCallback);
   exchange.mSelf = std::prev(lane->mExchanges.end());
   exchange.mCalledAt = std::chrono::steady_clock::now();
+  exchange.mCalledAtBoot = BootTime();
   exchange.mTimer = evtimer_new(mBase, OnTimeout, &exchange);
-  auto timeout = ToTimeval(exchange.mRequest.mTimeout);
-  evtimer_add(exchange.mTimer, &timeout);
+  SetTimer(exchange.mTimer, exchange.mRequest.mTimeout);
   lane->mWaiting.push_back(&exchange);
   SendNext(*lane);
 }
@@ -209,18 +260,77 @@
 void
 EventHttpClient::Send(Lane& aLane, Exchange& aExchange)
 {
-  auto now = std::chrono::steady_clock::now();
-  if (aLane.mIdle.empty()) {
-    aExchange.mConnection = Connect(aLane);
-    ++aLane.mOpen;
+  TakeConnection(aLane, aExchange);
+  auto waited = std::chrono::steady_clock::now() - aExchange.mCalledAt;
+  aExchange.mWaitedForConnection = std::chrono::duration_cast<Duration>(waited);
+  const auto& request = aExchange.mRequest;
+  if (request.mProcess == 0 || request.mProcess == aExchange.mProcessThere) {
+    SendRequest(aExchange);
   } else {
-    const auto& idle = aLane.mIdle.back();
-    aExchange.mConnection = idle.mConnection;
-    aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(now - idle.mAnsweredAt);
-    aLane.mIdle.pop_back();
+    SendIntroduction(aExchange);
+  }
+}
+
+void
+EventHttpClient::TakeConnection(Lane& aLane, Exchange& aExchange)
+{
+  auto process = aExchange.mRequest.mProcess;
+  std::erase_if(aLane.mIdle, [&](const Lane::IdleConnection& aIdle) {
+    auto isOfAnother = process != 0 && aIdle.mProcess != 0 && aIdle.mProcess != process;
+    if (isOfAnother) {
+      FreeLater(aIdle.mConnection);
+      --aLane.mOpen;
+    }
+    return isOfAnother;
+  });
+  if (aLane.mIdle.empty()) {
+    OpenConnection(aExchange);
+    return;
   }
-  aExchange.mSentAt = now;
-  aExchange.mWaitedForConnection = std::chrono::duration_cast<Duration>(now - aExchange.mCalledAt);
+  auto isNamed = [&](const Lane::IdleConnection& aIdle) {
+    return aIdle.mProcess == process && IsOpen(aIdle.mConnection);
+  };
+  auto found = std::find_if(aLane.mIdle.rbegin(), aLane.mIdle.rend(), isNamed);
+  auto taken = found == aLane.mIdle.rend() ? std::prev(aLane.mIdle.end()) : std::prev(found.base());
+  auto idleFor = std::chrono::steady_clock::now() - taken->mAnsweredAt;
+  aExchange.mConnection = taken->mConnection;
+  aExchange.mProcessThere = IsOpen(taken->mConnection) ? taken->mProcess : 0;
+  aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(idleFor);
+  aLane.mIdle.erase(taken);
+}
+
+void
+EventHttpClient::OpenConnection(Exchange& aExchange)
+{
+  aExchange.mConnection = Connect(*aExchange.mLane);
+  aExchange.mProcessThere = 0;
+  ++aExchange.mLane->mOpen;
+}
+
+void
+EventHttpClient::SendRequest(Exchange& aExchange)
+{
+  if (aExchange.mStage == Stage::Introducing) {
+    SetTimer(aExchange.mTimer, aExchange.TimeLeft());
+  }
+  aExchange.mStage = Stage::Sent;
+  aExchange.mSentAt = std::chrono::steady_clock::now();
+  Transmit(aExchange, aExchange.mRequest.mPath, aExchange.mRequest.mBody);
+}
+
+void
+EventHttpClient::SendIntroduction(Exchange& aExchange)
+{
+  const auto& introduction = aExchange.mRequest.mIntroduction;
+  aExchange.mStage = Stage::Introducing;
+  aExchange.mSentAt = std::chrono::steady_clock::now();
+  SetTimer(aExchange.mTimer, std::min(aExchange.TimeLeft(), introduction.mTimeout));
+  Transmit(aExchange, introduction.mPath, introduction.mBody);
+}
+
+void
+EventHttpClient::Transmit(Exchange& aExchange, const std::string& aPath, const std::string& aBody)
+{
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
   aExchange.mSent = request;
   auto* headers = evhttp_request_get_output_headers(request);
@@ -228,14 +338,33 @@
     evhttp_add_header(headers, name.c_str(), value.c_str());
   }
   if (evhttp_find_header(headers, "Host") == nullptr) {
-    evhttp_add_header(headers, "Host", aLane.mAddress.c_str());
+    evhttp_add_header(headers, "Host", aExchange.mRequest.mAddress.c_str());
   }
-  const auto& body = aExchange.mRequest.mBody;
-  evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
-  evhttp_make_request(aExchange.mConnection,
-                      request,
-                      CommandOf(aExchange.mRequest.mMethod),
-                      aExchange.mRequest.mPath.c_str());
+  evbuffer_add(evhttp_request_get_output_buffer(request), aBody.data(), aBody.size());
+  evhttp_make_request(
+    aExchange.mConnection, request, CommandOf(aExchange.mRequest.mMethod), aPath.c_str());
+}
+
+void
+EventHttpClient::OnIntroduced(Exchange& aExchange, EventHttpResponse aResponse)
+{
+  const auto& request = aExchange.mRequest;
+  auto& lane = *aExchange.mLane;
+  auto process = aResponse.mAnswered ? request.mIntroduction.mProcessOf(aResponse) : 0;
+  aExchange.mProcessThere = process;
+  auto isClosed = aResponse.mAnswered && !IsOpen(aExchange.mConnection);
+  lane.mClosedInTurn = isClosed ? lane.mClosedInTurn + 1 : 0;
+  auto mayReopen = lane.mClosedInTurn > kMinClosedToReopen;
+  auto isInTime = aExchange.TimeLeft() >= request.mTimeout - request.mIntroduction.mTimeout / 2;
+  if (process != request.mProcess || !isInTime || (isClosed && !mayReopen)) {
+    Finish(aExchange, std::move(aResponse));
+    return;
+  }
+  if (isClosed) {
+    Abandon(aExchange);
+    OpenConnection(aExchange);
+  }
+  SendRequest(aExchange);
 }
 
 evhttp_connection*
@@ -265,6 +394,18 @@
     response.mBody = BodyOf(aRequest);
     response.mReceivedBytes = response.mBody.size();
   }
+  if (exchange.mStage == Stage::Introducing) {
+    exchange.mClient->OnIntroduced(exchange, std::move(response));
+    return;
+  }
+  if (response.mAnswered && exchange.mRequest.mAnswerNamesProcess) {
+    auto former =
+      std::exchange(exchange.mProcessThere, exchange.mRequest.mIntroduction.mProcessOf(response));
+    if (former != 0 && former != exchange.mProcessThere) {
+      // Something in between has passed it on to another process, and may do so again.
+      exchange.mClient->Abandon(exchange);
+    }
+  }
   exchange.mClient->Finish(exchange, std::move(response));
 }
 
@@ -272,9 +413,14 @@
 EventHttpClient::Abandon(Exchange& aExchange)
 {
   --aExchange.mLane->mOpen;
-  mBroken.push_back(std::exchange(aExchange.mConnection, nullptr));
-  timeval now{};
-  evtimer_add(mCleanUp, &now);
+  FreeLater(std::exchange(aExchange.mConnection, nullptr));
+}
+
+void
+EventHttpClient::FreeLater(evhttp_connection* aConnection)
+{
+  mBroken.push_back(aConnection);
+  SetTimer(mCleanUp, Duration(0));
 }
 
 void
@@ -367,8 +513,7 @@
   aExchange.mReceivedBytes = aReceivedBytes;
   const auto& request = aExchange.mRequest;
   auto stall = request.mStallTimeout > Duration(0) ? request.mStallTimeout : request.mTimeout;
-  auto timeout = ToTimeval(std::min(left, stall));
-  evtimer_add(aExchange.mTimer, &timeout);
+  SetTimer(aExchange.mTimer, std::min(left, stall));
   return true;
 }
 
@@ -377,11 +522,13 @@
 {
   auto& lane = *aExchange.mLane;
   event_free(aExchange.mTimer);
+  aResponse.mWasSent = aExchange.mStage == Stage::Sent;
   aResponse.mWaitedForConnection = aExchange.mWaitedForConnection;
   aResponse.mIdleBefore = aExchange.mIdleBefore;
   CountTraffic(aExchange.mRequest, aResponse, mTraffic[aExchange.mRequest.mKind]);
   if (aExchange.mConnection != nullptr && aResponse.mAnswered) {
-    lane.mIdle.push_back({ aExchange.mConnection, std::chrono::steady_clock::now() });
+    lane.mIdle.push_back(
+      { aExchange.mConnection, std::chrono::steady_clock::now(), aExchange.mProcessThere });
   } else if (aExchange.mConnection != nullptr) {
     Abandon(aExchange);
   }
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -22,6 +22,21 @@
 
 namespace sesameseam {
 
+struct EventHttpResponse;
+
+// Asks which process is at the other end of a connection. A connection stays with the process that
+// has accepted it, so that a request on it reaches that process or none.
+struct EventHttpIntroduction
+{
+  std::string mPath;
+  std::string mBody;
+  // How long the answer to the introduction may take. The request follows only if it took half of
+  // this at most, so that there is time for its own answer.
+  Duration mTimeout = 1s;
+  // The process that has given an answer; 0 if it does not say.
+  std::function<std::int64_t(const EventHttpResponse&)> mProcessOf;
+};
+
 struct EventHttpRequest
 {
   // "IP:port"
@@ -48,12 +63,24 @@
   // If no connection can be opened, the answer says whether one was refused. That takes a second
   // attempt to connect.
   bool mAsksForListener = false;
+  // The process that the request is for, as its answers name it; 0 for any. On a connection on
+  // which that process has not named itself, the introduction is sent first, with the same method
+  // and headers, and the request follows only if that process has answered. Some servers close each
+  // connection after an answer: a request for one that has done so several times in a row is sent
+  // on a new connection, which another process may have accepted.
+  std::int64_t mProcess = 0;
+  EventHttpIntroduction mIntroduction;
+  // The answer to the request itself names the process too, as that to an introduction.
+  bool mAnswerNamesProcess = false;
 };
 
 struct EventHttpResponse
 {
   // There is a whole answer. Otherwise the request may have been carried out, or may be later.
   bool mAnswered = false;
+  // The request was sent, or a part of it. If it was not, it never will be, and an answer is the
+  // one to its introduction.
+  bool mWasSent = false;
   // Nothing listens at the address, so that no process has received the request. Only if that was
   // asked for.
   bool mHasNoListener = false;
@@ -116,6 +143,16 @@
   static void OnCleanUp(int aDescriptor, short aWhat, void* aClient);
 
   void Send(Lane& aLane, Exchange& aExchange);
+  // Takes an idle connection of the lane or opens one. One on which the process that the request is
+  // for has named itself is preferred; those of other processes are closed.
+  void TakeConnection(Lane& aLane, Exchange& aExchange);
+  void OpenConnection(Exchange& aExchange);
+  void SendRequest(Exchange& aExchange);
+  void SendIntroduction(Exchange& aExchange);
+  static void Transmit(Exchange& aExchange, const std::string& aPath, const std::string& aBody);
+  void OnIntroduced(Exchange& aExchange, EventHttpResponse aResponse);
+  // Frees a connection outside of libevent's own callbacks.
+  void FreeLater(evhttp_connection* aConnection);
   void Finish(Exchange& aExchange, EventHttpResponse aResponse);
   void SendNext(Lane& aLane);
   // Opens a connection only to see whether it is refused, which libevent doesn't tell of its own.
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -23,6 +23,9 @@
   std::int64_t mEpoch = 0;
   // Not 0 if this host makes the call for the owner on another host.
   std::int64_t mRelayTicket = 0;
+  // The process of the executor that answered the owner last; 0 if none has. Starts, leases and
+  // acknowledgements are for that process only: a later one under the same id must not get them.
+  std::int64_t mIncarnation = 0;
 };
 
 // How long an executor may take for an answer, beyond the wait that it is asked for. Then the call
@@ -102,8 +105,20 @@
   Duration mAge{ 0 };
   // No answer of the executor: the host that should make the call for this one has failed.
   bool mIsRelayFailure = false;
+  // The call itself was not sent, only the heartbeat that introduces a connection.
+  bool mIsOfIntroduction = false;
 };
 
+// Has the answer say that its call was not sent: no lease was asked for, no end acknowledged.
+inline void
+ReduceToIntroduction(HeartbeatAnswer& aAnswer)
+{
+  aAnswer.mIsOfIntroduction = true;
+  aAnswer.mCall.mLeaseEnd = std::chrono::milliseconds(0);
+  aAnswer.mCall.mLastSeen = 0;
+  aAnswer.mCall.mWait = std::chrono::milliseconds(0);
+}
+
 struct StartCall
 {
   ExecutorAddress mTo;
@@ -130,6 +145,8 @@
   NotSent,
   // Nothing listens at the executor's address. Only for heartbeats that a relay has made.
   NoListener,
+  // The process that it is for did not answer in time on any connection, so that it was not sent.
+  NotReached,
 };
 
 struct StartAnswer
--- a/Libraries/LibSchedule/Generated/schedule_types.cpp
+++ b/Libraries/LibSchedule/Generated/schedule_types.cpp
@@ -3169,6 +3169,11 @@
   this->percent = val;
 __isset.percent = true;
 }
+
+void ExecutorCall::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+__isset.incarnation = true;
+}
 std::ostream& operator<<(std::ostream& out, const ExecutorCall& obj)
 {
   obj.printTo(out);
@@ -3298,6 +3303,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 13:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3380,6 +3393,11 @@
     xfer += oprot->writeI32(this->percent);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.incarnation) {
+    xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 13);
+    xfer += oprot->writeI64(this->incarnation);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3399,6 +3417,7 @@
   swap(a.wait_ms, b.wait_ms);
   swap(a.last_seen, b.last_seen);
   swap(a.percent, b.percent);
+  swap(a.incarnation, b.incarnation);
   swap(a.__isset, b.__isset);
 }
 
@@ -3415,6 +3434,7 @@
   wait_ms = other78.wait_ms;
   last_seen = other78.last_seen;
   percent = other78.percent;
+  incarnation = other78.incarnation;
   __isset = other78.__isset;
 }
 ExecutorCall& ExecutorCall::operator=(const ExecutorCall& other79) {
@@ -3430,6 +3450,7 @@
   wait_ms = other79.wait_ms;
   last_seen = other79.last_seen;
   percent = other79.percent;
+  incarnation = other79.incarnation;
   __isset = other79.__isset;
   return *this;
 }
@@ -3448,6 +3469,7 @@
   out << ", " << "wait_ms="; (__isset.wait_ms ? (out << to_string(wait_ms)) : (out << "<null>"));
   out << ", " << "last_seen="; (__isset.last_seen ? (out << to_string(last_seen)) : (out << "<null>"));
   out << ", " << "percent="; (__isset.percent ? (out << to_string(percent)) : (out << "<null>"));
+  out << ", " << "incarnation="; (__isset.incarnation ? (out << to_string(incarnation)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3827,6 +3849,11 @@
   this->unreadable = val;
 __isset.unreadable = true;
 }
+
+void ExecutorAnswer::__set_of_introduction(const bool val) {
+  this->of_introduction = val;
+__isset.of_introduction = true;
+}
 std::ostream& operator<<(std::ostream& out, const ExecutorAnswer& obj)
 {
   obj.printTo(out);
@@ -3961,6 +3988,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->of_introduction);
+          this->__isset.of_introduction = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4046,6 +4081,11 @@
     xfer += oprot->writeI32(this->unreadable);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.of_introduction) {
+    xfer += oprot->writeFieldBegin("of_introduction", ::apache::thrift::protocol::T_BOOL, 11);
+    xfer += oprot->writeBool(this->of_introduction);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4063,6 +4103,7 @@
   swap(a.running, b.running);
   swap(a.ends, b.ends);
   swap(a.unreadable, b.unreadable);
+  swap(a.of_introduction, b.of_introduction);
   swap(a.__isset, b.__isset);
 }
 
@@ -4077,6 +4118,7 @@
   running = other96.running;
   ends = other96.ends;
   unreadable = other96.unreadable;
+  of_introduction = other96.of_introduction;
   __isset = other96.__isset;
 }
 ExecutorAnswer& ExecutorAnswer::operator=(const ExecutorAnswer& other97) {
@@ -4090,6 +4132,7 @@
   running = other97.running;
   ends = other97.ends;
   unreadable = other97.unreadable;
+  of_introduction = other97.of_introduction;
   __isset = other97.__isset;
   return *this;
 }
@@ -4106,6 +4149,7 @@
   out << ", " << "running="; (__isset.running ? (out << to_string(running)) : (out << "<null>"));
   out << ", " << "ends="; (__isset.ends ? (out << to_string(ends)) : (out << "<null>"));
   out << ", " << "unreadable="; (__isset.unreadable ? (out << to_string(unreadable)) : (out << "<null>"));
+  out << ", " << "of_introduction="; (__isset.of_introduction ? (out << to_string(of_introduction)) : (out << "<null>"));
   out << ")";
 }
 
--- a/Libraries/LibSchedule/Generated/schedule_types.h
+++ b/Libraries/LibSchedule/Generated/schedule_types.h
@@ -1241,7 +1241,7 @@
 std::ostream& operator<<(std::ostream& out, const RunName& obj);
 
 typedef struct _ExecutorCall__isset {
-  _ExecutorCall__isset() : run(false), spec(false), checkpoint(false), lease_end_ms(false), wait_ms(false), last_seen(false), percent(false) {}
+  _ExecutorCall__isset() : run(false), spec(false), checkpoint(false), lease_end_ms(false), wait_ms(false), last_seen(false), percent(false), incarnation(false) {}
   bool run :1;
   bool spec :1;
   bool checkpoint :1;
@@ -1249,6 +1249,7 @@
   bool wait_ms :1;
   bool last_seen :1;
   bool percent :1;
+  bool incarnation :1;
 } _ExecutorCall__isset;
 
 class ExecutorCall : public virtual ::apache::thrift::TBase {
@@ -1267,7 +1268,8 @@
                  lease_end_ms(0),
                  wait_ms(0),
                  last_seen(0),
-                 percent(0) {
+                 percent(0),
+                 incarnation(0) {
   }
 
   virtual ~ExecutorCall() noexcept;
@@ -1283,6 +1285,7 @@
   int64_t wait_ms;
   int64_t last_seen;
   int32_t percent;
+  int64_t incarnation;
 
   _ExecutorCall__isset __isset;
 
@@ -1310,6 +1313,8 @@
 
   void __set_percent(const int32_t val);
 
+  void __set_incarnation(const int64_t val);
+
   bool operator == (const ExecutorCall & rhs) const
   {
     if (!(number == rhs.number))
@@ -1350,6 +1355,10 @@
       return false;
     else if (__isset.percent && !(percent == rhs.percent))
       return false;
+    if (__isset.incarnation != rhs.__isset.incarnation)
+      return false;
+    else if (__isset.incarnation && !(incarnation == rhs.incarnation))
+      return false;
     return true;
   }
   bool operator != (const ExecutorCall &rhs) const {
@@ -1499,7 +1508,7 @@
 std::ostream& operator<<(std::ostream& out, const TaskEnd& obj);
 
 typedef struct _ExecutorAnswer__isset {
-  _ExecutorAnswer__isset() : age_us(false), refusal(false), fenced(false), incarnation(false), clock_ms(false), running(false), ends(false), unreadable(false) {}
+  _ExecutorAnswer__isset() : age_us(false), refusal(false), fenced(false), incarnation(false), clock_ms(false), running(false), ends(false), unreadable(false), of_introduction(false) {}
   bool age_us :1;
   bool refusal :1;
   bool fenced :1;
@@ -1508,6 +1517,7 @@
   bool running :1;
   bool ends :1;
   bool unreadable :1;
+  bool of_introduction :1;
 } _ExecutorAnswer__isset;
 
 class ExecutorAnswer : public virtual ::apache::thrift::TBase {
@@ -1523,7 +1533,8 @@
                    fenced(0),
                    incarnation(0),
                    clock_ms(0),
-                   unreadable(0) {
+                   unreadable(0),
+                   of_introduction(0) {
   }
 
   virtual ~ExecutorAnswer() noexcept;
@@ -1537,6 +1548,7 @@
   std::vector<RunningTask>  running;
   std::vector<TaskEnd>  ends;
   int32_t unreadable;
+  bool of_introduction;
 
   _ExecutorAnswer__isset __isset;
 
@@ -1560,6 +1572,8 @@
 
   void __set_unreadable(const int32_t val);
 
+  void __set_of_introduction(const bool val);
+
   bool operator == (const ExecutorAnswer & rhs) const
   {
     if (!(number == rhs.number))
@@ -1598,6 +1612,10 @@
       return false;
     else if (__isset.unreadable && !(unreadable == rhs.unreadable))
       return false;
+    if (__isset.of_introduction != rhs.__isset.of_introduction)
+      return false;
+    else if (__isset.of_introduction && !(of_introduction == rhs.of_introduction))
+      return false;
     return true;
   }
   bool operator != (const ExecutorAnswer &rhs) const {
--- a/Libraries/LibSchedule/Lease.h
+++ b/Libraries/LibSchedule/Lease.h
@@ -19,6 +19,10 @@
 //
 // A process that becomes known may have received each call that was sent before. Its leases
 // therefore expire no later than by the second bound.
+//
+// Calls that ask for a lease name the process that they are for, and go out on a connection on
+// which it has named itself, so that none reaches a later process. The second bound is for
+// executors that keep no connection open, to which that can't be applied.
 namespace sesameseam::schedule {
 
 struct LeaseLimits
--- a/Libraries/LibSchedule/RelayMessages.cpp
+++ b/Libraries/LibSchedule/RelayMessages.cpp
@@ -89,6 +89,8 @@
       aRecord.executor = aValue.mTo.mExecutor.mValue;
       aRecord.address = aValue.mTo.mAddress;
       aRecord.epoch = aValue.mTo.mEpoch;
+      aRecord.incarnation = aValue.mTo.mIncarnation;
+      aRecord.__isset.incarnation = aRecord.incarnation != 0;
       Fill(aValue, aRecord);
     },
     aCall.mCall);
@@ -99,6 +101,7 @@
 {
   ExecutorAddress to{ ExecutorId(std::move(aRecord.executor)), std::move(aRecord.address) };
   to.mEpoch = aRecord.epoch;
+  to.mIncarnation = aRecord.incarnation;
   auto leaseEnd = std::chrono::milliseconds(aRecord.lease_end_ms);
   auto run = FromRecord(std::move(aRecord.run));
   switch (static_cast<std::size_t>(aRecord.kind)) {
@@ -137,6 +140,7 @@
   aResult.mRunning = aAnswer.mRunning;
   aResult.mEnds = aAnswer.mEnds;
   aResult.mUnreadable = aAnswer.mUnreadable;
+  aResult.mIsOfIntroduction = aAnswer.mIsOfIntroduction;
 }
 
 void
@@ -171,6 +175,9 @@
   answer.mSentAt = aSentAt;
   answer.mAge = aResult.mAge;
   answer.mIsRelayFailure = aResult.mIsRelayFailure;
+  if (aResult.mIsOfIntroduction) {
+    ReduceToIntroduction(answer);
+  }
   return answer;
 }
 
@@ -240,6 +247,7 @@
   aRecord.incarnation = aResult.mIncarnation;
   aRecord.clock_ms = aResult.mClock.count();
   aRecord.unreadable = aResult.mUnreadable;
+  aRecord.of_introduction = aResult.mIsOfIntroduction;
   FillEach(aResult.mRunning, aRecord.running);
   FillEach(aResult.mEnds, aRecord.ends);
   aRecord.__isset.age_us = aRecord.age_us != 0;
@@ -248,6 +256,7 @@
   aRecord.__isset.incarnation = aRecord.incarnation != 0;
   aRecord.__isset.clock_ms = aRecord.clock_ms != 0;
   aRecord.__isset.unreadable = aRecord.unreadable != 0;
+  aRecord.__isset.of_introduction = aRecord.of_introduction;
   aRecord.__isset.running = !aRecord.running.empty();
   aRecord.__isset.ends = !aRecord.ends.empty();
 }
@@ -264,6 +273,7 @@
   result.mIncarnation = aRecord.incarnation;
   result.mClock = std::chrono::milliseconds(aRecord.clock_ms);
   result.mUnreadable = aRecord.unreadable;
+  result.mIsOfIntroduction = aRecord.of_introduction;
   result.mRunning.reserve(aRecord.running.size());
   for (auto& row : aRecord.running) {
     result.mRunning.push_back(
--- a/Libraries/LibSchedule/RelayMessages.h
+++ b/Libraries/LibSchedule/RelayMessages.h
@@ -34,6 +34,8 @@
   std::vector<RunningTask> mRunning;
   std::vector<TaskEnd> mEnds;
   int mUnreadable = 0;
+  // As in HeartbeatAnswer.
+  bool mIsOfIntroduction = false;
   // The relay stayed silent or did not make the call, which tells nothing of the executor. Found by
   // the owner, and not sent.
   bool mIsRelayFailure = false;
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -203,7 +203,11 @@
 ExecutorAddress
 AddressOf(const Shard& aShard, const Executor& aExecutor)
 {
-  return { aExecutor.mEntry.mId, aExecutor.mEntry.mAddress, aShard.mPartition, aShard.mEpoch };
+  ExecutorAddress address{
+    aExecutor.mEntry.mId, aExecutor.mEntry.mAddress, aShard.mPartition, aShard.mEpoch
+  };
+  address.mIncarnation = aExecutor.mProcess.mIncarnation;
+  return address;
 }
 
 PlacedRun
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -94,17 +94,27 @@
 
 // When a start was given up, and which process it was for, for the log.
 std::string
-DescribeUnanswered(const Executor& aExecutor,
-                   const PlacedRun& aRun,
-                   const StartAnswer& aAnswer,
-                   Instant aNow)
+DescribeUnanswered(const Executor& aExecutor, const StartAnswer& aAnswer, Instant aNow)
 {
   auto waited = ToMilliseconds(aNow - aAnswer.mSentAt).count();
-  return "no answer after " + std::to_string(waited) + " ms; it was placed in process " +
-         std::to_string(aRun.mIncarnation) + ", process " +
+  return "no answer after " + std::to_string(waited) + " ms; it was for process " +
+         std::to_string(aAnswer.mCall.mTo.mIncarnation) + ", process " +
          std::to_string(aExecutor.mProcess.mIncarnation) + " answered last";
 }
 
+std::string
+DescribeRefusal(const StartAnswer& aAnswer)
+{
+  auto process = std::to_string(aAnswer.mCall.mTo.mIncarnation);
+  if (aAnswer.mRefusal == StartRefusal::NotReached) {
+    return "not sent: process " + process + " did not answer";
+  }
+  if (aAnswer.mRefusal == StartRefusal::OtherIncarnation) {
+    return "not run: it was for process " + process + ", and another one answered";
+  }
+  return "refusal " + std::to_string(static_cast<int>(aAnswer.mRefusal));
+}
+
 // Whether the list says nothing of the run that has to be acted on. What the end of its job asks of
 // a run was decided when the job ended.
 bool
@@ -402,7 +412,7 @@
   if (executor == nullptr) {
     return;
   }
-  if (!aAnswer.mIsRelayFailure) {
+  if (!aAnswer.mIsRelayFailure && aAnswer.mRefusal != StartRefusal::NotReached) {
     NoteLeaseOutcome(*executor, aShard.mSettings.mLease, aAnswer.mCall.mLeaseEnd, aNow.mAt);
   }
   if (aAnswer.mResult == CallResult::Done) {
@@ -432,22 +442,23 @@
     detail::LogRun("start-unanswered",
                    aAnswer.mCall.mRun,
                    *executor,
-                   DescribeUnanswered(*executor, run, aAnswer, aNow.mAt),
+                   DescribeUnanswered(*executor, aAnswer, aNow.mAt),
                    aActions);
     return;
   }
   ++aShard.mCounters.mStartsRefused;
-  detail::LogRun("start-refused",
-                 aAnswer.mCall.mRun,
-                 *executor,
-                 "refusal " + std::to_string(static_cast<int>(aAnswer.mRefusal)),
-                 aActions);
+  detail::LogRun(
+    "start-refused", aAnswer.mCall.mRun, *executor, DescribeRefusal(aAnswer), aActions);
   if (aAnswer.mRefusal == StartRefusal::Fenced) {
     detail::LoseOwnership(aShard, "an executor knows a later owner", aActions);
     return;
   }
-  if (aAnswer.mRefusal == StartRefusal::Unhealthy ||
-      aAnswer.mRefusal == StartRefusal::InsufficientCapacity) {
+  if (aAnswer.mRefusal == StartRefusal::NotReached) {
+    executor->mUnansweredCalls = std::max(executor->mUnansweredCalls, 1);
+    NoteUnanswered(*executor, aAnswer.mSentAt, 0ms, aNow.mAt);
+    RecordRefusal(*executor, aNow.mAt);
+  } else if (aAnswer.mRefusal == StartRefusal::Unhealthy ||
+             aAnswer.mRefusal == StartRefusal::InsufficientCapacity) {
     RecordRefusal(*executor, aNow.mAt);
   } else if (aAnswer.mRefusal != StartRefusal::NotSent) {
     // Its clock or its runs differ from what is known here; the next heartbeat answer updates them.
--- a/Libraries/LibSchedule/schedule.thrift
+++ b/Libraries/LibSchedule/schedule.thrift
@@ -174,6 +174,8 @@
   10: optional i64 wait_ms,
   11: optional i64 last_seen,
   12: optional i32 percent,
+  // The process that the call is for; without it, any.
+  13: optional i64 incarnation,
 }
 
 struct RunningTask {
@@ -202,6 +204,8 @@
   8: optional list<RunningTask> running,
   9: optional list<TaskEnd> ends,
   10: optional i32 unreadable,
+  // The call itself was not sent, only the heartbeat that introduces a connection.
+  11: optional bool of_introduction,
 }
 
 struct RelayRequest {
--- a/Tests/LibSchedule/TestRelayedCalls.cpp
+++ b/Tests/LibSchedule/TestRelayedCalls.cpp
@@ -636,6 +636,7 @@
 BOOST_AUTO_TEST_CASE(every_kind_of_call_and_answer_survives_the_wire)
 {
   auto to = HeartbeatTo(1).mTo;
+  to.mIncarnation = 18;
   TaskRun run{ { JobId("00000000000000aa"), 1, 2, 3 }, 4 };
   RelayRequest request{ "e0", 5, Instant(6s), Instant(7s) };
   request.mCalls.push_back({ 1, HeartbeatCall{ to, 8, 9ms, 10ms } });
@@ -651,6 +652,7 @@
   const auto& heartbeat = std::get<HeartbeatCall>(received.mCalls[0].mCall);
   BOOST_TEST(heartbeat.mTo.mAddress == to.mAddress);
   BOOST_TEST(heartbeat.mTo.mEpoch == 17);
+  BOOST_TEST(heartbeat.mTo.mIncarnation == 18);
   BOOST_TEST(heartbeat.mLastSeen == 8);
   BOOST_TEST((heartbeat.mLeaseEnd == 9ms && heartbeat.mWait == 10ms));
   const auto& start = std::get<StartCall>(received.mCalls[1].mCall);
@@ -676,6 +678,9 @@
   HeartbeatAnswer fromNobody{ heartbeat };
   fromNobody.mHasNoListener = true;
   response.mResults.push_back(ToRelayedResult(4, fromNobody));
+  HeartbeatAnswer introduction{ heartbeat, CallResult::Done };
+  introduction.mIsOfIntroduction = true;
+  response.mResults.push_back(ToRelayedResult(5, introduction));
   auto returned = DecodeRelayResponse(EncodeRelayResponse(response)).value();
   BOOST_TEST((returned.mClock == Instant(15s)));
   auto back =
@@ -693,6 +698,10 @@
   BOOST_TEST(!std::get<HeartbeatAnswer>(third).mHasNoListener);
   auto fourth = ToExecutorAnswer(heartbeat, Instant(1s), returned.mResults[3]);
   BOOST_TEST(std::get<HeartbeatAnswer>(fourth).mHasNoListener);
+  auto fifth =
+    std::get<HeartbeatAnswer>(ToExecutorAnswer(heartbeat, Instant(1s), returned.mResults[4]));
+  BOOST_TEST((back.mCall.mLeaseEnd == 9ms && back.mCall.mLastSeen == 8));
+  BOOST_TEST((fifth.mCall.mLeaseEnd == 0ms && fifth.mCall.mLastSeen == 0));
 }
 
 BOOST_AUTO_TEST_CASE(a_truncated_message_is_a_typed_error)
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -256,6 +256,44 @@
   BOOST_TEST((owner.mShard.mJobsCurrentAsOf == Later(2s).mAt));
 }
 
+// Guards against a start, a lease or an acknowledgement that a later process under the same id
+// carries out (TWICE): each call says which process it is for.
+BOOST_AUTO_TEST_CASE(each_call_names_the_process_that_answered_last)
+{
+  Owner owner;
+  owner.TheExecutor().mProcess.mIncarnation = 77;
+  owner.TheExecutor().mRuns[{ { JobId("j"), 0, 0, 0 }, 1 }] =
+    schedule::detail::MakeRun({}, MakeLongRunningStep(2, 1, 1), RunState::Running, kNow.mAt);
+  owner.Advance(Later(20ms));
+  BOOST_TEST(owner.OnlyHeartbeat().mTo.mIncarnation == 77);
+}
+
+// Guards against tasks that wait for the end of a lease that no process was asked for, and against
+// starts there again and again while the executor can't be reached.
+BOOST_AUTO_TEST_CASE(a_start_that_was_not_sent_frees_its_task_and_spares_its_executor)
+{
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto& executor = owner.TheExecutor();
+  BOOST_REQUIRE(executor.mRuns.size() == 1u);
+  auto& [name, run] = *executor.mRuns.begin();
+  run.mState = RunState::Starting;
+  run.mEpoch = kEpoch;
+  auto leases = executor.mAllLeasesExpiredAt;
+  StartAnswer answer;
+  answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+  answer.mCall.mRun = name;
+  answer.mCall.mLeaseEnd = 6000ms;
+  answer.mResult = CallResult::Refused;
+  answer.mRefusal = StartRefusal::NotReached;
+  answer.mSentAt = Later(12ms).mAt;
+  OnStartAnswer(owner.mShard, Later(900ms), answer, owner.mActions);
+  BOOST_TEST(executor.mRuns.empty());
+  BOOST_TEST((executor.mAllLeasesExpiredAt == leases));
+  BOOST_TEST(!IsSchedulable(executor, Later(901ms).mAt));
+}
+
 // Guards against leases that lapse (AVAIL, LOST) because the failure of the host that calls an
 // executor was taken for the executor's silence.
 BOOST_AUTO_TEST_CASE(the_failure_of_a_relay_is_no_silence_of_its_executors)
