--- a/Meta/scheduler-processes.sh
+++ b/Meta/scheduler-processes.sh
@@ -38,7 +38,7 @@
   "cpu_cores": ${scheduler_cores:-1.0}, "share_calls_delay": "${share_calls_delay:-15ms}",
   "store": "${stores[$index]:-$store}",
   "machines": "${stores[$index]:-$store}", "partitions": 24,
-  "log_lines_per_second": 1000 }
+  "log_lines_per_second": 1000${scheduler_limits:-} }
 JSON
   start "s$index" "$build/Services/sesameseam-schedulerd" --settings "$work/s$index.json"
   schedulers[$index]=${processes[-1]}
