A client that sends requests ahead and reads no answer no longer fills a scheduler's memory

Cause: while an answer waits to be written, libevent goes on reading so that it sees a close, and nothing bounded what it read.

Change: each connection has a read high-water mark. While a request arrives it is the largest request (headers and body: libevent handles a line or a chunk only once it has the whole of it); while an answer waits to be taken, 4,096 bytes. The rest stays in the sockets, so the client is held up.

--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <charconv>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
@@ -14,6 +16,10 @@
 
 namespace {
 
+// What a connection reads ahead at most while its answer waits to be taken; libevent goes on
+// reading then to see whether the client is gone.
+constexpr std::size_t kMaxReadAheadBytes = 4096;
+
 EventHttpMethod
 MethodOf(evhttp_request* aRequest)
 {
@@ -58,6 +64,13 @@
   return std::chrono::milliseconds(result.ec == std::errc() ? std::max<std::int64_t>(0, value) : 0);
 }
 
+// Nothing is read while this many bytes are buffered.
+void
+SetReadLimit(bufferevent* aBuffers, std::size_t aBytes)
+{
+  bufferevent_setwatermark(aBuffers, EV_READ, 0, aBytes);
+}
+
 }
 
 EventHttpServer::EventHttpServer(event_base* aBase,
@@ -73,6 +86,7 @@
   evhttp_set_allowed_methods(mServer,
                              EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | EVHTTP_REQ_PUT |
                                EVHTTP_REQ_HEAD);
+  evhttp_set_bevcb(mServer, MakeBuffers, this);
   evhttp_set_gencb(mServer, OnRequest, this);
 }
 
@@ -96,6 +110,20 @@
   return absl::OkStatus();
 }
 
+std::size_t
+EventHttpServer::MaxBufferedBytes() const
+{
+  return static_cast<std::size_t>(mSettings.mMaxHeaderBytes + mSettings.mMaxBodyBytes);
+}
+
+bufferevent*
+EventHttpServer::MakeBuffers(event_base* aBase, void* aServer)
+{
+  auto* buffers = bufferevent_socket_new(aBase, -1, 0);
+  SetReadLimit(buffers, static_cast<EventHttpServer*>(aServer)->MaxBufferedBytes());
+  return buffers;
+}
+
 void
 EventHttpServer::OnRequest(evhttp_request* aRequest, void* aServer)
 {
@@ -141,10 +169,22 @@
   if (mClosing) {
     evhttp_add_header(headers, "Connection", "close");
   }
+  // The client may be gone.
+  if (auto* connection = evhttp_request_get_connection(request)) {
+    SetReadLimit(evhttp_connection_get_bufferevent(connection), kMaxReadAheadBytes);
+    evhttp_request_set_on_complete_cb(request, OnAnswerTaken, this);
+  }
   auto* buffer = evbuffer_new();
   evbuffer_add(buffer, aReply.mBody.data(), aReply.mBody.size());
   evhttp_send_reply(request, aReply.mStatus, nullptr, buffer);
   evbuffer_free(buffer);
 }
 
+void
+EventHttpServer::OnAnswerTaken(evhttp_request* aRequest, void* aServer)
+{
+  auto* buffers = evhttp_connection_get_bufferevent(evhttp_request_get_connection(aRequest));
+  SetReadLimit(buffers, static_cast<EventHttpServer*>(aServer)->MaxBufferedBytes());
+}
+
 }
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+struct bufferevent;
 struct event_base;
 struct evhttp;
 struct evhttp_request;
@@ -69,7 +70,13 @@
   [[nodiscard]] std::size_t Pending() const { return mRequests.size(); }
 
 private:
+  static bufferevent* MakeBuffers(event_base* aBase, void* aServer);
   static void OnRequest(evhttp_request* aRequest, void* aServer);
+  static void OnAnswerTaken(evhttp_request* aRequest, void* aServer);
+
+  // What a connection buffers at most while a request arrives: libevent handles a line or a chunk
+  // only once it has the whole of it.
+  [[nodiscard]] std::size_t MaxBufferedBytes() const;
 
   EventHttpServerSettings mSettings;
   Handler mHandler;
--- a/Tests/StandIns/crowd.cpp
+++ b/Tests/StandIns/crowd.cpp
@@ -1,7 +1,9 @@
 #include "LibHttp/Address.h"
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <iostream>
@@ -167,6 +169,7 @@
     return 2;
   }
   std::vector<Connection> crowd;
+  crowd.reserve(static_cast<std::size_t>(connections));
   for (int i = 0; i < connections; ++i) {
     crowd.push_back({ Connect(*address) });
   }
