Unfinished requests no longer fill a scheduler's memory

Cause: what connections hold together had no bound: bodies, chunks and headers that never come to their end stay until the idle timeout of 60 s.

Change: each listening address has a bound on what its connections hold: what was received, waits for its answer, or waits to be sent, with what the lines of headers cost beside their bytes. Beyond the bound the connection whose request has been unfinished for the longest is closed, or one whose client has taken nothing of its answer for 2 s; never one whose request is with the handler or whose answer is being read. ConnectionLimits decides that. The tests ask the program for each limit by itself whether it knows it, since one comes after the other; crowd and bounds are as they were.

--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -11,6 +11,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/util.h>
+#include <utility>
 
 namespace sesameseam {
 
@@ -19,6 +20,8 @@
 // What a connection reads ahead at most while its answer waits to be taken; libevent goes on
 // reading then to see whether the client is gone.
 constexpr std::size_t kMaxReadAheadBytes = 4096;
+// A line of headers is kept in memory of its own; libevent takes it from the buffer in two pieces.
+constexpr std::size_t kBytesPerHeaderPiece = 64;
 
 EventHttpMethod
 MethodOf(evhttp_request* aRequest)
@@ -71,15 +74,35 @@
   bufferevent_setwatermark(aBuffers, EV_READ, 0, aBytes);
 }
 
+ConnectionInstant
+Now()
+{
+  return std::chrono::steady_clock::now();
+}
+
 }
 
+struct EventHttpServer::Connection
+{
+  EventHttpServer& mServer;
+  ConnectionId mId = 0;
+  bufferevent* mBuffers = nullptr;
+  evhttp_connection* mEvhttpConnection = nullptr;
+  // Bytes of the request under way that libevent or the handler has taken from the buffer.
+  std::size_t mTakenBytes = 0;
+  // What the headers of the request need beside their bytes.
+  std::size_t mHeaderOverheadBytes = 0;
+};
+
 EventHttpServer::EventHttpServer(event_base* aBase,
                                  EventHttpServerSettings aSettings,
                                  Handler aHandler)
   : mSettings(std::move(aSettings))
   , mHandler(std::move(aHandler))
   , mServer(evhttp_new(aBase))
+  , mCheck(event_new(aBase, -1, 0, OnCheck, this))
 {
+  mTable.mLimits = mSettings.mLimits;
   evhttp_set_max_headers_size(mServer, mSettings.mMaxHeaderBytes);
   evhttp_set_max_body_size(mServer, mSettings.mMaxBodyBytes);
   evhttp_set_timeout(mServer, mSettings.mIdleSeconds);
@@ -93,6 +116,7 @@
 EventHttpServer::~EventHttpServer()
 {
   evhttp_free(mServer);
+  event_free(mCheck);
 }
 
 absl::Status
@@ -119,8 +143,18 @@
 bufferevent*
 EventHttpServer::MakeBuffers(event_base* aBase, void* aServer)
 {
+  auto& server = *static_cast<EventHttpServer*>(aServer);
   auto* buffers = bufferevent_socket_new(aBase, -1, 0);
-  SetReadLimit(buffers, static_cast<EventHttpServer*>(aServer)->MaxBufferedBytes());
+  SetReadLimit(buffers, server.MaxBufferedBytes());
+  auto id = server.mNextConnection++;
+  auto connection = std::make_unique<Connection>(Connection{ server, id, buffers });
+  evbuffer_add_cb(bufferevent_get_input(buffers), OnInput, connection.get());
+  evbuffer_add_cb(bufferevent_get_output(buffers), OnOutput, connection.get());
+  AddConnection(server.mTable, id, Now());
+  server.mConnections.emplace(id, std::move(connection));
+  server.mIds[buffers] = id;
+  server.mNewConnections.push_back(id);
+  server.CheckSoon();
   return buffers;
 }
 
@@ -146,6 +180,9 @@
   auto* buffer = evhttp_request_get_input_buffer(aRequest);
   incoming.mBody.resize(evbuffer_get_length(buffer));
   evbuffer_remove(buffer, incoming.mBody.data(), incoming.mBody.size());
+  if (auto* connection = server.Find(aRequest)) {
+    server.Enter(*connection, ConnectionPhase::Handling);
+  }
   server.mRequests.emplace(incoming.mTicket, aRequest);
   server.mHandler(std::move(incoming));
 }
@@ -169,9 +206,11 @@
   if (mClosing) {
     evhttp_add_header(headers, "Connection", "close");
   }
-  // The client may be gone.
-  if (auto* connection = evhttp_request_get_connection(request)) {
-    SetReadLimit(evhttp_connection_get_bufferevent(connection), kMaxReadAheadBytes);
+  if (auto* connection = Find(request)) {
+    connection->mTakenBytes = 0;
+    connection->mHeaderOverheadBytes = 0;
+    SetReadLimit(connection->mBuffers, kMaxReadAheadBytes);
+    Enter(*connection, ConnectionPhase::Sending);
     evhttp_request_set_on_complete_cb(request, OnAnswerTaken, this);
   }
   auto* buffer = evbuffer_new();
@@ -183,8 +222,129 @@
 void
 EventHttpServer::OnAnswerTaken(evhttp_request* aRequest, void* aServer)
 {
-  auto* buffers = evhttp_connection_get_bufferevent(evhttp_request_get_connection(aRequest));
-  SetReadLimit(buffers, static_cast<EventHttpServer*>(aServer)->MaxBufferedBytes());
+  auto& server = *static_cast<EventHttpServer*>(aServer);
+  auto* connection = server.Find(aRequest);
+  if (connection == nullptr) {
+    return;
+  }
+  SetReadLimit(connection->mBuffers, server.MaxBufferedBytes());
+  auto ahead = evbuffer_get_length(bufferevent_get_input(connection->mBuffers));
+  server.Enter(*connection, ahead > 0 ? ConnectionPhase::Receiving : ConnectionPhase::Idle);
+}
+
+EventHttpServer::Connection*
+EventHttpServer::Find(evhttp_request* aRequest)
+{
+  auto* connection = evhttp_request_get_connection(aRequest);
+  if (connection == nullptr) {
+    return nullptr;
+  }
+  auto id = mIds.find(evhttp_connection_get_bufferevent(connection));
+  return id == mIds.end() ? nullptr : mConnections.at(id->second).get();
+}
+
+void
+EventHttpServer::Enter(const Connection& aConnection, ConnectionPhase aPhase)
+{
+  EnterPhase(mTable, aConnection.mId, aPhase, Now());
+  CountHeldBytes(aConnection);
+}
+
+void
+EventHttpServer::CountHeldBytes(const Connection& aConnection)
+{
+  auto received = evbuffer_get_length(bufferevent_get_input(aConnection.mBuffers));
+  auto toSend = evbuffer_get_length(bufferevent_get_output(aConnection.mBuffers));
+  SetHeldBytes(mTable,
+               aConnection.mId,
+               received + aConnection.mTakenBytes + aConnection.mHeaderOverheadBytes + toSend);
+  if (mTable.mHeldBytes > mTable.mLimits.mMaxHeldBytes) {
+    CheckSoon();
+  }
+}
+
+void
+EventHttpServer::OnInput(evbuffer* /*aBuffer*/, const evbuffer_cb_info* aChange, void* aConnection)
+{
+  auto& connection = *static_cast<Connection*>(aConnection);
+  auto& server = connection.mServer;
+  auto phase = server.mTable.mConnections.at(connection.mId).mPhase;
+  if (phase == ConnectionPhase::Idle) {
+    phase = ConnectionPhase::Receiving;
+    server.Enter(connection, phase);
+  }
+  if (phase == ConnectionPhase::Receiving && aChange->n_deleted > 0) {
+    auto maxHeaderBytes = static_cast<std::size_t>(server.mSettings.mMaxHeaderBytes);
+    auto isHeader = connection.mTakenBytes < maxHeaderBytes;
+    connection.mHeaderOverheadBytes += isHeader ? kBytesPerHeaderPiece : 0;
+    connection.mTakenBytes += aChange->n_deleted;
+  }
+  server.CountHeldBytes(connection);
+}
+
+void
+EventHttpServer::OnOutput(evbuffer* /*aBuffer*/, const evbuffer_cb_info* aChange, void* aConnection)
+{
+  auto& connection = *static_cast<Connection*>(aConnection);
+  auto& server = connection.mServer;
+  auto phase = server.mTable.mConnections.at(connection.mId).mPhase;
+  if (phase == ConnectionPhase::Sending && aChange->n_deleted > 0) {
+    server.Enter(connection, phase);
+  }
+  server.CountHeldBytes(connection);
+}
+
+void
+EventHttpServer::OnClosed(evhttp_connection* /*aEvhttpConnection*/, void* aConnection)
+{
+  auto& connection = *static_cast<Connection*>(aConnection);
+  auto& server = connection.mServer;
+  auto id = connection.mId;
+  RemoveConnection(server.mTable, id);
+  server.mIds.erase(connection.mBuffers);
+  // Its callbacks are gone with its buffers, which libevent frees next.
+  server.mConnections.erase(id);
+}
+
+void
+EventHttpServer::CheckSoon()
+{
+  event_active(mCheck, EV_TIMEOUT, 0);
+}
+
+void
+EventHttpServer::AdoptNewConnections()
+{
+  for (auto id : std::exchange(mNewConnections, {})) {
+    auto found = mConnections.find(id);
+    if (found == mConnections.end()) {
+      continue;
+    }
+    // libevent gives the connections of a server out only along with a request, but hands each to
+    // the callbacks of its buffers.
+    void* argument = nullptr;
+    bufferevent_getcb(found->second->mBuffers, nullptr, nullptr, nullptr, &argument);
+    auto* connection = static_cast<evhttp_connection*>(argument);
+    found->second->mEvhttpConnection = connection;
+    evhttp_connection_set_closecb(connection, OnClosed, found->second.get());
+  }
+}
+
+void
+EventHttpServer::Close(ConnectionId aId)
+{
+  evhttp_connection_free(mConnections.at(aId)->mEvhttpConnection);
+}
+
+void
+EventHttpServer::OnCheck(int /*aDescriptor*/, short /*aWhat*/, void* aServer)
+{
+  auto& server = *static_cast<EventHttpServer*>(aServer);
+  server.AdoptNewConnections();
+  while (auto chosen = ChooseToFreeBytes(server.mTable, Now())) {
+    server.mTable.mCounters.mClosedForBytes += 1;
+    server.Close(*chosen);
+  }
 }
 
 }
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -1,17 +1,23 @@
 #pragma once
 
 #include "LibBase/Error.h"
+#include "LibHttp/ConnectionLimits.h"
 #include "LibHttp/EventHttpMethod.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
 struct bufferevent;
+struct evbuffer;
+struct evbuffer_cb_info;
+struct event;
 struct event_base;
 struct evhttp;
+struct evhttp_connection;
 struct evhttp_request;
 
 namespace sesameseam {
@@ -48,6 +54,7 @@
   std::int64_t mMaxHeaderBytes = 16 * 1024;
   std::int64_t mMaxBodyBytes = 256 * 1024;
   int mIdleSeconds = 60;
+  ConnectionLimits mLimits;
 };
 
 // An HTTP server on a libevent loop. Requests are answered in any order, later or at once.
@@ -69,18 +76,42 @@
 
   [[nodiscard]] std::size_t Pending() const { return mRequests.size(); }
 
+  // What the connections hold, and which were closed.
+  [[nodiscard]] const ConnectionTable& Connections() const { return mTable; }
+
 private:
+  struct Connection;
+
   static bufferevent* MakeBuffers(event_base* aBase, void* aServer);
   static void OnRequest(evhttp_request* aRequest, void* aServer);
   static void OnAnswerTaken(evhttp_request* aRequest, void* aServer);
+  static void OnInput(evbuffer* aBuffer, const evbuffer_cb_info* aChange, void* aConnection);
+  static void OnOutput(evbuffer* aBuffer, const evbuffer_cb_info* aChange, void* aConnection);
+  static void OnClosed(evhttp_connection* aEvhttpConnection, void* aConnection);
+  static void OnCheck(int aDescriptor, short aWhat, void* aServer);
 
   // What a connection buffers at most while a request arrives: libevent handles a line or a chunk
   // only once it has the whole of it.
   [[nodiscard]] std::size_t MaxBufferedBytes() const;
+  // The connection of a request; null if the client is gone.
+  Connection* Find(evhttp_request* aRequest);
+  void Enter(const Connection& aConnection, ConnectionPhase aPhase);
+  void CountHeldBytes(const Connection& aConnection);
+  // The limits are looked at outside of libevent's own callbacks, in which nothing may be closed.
+  void CheckSoon();
+  // Learns of the new connections all that was not known yet when they were accepted.
+  void AdoptNewConnections();
+  void Close(ConnectionId aId);
 
   EventHttpServerSettings mSettings;
   Handler mHandler;
   evhttp* mServer;
+  event* mCheck;
+  ConnectionTable mTable;
+  std::map<ConnectionId, std::unique_ptr<Connection>> mConnections;
+  std::map<const bufferevent*, ConnectionId> mIds;
+  std::vector<ConnectionId> mNewConnections;
+  ConnectionId mNextConnection = 1;
   std::map<std::int64_t, evhttp_request*> mRequests;
   std::int64_t mNextTicket = 1;
   bool mClosing = false;
--- a/Meta/crowds.sh
+++ b/Meta/crowds.sh
@@ -8,17 +8,20 @@
 max_open=$((max_descriptors - 200 / 8))
 # A hang is told from a slow answer by this.
 answer_seconds=10
+scheduler_limits=
 
-# Tells the scheduler its limits by its settings, if it knows them.
+# Tells the scheduler its limits by those settings that it knows.
 set_limits() {
-  local limits=', "memory_mb": '$max_memory_mb', "max_descriptors": '$max_descriptors
-  cat >"$work/limits.json" <<JSON
+  local limit
+  for limit in "\"memory_mb\": $max_memory_mb" "\"max_descriptors\": $max_descriptors"; do
+    cat >"$work/limit.json" <<JSON
 { "name": "s", "front": "127.0.0.1:1", "ready": "127.0.0.1:2", "store": "127.0.0.1:3",
-  "machines": "127.0.0.1:3"$limits }
+  "machines": "127.0.0.1:3", $limit }
 JSON
-  if "$build/Services/sesameseam-schedulerd" --settings "$work/limits.json" --check >/dev/null 2>&1; then
-    scheduler_limits=$limits
-  fi
+    if "$build/Services/sesameseam-schedulerd" --settings "$work/limit.json" --check >/dev/null 2>&1; then
+      scheduler_limits+=", $limit"
+    fi
+  done
 }
 
 # Starts one scheduler that can't open more descriptors than its machine has.
