A crowd of connections no longer takes all descriptors of a scheduler

Cause: any number of connections was accepted, so that clients took the descriptors that the process needs for calls to store and executors and for its other addresses, and accept failed in a loop.

When all are taken, the connection that has been idle for the longest is closed for the new one; if none is idle, one whose request has been unfinished for 5 s or whose client has read nothing for 2 s; else the new one is closed. If accept fails all the same, the listener pauses for 100 ms.

Not measured: how many connections the balancer holds at the largest site.

--- a/Libraries/LibHttp/ConnectionLimits.cpp
+++ b/Libraries/LibHttp/ConnectionLimits.cpp
@@ -12,7 +12,7 @@
   std::optional<ConnectionId> found;
   ConnectionInstant since;
   for (const auto& [id, state] : aTable.mConnections) {
-    if (aIsCandidate(state) && (!found || state.mSince < since)) {
+    if (aIsCandidate(id, state) && (!found || state.mSince < since)) {
       found = id;
       since = state.mSince;
     }
@@ -27,6 +27,13 @@
          aNow - aState.mSince >= aTable.mLimits.mReaderStall;
 }
 
+bool
+IsAbandoned(const ConnectionTable& aTable, const ConnectionState& aState, ConnectionInstant aNow)
+{
+  return aState.mPhase == ConnectionPhase::Receiving &&
+         aNow - aState.mSince >= aTable.mLimits.mRequestStall;
+}
+
 }
 
 void
@@ -73,9 +80,27 @@
   if (aTable.mHeldBytes <= aTable.mLimits.mMaxHeldBytes) {
     return std::nullopt;
   }
-  return Longest(aTable, [&](const ConnectionState& aState) {
+  return Longest(aTable, [&](ConnectionId, const ConnectionState& aState) {
     return aState.mPhase == ConnectionPhase::Receiving || IsUnread(aTable, aState, aNow);
   });
 }
 
+std::optional<ConnectionId>
+ChooseToMakeRoom(const ConnectionTable& aTable, ConnectionId aNewest, ConnectionInstant aNow)
+{
+  if (aTable.mConnections.size() <= aTable.mLimits.mMaxConnections) {
+    return std::nullopt;
+  }
+  auto idle = Longest(aTable, [&](ConnectionId aId, const ConnectionState& aState) {
+    return aId != aNewest && aState.mPhase == ConnectionPhase::Idle;
+  });
+  if (idle) {
+    return idle;
+  }
+  auto stalled = Longest(aTable, [&](ConnectionId, const ConnectionState& aState) {
+    return IsAbandoned(aTable, aState, aNow) || IsUnread(aTable, aState, aNow);
+  });
+  return stalled ? stalled : aNewest;
+}
+
 }
--- a/Libraries/LibHttp/ConnectionLimits.h
+++ b/Libraries/LibHttp/ConnectionLimits.h
@@ -38,15 +38,23 @@
 
 struct ConnectionLimits
 {
+  std::size_t mMaxConnections = 1024;
   std::size_t mMaxHeldBytes = 32 * 1024 * 1024;
   // A client that takes nothing of its answer for this long doesn't read it.
   Duration mReaderStall = 2s;
+  // A request that hasn't arrived whole for this long is taken to be abandoned when a new
+  // connection needs its place.
+  Duration mRequestStall = 5s;
 };
 
 struct ConnectionCounters
 {
+  // Closed while idle, to make room for a new connection.
+  std::int64_t mClosedForRoom = 0;
   // Closed to bring the bytes held back within their limit.
   std::int64_t mClosedForBytes = 0;
+  // New connections that found no room.
+  std::int64_t mRefused = 0;
 };
 
 struct ConnectionTable
@@ -80,4 +88,10 @@
 [[nodiscard]] std::optional<ConnectionId>
 ChooseToFreeBytes(const ConnectionTable& aTable, ConnectionInstant aNow);
 
+// The connection to be closed because there are more than may be: the one that has been idle for
+// the longest, else the one that has been stalled for the longest, else the newest one, which is
+// aNewest. None while the limit holds.
+[[nodiscard]] std::optional<ConnectionId>
+ChooseToMakeRoom(const ConnectionTable& aTable, ConnectionId aNewest, ConnectionInstant aNow);
+
 }
--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
 #include <event2/util.h>
 #include <utility>
 
@@ -22,6 +23,7 @@
 constexpr std::size_t kMaxReadAheadBytes = 4096;
 // A line of headers is kept in memory of its own; libevent takes it from the buffer in two pieces.
 constexpr std::size_t kBytesPerHeaderPiece = 64;
+constexpr timeval kAcceptPause{ 0, 100'000 };
 
 EventHttpMethod
 MethodOf(evhttp_request* aRequest)
@@ -128,9 +130,12 @@
   }
   auto host = mSettings.mAddress.substr(0, colon);
   auto port = static_cast<std::uint16_t>(std::atoi(mSettings.mAddress.c_str() + colon + 1));
-  if (evhttp_bind_socket(mServer, host.c_str(), port) != 0) {
+  auto* bound = evhttp_bind_socket_with_handle(mServer, host.c_str(), port);
+  if (bound == nullptr) {
     return MakeError(ErrorKind::Internal, "cannot listen on " + mSettings.mAddress);
   }
+  auto* listener = evhttp_bound_socket_get_listener(bound);
+  evconnlistener_set_error_cb(listener, OnAcceptFailed);
   return absl::OkStatus();
 }
 
@@ -306,6 +311,22 @@
   server.mConnections.erase(id);
 }
 
+// The descriptors have run out, or the memory of the system. libevent would try again at once, and
+// for as long as a client waits.
+void
+EventHttpServer::OnAcceptFailed(evconnlistener* aListener, void* /*aEvhttp*/)
+{
+  evconnlistener_disable(aListener);
+  auto* base = evconnlistener_get_base(aListener);
+  event_base_once(base, -1, EV_TIMEOUT, OnAcceptAgain, aListener, &kAcceptPause);
+}
+
+void
+EventHttpServer::OnAcceptAgain(int /*aDescriptor*/, short /*aWhat*/, void* aListener)
+{
+  evconnlistener_enable(static_cast<evconnlistener*>(aListener));
+}
+
 void
 EventHttpServer::CheckSoon()
 {
@@ -315,7 +336,7 @@
 void
 EventHttpServer::AdoptNewConnections()
 {
-  for (auto id : std::exchange(mNewConnections, {})) {
+  for (auto id : mNewConnections) {
     auto found = mConnections.find(id);
     if (found == mConnections.end()) {
       continue;
@@ -330,6 +351,20 @@
   }
 }
 
+void
+EventHttpServer::MakeRoomFor(ConnectionId aId)
+{
+  while (mConnections.contains(aId)) {
+    auto chosen = ChooseToMakeRoom(mTable, aId, Now());
+    if (!chosen) {
+      return;
+    }
+    auto& counters = mTable.mCounters;
+    (*chosen == aId ? counters.mRefused : counters.mClosedForRoom) += 1;
+    Close(*chosen);
+  }
+}
+
 void
 EventHttpServer::Close(ConnectionId aId)
 {
@@ -341,6 +376,9 @@
 {
   auto& server = *static_cast<EventHttpServer*>(aServer);
   server.AdoptNewConnections();
+  for (auto id : std::exchange(server.mNewConnections, {})) {
+    server.MakeRoomFor(id);
+  }
   while (auto chosen = ChooseToFreeBytes(server.mTable, Now())) {
     server.mTable.mCounters.mClosedForBytes += 1;
     server.Close(*chosen);
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -14,6 +14,7 @@
 struct bufferevent;
 struct evbuffer;
 struct evbuffer_cb_info;
+struct evconnlistener;
 struct event;
 struct event_base;
 struct evhttp;
@@ -89,6 +90,8 @@
   static void OnOutput(evbuffer* aBuffer, const evbuffer_cb_info* aChange, void* aConnection);
   static void OnClosed(evhttp_connection* aEvhttpConnection, void* aConnection);
   static void OnCheck(int aDescriptor, short aWhat, void* aServer);
+  static void OnAcceptFailed(evconnlistener* aListener, void* aEvhttp);
+  static void OnAcceptAgain(int aDescriptor, short aWhat, void* aListener);
 
   // What a connection buffers at most while a request arrives: libevent handles a line or a chunk
   // only once it has the whole of it.
@@ -101,6 +104,8 @@
   void CheckSoon();
   // Learns of the new connections all that was not known yet when they were accepted.
   void AdoptNewConnections();
+  // Closes connections, at last the new one itself, while there are more than may be.
+  void MakeRoomFor(ConnectionId aId);
   void Close(ConnectionId aId);
 
   EventHttpServerSettings mSettings;
