Metrics and log say which limit the connections of clients have met

The metrics page shows, by address, the connections of clients, what they hold, and how many were closed for a new one, for the bytes held, or when new. A line connections-limited, every 10 s at most for each address, says what was closed since the last one.

--- a/Libraries/LibHttp/ConnectionLimits.h
+++ b/Libraries/LibHttp/ConnectionLimits.h
@@ -55,6 +55,8 @@
   std::int64_t mClosedForBytes = 0;
   // New connections that found no room.
   std::int64_t mRefused = 0;
+
+  bool operator==(const ConnectionCounters&) const = default;
 };
 
 struct ConnectionTable
--- a/Tests/Processes/idle-connections.sh
+++ b/Tests/Processes/idle-connections.sh
@@ -18,3 +18,13 @@
   require_in_bounds "idle at $address, afterwards"
   require_answers "idle at $address, afterwards"
 done
+
+# The page and the log say that the limit was met.
+closed='sesameseam_connections_closed_total{address="front",reason="room"} [1-9]'
+require "$(http "${metrics[0]}" GET /metrics | grep -c "$closed")" -eq 1 "the page counts the connections that were closed"
+for _ in $(seq 150); do
+  logged=$(grep -c '"event":"connections-limited"' "$work/s0.log" || true)
+  [ "$logged" -gt 0 ] && break
+  sleep 0.1
+done
+require "$logged" -ge 1 "the log says that a limit was met"
