A line that never ends no longer keeps its connection at a scheduler for good

Cause: libevent reads the line with a chunk's size without a limit. Since the read high-water mark the connection stops reading there, and with that sees neither the client's close nor its idle timeout.

Change: a connection whose buffer is full of an unfinished request is closed. No request within the limits fills it and stays there.

Result: TestEventHttpServer/a_line_without_end_does_not_keep_its_connection failed before (the connection was kept after the client had gone) and passes. LibHttp, the four tests of crowds and Processes.scheduler-killed pass, one run each.

--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -269,7 +269,7 @@
 }
 
 void
-EventHttpServer::OnInput(evbuffer* /*aBuffer*/, const evbuffer_cb_info* aChange, void* aConnection)
+EventHttpServer::OnInput(evbuffer* aBuffer, const evbuffer_cb_info* aChange, void* aConnection)
 {
   auto& connection = *static_cast<Connection*>(aConnection);
   auto& server = connection.mServer;
@@ -284,6 +284,11 @@
     connection.mHeaderOverheadBytes += isHeader ? kBytesPerHeaderPiece : 0;
     connection.mTakenBytes += aChange->n_deleted;
   }
+  if (phase == ConnectionPhase::Receiving &&
+      evbuffer_get_length(aBuffer) >= server.MaxBufferedBytes()) {
+    server.mFullConnections.push_back(connection.mId);
+    server.CheckSoon();
+  }
   server.CountHeldBytes(connection);
 }
 
@@ -371,6 +376,25 @@
   evhttp_connection_free(mConnections.at(aId)->mEvhttpConnection);
 }
 
+// No request within the limits fills the buffer and stays there, and nothing more is read from such
+// a connection, not even that the client is gone.
+void
+EventHttpServer::CloseFullConnections()
+{
+  for (auto id : std::exchange(mFullConnections, {})) {
+    auto found = mConnections.find(id);
+    if (found == mConnections.end() ||
+        mTable.mConnections.at(id).mPhase != ConnectionPhase::Receiving) {
+      continue;
+    }
+    auto* input = bufferevent_get_input(found->second->mBuffers);
+    if (evbuffer_get_length(input) >= MaxBufferedBytes()) {
+      mTable.mCounters.mClosedForBytes += 1;
+      Close(id);
+    }
+  }
+}
+
 void
 EventHttpServer::OnCheck(int /*aDescriptor*/, short /*aWhat*/, void* aServer)
 {
@@ -379,6 +403,7 @@
   for (auto id : std::exchange(server.mNewConnections, {})) {
     server.MakeRoomFor(id);
   }
+  server.CloseFullConnections();
   while (auto chosen = ChooseToFreeBytes(server.mTable, Now())) {
     server.mTable.mCounters.mClosedForBytes += 1;
     server.Close(*chosen);
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -106,6 +106,7 @@
   void AdoptNewConnections();
   // Closes connections, at last the new one itself, while there are more than may be.
   void MakeRoomFor(ConnectionId aId);
+  void CloseFullConnections();
   void Close(ConnectionId aId);
 
   EventHttpServerSettings mSettings;
@@ -116,6 +117,8 @@
   std::map<ConnectionId, std::unique_ptr<Connection>> mConnections;
   std::map<const bufferevent*, ConnectionId> mIds;
   std::vector<ConnectionId> mNewConnections;
+  // Connections whose buffer may be full.
+  std::vector<ConnectionId> mFullConnections;
   ConnectionId mNextConnection = 1;
   std::map<std::int64_t, evhttp_request*> mRequests;
   std::int64_t mNextTicket = 1;
--- a/Tests/LibHttp/TestEventHttpServer.cpp
+++ b/Tests/LibHttp/TestEventHttpServer.cpp
@@ -256,6 +256,18 @@
   BOOST_TEST(Count(answer, "<0>") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_line_without_end_does_not_keep_its_connection)
+{
+  Server server;
+  server.ServeWhile([&] {
+    Client client(server.mPort);
+    client.Send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                std::string(2 * kMaxBodyBytes, 'a'));
+    (void)client.ReadAll();
+  });
+  BOOST_TEST(server.mServer->Connections().mConnections.size() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(connections_that_are_reset_half_way_do_no_harm)
 {
   Server server;
