Unfinished calls at an entry host's peer address stay inside a share of its memory

500 connections that announce a text of 256 KiB and don't end it made sesameseamd hold 167 MB (65 are its share): Thrift makes room for a text as soon as its length is read, up to 16 MiB on each of 512 connections.

BoundedProtocol takes the room for texts above 1 KiB from one share for all connections (64 bodies of the largest size) before it is made, and refuses the call otherwise; a forwarded body counts until it has been served. Reports and catch-up calls are short and always read. Connections take at most a quarter of the descriptors (512 as before from 2,048 descriptors on). The sender of a refused forward learns no more than that its connection broke, so that it counts as unknown.

TestPeers: a body of the whole share is served, one byte more is refused, five times in turn, and reports go on.

--- a/Libraries/LibDaemon/EntryServer.cpp
+++ b/Libraries/LibDaemon/EntryServer.cpp
@@ -8,12 +8,35 @@
 #include "LibDaemon/OperatorApi.h"
 #include "LibPeer/WireConversion.h"
 
+#include <algorithm>
+#include <glog/logging.h>
+#include <sys/resource.h>
+
 namespace sesameseam {
 
 namespace {
 
 constexpr int kOperatorThreads = 16;
 
+// The part of the descriptors that the process may open which connections of other entry hosts may
+// take.
+constexpr std::size_t kPeerShare = 4;
+constexpr std::size_t kFewestConnections = 16;
+// What is held for calls of other entry hosts, in bodies of the largest size.
+constexpr std::size_t kPeerBodies = 64;
+
+std::size_t
+MaxDescriptors()
+{
+  constexpr std::size_t kUsual = 1024;
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0) {
+    PLOG(WARNING) << "the number of descriptors is taken for " << kUsual;
+    return kUsual;
+  }
+  return limit.rlim_cur;
+}
+
 absl::StatusOr<std::unique_ptr<HttpServer>>
 MakeHttpServer(const std::string& aAddress, int aThreads, std::int64_t aMaxBodyBytes)
 {
@@ -62,6 +85,10 @@
   PeerServerSettings peerSettings;
   peerSettings.mListen = TRY(ParseAddress(settings.mPeerAddress));
   peerSettings.mDeployment = settings.mDeployment;
+  peerSettings.mMaxConnections =
+    std::min(peerSettings.mMaxConnections,
+             static_cast<int>(std::max(MaxDescriptors() / kPeerShare, kFewestConnections)));
+  peerSettings.mMaxCallBytes = kPeerBodies * static_cast<std::size_t>(settings.mMaxBodyBytes);
   PeerHandlers handlers;
   handlers.mExchange = [this](const wire::Report& aReport) {
     return ToWire(mDaemon.ExchangeReports(FromWire(aReport, mDaemon.Now())));
--- a/Libraries/LibPeer/PeerServer.cpp
+++ b/Libraries/LibPeer/PeerServer.cpp
@@ -1,12 +1,13 @@
 #include "LibPeer/PeerServer.h"
 
+#include "LibPeer/BoundedProtocol.h"
 #include "LibPeer/Generated/Peer.h"
 
+#include <absl/cleanup/cleanup.h>
 #include <future>
 #include <glog/logging.h>
 #include <thread>
 #include <thrift/TOutput.h>
-#include <thrift/protocol/TBinaryProtocol.h>
 #include <thrift/server/TThreadedServer.h>
 #include <thrift/transport/TBufferTransports.h>
 #include <thrift/transport/TServerSocket.h>
@@ -21,9 +22,12 @@
 class PeerServiceHandler : public wire::PeerIf
 {
 public:
-  PeerServiceHandler(std::string aDeployment, PeerHandlers aHandlers)
+  PeerServiceHandler(std::string aDeployment,
+                     PeerHandlers aHandlers,
+                     std::shared_ptr<CallBytes> aBytes)
     : mDeployment(std::move(aDeployment))
     , mHandlers(std::move(aHandlers))
+    , mBytes(std::move(aBytes))
   {
   }
 
@@ -42,6 +46,8 @@
   void forward(wire::ForwardReply& aReturn, const wire::ForwardCall& aCall) override
   {
     CheckDeployment(aCall.deployment);
+    mBytes->Take(aCall.body.size());
+    const absl::Cleanup give = [&] { mBytes->Give(aCall.body.size()); };
     aReturn = mHandlers.mForward(aCall);
   }
 
@@ -57,6 +63,7 @@
 
   std::string mDeployment;
   PeerHandlers mHandlers;
+  std::shared_ptr<CallBytes> mBytes;
 };
 
 // Signals when the server has started to listen.
@@ -67,21 +74,31 @@
   std::promise<void> mListening;
 };
 
-std::shared_ptr<apache::thrift::protocol::TProtocolFactory>
-MakeBoundedProtocolFactory()
+class BoundedProtocolFactory : public apache::thrift::protocol::TProtocolFactory
 {
-  auto factory = std::make_shared<apache::thrift::protocol::TBinaryProtocolFactory>();
-  factory->setStringSizeLimit(kMaxMessageBytes);
-  factory->setContainerSizeLimit(kMaxMessageBytes / 16);
-  factory->setStrict(true, true);
-  return factory;
-}
+public:
+  explicit BoundedProtocolFactory(std::shared_ptr<CallBytes> aBytes)
+    : mBytes(std::move(aBytes))
+  {
+  }
+
+  std::shared_ptr<apache::thrift::protocol::TProtocol> getProtocol(
+    std::shared_ptr<apache::thrift::protocol::TTransport> aTransport) override
+  {
+    return std::make_shared<BoundedProtocol>(
+      std::move(aTransport), kMaxMessageBytes, kMaxMessageBytes / 16, mBytes);
+  }
+
+private:
+  std::shared_ptr<CallBytes> mBytes;
+};
 
 }
 
 struct PeerServer::Implementation
 {
   PeerServerSettings mSettings;
+  std::shared_ptr<CallBytes> mBytes;
   std::shared_ptr<PeerServiceHandler> mHandler;
   std::unique_ptr<apache::thrift::server::TThreadedServer> mServer;
   std::thread mThread;
@@ -90,8 +107,9 @@
 PeerServer::PeerServer(PeerServerSettings aSettings, PeerHandlers aHandlers)
   : mImplementation(std::make_unique<Implementation>())
 {
-  mImplementation->mHandler =
-    std::make_shared<PeerServiceHandler>(aSettings.mDeployment, std::move(aHandlers));
+  mImplementation->mBytes = std::make_shared<CallBytes>(aSettings.mMaxCallBytes);
+  mImplementation->mHandler = std::make_shared<PeerServiceHandler>(
+    aSettings.mDeployment, std::move(aHandlers), mImplementation->mBytes);
   mImplementation->mSettings = std::move(aSettings);
 }
 
@@ -116,7 +134,7 @@
     std::make_shared<wire::PeerProcessor>(self.mHandler),
     socket,
     std::make_shared<apache::thrift::transport::TBufferedTransportFactory>(),
-    MakeBoundedProtocolFactory());
+    std::make_shared<BoundedProtocolFactory>(self.mBytes));
   self.mServer->setConcurrentClientLimit(self.mSettings.mMaxConnections);
   auto ready = std::make_shared<ListeningNotifier>();
   auto listening = ready->mListening.get_future();
--- a/Libraries/LibPeer/PeerServer.h
+++ b/Libraries/LibPeer/PeerServer.h
@@ -24,6 +24,9 @@
   // Calls from other deployments fail with WrongDeployment.
   std::string mDeployment;
   int mMaxConnections = 512;
+  // What all calls together may take that are being read or served. A call beyond it loses its
+  // connection.
+  std::size_t mMaxCallBytes = 64UL * 1024 * 1024;
   // Connections without a message for this long are closed, so that idle connections do not use up
   // mMaxConnections. Clients close idle connections earlier.
   Duration mIdleTimeout = 30s;
--- a/Tests/LibDaemon/TestPeers.cpp
+++ b/Tests/LibDaemon/TestPeers.cpp
@@ -105,4 +105,44 @@
   server.Stop();
 }
 
+// Calls whose texts are more than is left are refused unread; the next ones, and reports, are
+// served.
+BOOST_AUTO_TEST_CASE(TextsOfCallsStayInsideTheirShareOfMemory)
+{
+  PeerServerSettings settings;
+  settings.mListen = { "127.0.0.1", FindFreePort() };
+  settings.mDeployment = "balai";
+  settings.mMaxCallBytes = 100000;
+  std::atomic<int> calls{ 0 };
+  std::atomic<std::size_t> received{ 0 };
+  PeerHandlers handlers;
+  handlers.mExchange = [](const wire::Report& aReport) { return aReport; };
+  handlers.mForward = [&](const wire::ForwardCall& aCall) {
+    calls += 1;
+    received = aCall.body.size();
+    wire::ForwardReply reply;
+    reply.requestId = aCall.requestId;
+    return reply;
+  };
+  PeerServer server(settings, handlers);
+  BOOST_REQUIRE(server.Start().ok());
+  {
+    PeerClient client(settings.mListen);
+    wire::ForwardCall call;
+    call.deployment = "balai";
+    for (int i = 1; i <= 5; ++i) {
+      call.body = std::string(100000, 'x');
+      BOOST_TEST(client.Forward(call, 5s).ok());
+      BOOST_TEST(received == 100000U);
+      call.body += 'x';
+      BOOST_TEST(!client.Forward(call, 5s).ok());
+      BOOST_TEST(calls == i);
+      wire::Report report;
+      report.deployment = "balai";
+      BOOST_TEST(client.Exchange(report, 5s).ok());
+    }
+  }
+  server.Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
