--- a/Tests/StandIns/entry-crowd.cpp
+++ b/Tests/StandIns/entry-crowd.cpp
@@ -94,6 +94,19 @@
   return Unfinished(call, aBytes - 1);
 }
 
+// The beginning of a report to a peer, with a list of so many elements, none of which comes.
+Speech
+PeerList(std::size_t aElements)
+{
+  std::string call("\x80\x01\x00\x01\x00\x00\x00\x08"
+                   "exchange\x00\x00\x00\x01\x0c\x00\x01\x0f\x00\x06\x0c",
+                   27);
+  for (int shift = 24; shift >= 0; shift -= 8) {
+    call += static_cast<char>(aElements >> static_cast<unsigned>(shift));
+  }
+  return Unfinished(call, 0);
+}
+
 Speech
 SpeechOf(const std::string& aKind, const std::string& aPath, std::size_t aBytes)
 {
@@ -103,6 +116,7 @@
     { "head", [&] { return Unfinished(RequestLines("GET", aPath) + "X-Long: ", aBytes); } },
     { "body", [&] { return Body(aPath, aBytes); } },
     { "peer", [&] { return PeerCall(aBytes); } },
+    { "list", [&] { return PeerList(aBytes); } },
     { "idle", [&] { return Speech(); } },
   };
   return kinds.at(aKind)();
@@ -199,10 +213,11 @@
   app.add_option("--target", target)->required();
   app.add_option("--kind", kind)
     ->required()
-    ->check(CLI::IsMember({ "ahead", "line", "head", "body", "peer", "idle" }));
+    ->check(CLI::IsMember({ "ahead", "line", "head", "body", "peer", "list", "idle" }));
   app.add_option("--path", path);
   app.add_option("--connections", connections);
-  app.add_option("--bytes", bytes, "What each client sends, or the size of the body");
+  app.add_option(
+    "--bytes", bytes, "What each client sends, the size of a body, or the elements of a list");
   app.add_option("--resets", resets, "Resets all connections and begins anew, so many times");
   CLI11_PARSE(app, aCount, aArguments);
   auto address = ParseAddress(target);
