--- a/Tests/LibHttp/TestEventHttpServer.cpp
+++ b/Tests/LibHttp/TestEventHttpServer.cpp
@@ -86,6 +86,8 @@
     }
   }
 
+  void Shutdown() const { shutdown(mFile, SHUT_RDWR); }
+
   // The next close resets the connection.
   void ResetWhenClosed() const
   {
@@ -107,6 +109,9 @@
     settings.mMaxBodyBytes = static_cast<std::int64_t>(aMaxBodyBytes);
     mServer = std::make_unique<EventHttpServer>(
       mBase, settings, [this](const EventHttpIncoming& aIncoming) {
+        if (!mAnswers) {
+          return;
+        }
         auto body = "<" + std::to_string(aIncoming.mBody.size()) + ">";
         mServer->Reply(aIncoming.mTicket,
                        { 200, "text/plain", body + std::string(mAnswerBytes, 'a') });
@@ -140,6 +145,7 @@
   std::uint16_t mPort = FreePort();
   event_base* mBase = event_base_new();
   std::size_t mAnswerBytes = 0;
+  bool mAnswers = true;
   std::unique_ptr<EventHttpServer> mServer;
 };
 
@@ -256,6 +262,26 @@
   BOOST_TEST(Count(answer, "<0>") == 1);
 }
 
+// Connections whose request is handled are never closed, so that what they send ahead must not add
+// up.
+BOOST_AUTO_TEST_CASE(little_is_read_ahead_while_a_request_is_handled)
+{
+  Server server;
+  server.mAnswers = false;
+  constexpr std::size_t kMaxAheadBytes = 32 * 1024;
+  std::size_t held = 0;
+  server.ServeWhile([&] {
+    Client client(server.mPort);
+    std::thread sender([&] { client.Send(Post("abc") + Post(std::string(kMaxBodyBytes, 'x'))); });
+    std::this_thread::sleep_for(500ms);
+    held = server.mServer->Connections().mHeldBytes;
+    client.Shutdown();
+    sender.join();
+  });
+  BOOST_TEST(held > 0U);
+  BOOST_TEST(held <= kMaxAheadBytes);
+}
+
 BOOST_AUTO_TEST_CASE(a_line_without_end_does_not_keep_its_connection)
 {
   Server server;
