Lists that are announced and not sent at an entry host's peer address take no memory

Eight connections that announce 1,048,576 elements, in 31 bytes each, made sesameseamd hold 931 MB (65 are its share), since Thrift makes room for a list as soon as its length is read.

BoundedProtocol takes the room for a list from the share of the calls before it is made, as for long texts. The first 64 KiB of a message, in lists and short texts, are always read, so that reports of some hundred pools and slots go on beside such a crowd; larger ones may be refused while it stands.

Opposite error: TestPeers exchanges a report of 4,096 pools three times.

--- a/Libraries/LibPeer/BoundedProtocol.cpp
+++ b/Libraries/LibPeer/BoundedProtocol.cpp
@@ -1,5 +1,8 @@
 #include "LibPeer/BoundedProtocol.h"
 
+#include "LibPeer/Generated/peer_types.h"
+
+#include <algorithm>
 #include <glog/logging.h>
 
 namespace sesameseam {
@@ -7,6 +10,11 @@
 namespace {
 
 constexpr std::size_t kShortTextBytes = 1024;
+constexpr std::size_t kFreeMessageBytes = 64UL * 1024;
+
+// What one element of a list takes before it is read.
+constexpr std::size_t kElementBytes = 128;
+static_assert(sizeof(wire::PoolLoad) <= kElementBytes && sizeof(wire::Slot) <= kElementBytes);
 
 }
 
@@ -39,6 +47,7 @@
 {
   mBytes->Give(mTaken);
   mTaken = 0;
+  mFreeBytes = 0;
 }
 
 // From here on the handler counts what it holds.
@@ -68,22 +77,43 @@
   return apache::thrift::protocol::skip<apache::thrift::protocol::TProtocol>(*this, aType);
 }
 
+std::uint32_t
+BoundedProtocol::readListBegin_virt(apache::thrift::protocol::TType& aType, std::uint32_t& aSize)
+{
+  const auto read = TBinaryProtocolT::readListBegin_virt(aType, aSize);
+  const auto bytes = aSize * kElementBytes;
+  if (mFreeBytes + bytes <= kFreeMessageBytes) {
+    mFreeBytes += bytes;
+  } else {
+    Reserve(bytes);
+  }
+  return read;
+}
+
 std::uint32_t
 BoundedProtocol::ReadText(std::string& aText)
 {
   std::int32_t size = 0;
   const auto read = readI32(size);
-  if (size > static_cast<std::int32_t>(kShortTextBytes)) {
-    const auto bytes = static_cast<std::size_t>(size);
-    if (size > string_limit_ || !mBytes->TryTake(bytes)) {
-      LOG_EVERY_N(WARNING, 1000) << "a peer's call is refused: a text of " << size
-                                 << " bytes is more than is left for calls";
-      throw apache::thrift::protocol::TProtocolException(
-        apache::thrift::protocol::TProtocolException::SIZE_LIMIT);
-    }
-    mTaken += bytes;
+  const auto bytes = static_cast<std::size_t>(std::max(size, 0));
+  if (bytes <= kShortTextBytes && mFreeBytes + bytes <= kFreeMessageBytes) {
+    mFreeBytes += bytes;
+  } else if (size <= string_limit_) {
+    Reserve(bytes);
   }
   return read + readStringBody(aText, size);
 }
 
+void
+BoundedProtocol::Reserve(std::size_t aBytes)
+{
+  if (!mBytes->TryTake(aBytes)) {
+    LOG_EVERY_N(WARNING, 1000) << "a peer's call is refused: " << aBytes
+                               << " bytes are more than is left for calls";
+    throw apache::thrift::protocol::TProtocolException(
+      apache::thrift::protocol::TProtocolException::SIZE_LIMIT);
+  }
+  mTaken += aBytes;
+}
+
 }
--- a/Libraries/LibPeer/BoundedProtocol.h
+++ b/Libraries/LibPeer/BoundedProtocol.h
@@ -25,8 +25,9 @@
   std::atomic<std::size_t> mTaken{ 0 };
 };
 
-// The binary protocol, which refuses texts beyond what is left before it makes room for them. Short
-// texts are always read, so that reports are exchanged whatever calls are under way.
+// The binary protocol, which refuses texts and lists beyond what is left before it makes room for
+// them. Some short ones of each message are always read, so that reports are exchanged whatever
+// calls are under way.
 class BoundedProtocol : public apache::thrift::protocol::TBinaryProtocol
 {
 public:
@@ -40,6 +41,8 @@
 
   // NOLINTBEGIN(readability-identifier-naming): the names are Thrift's.
   std::uint32_t readMessageEnd_virt() override;
+  std::uint32_t readListBegin_virt(apache::thrift::protocol::TType& aType,
+                                   std::uint32_t& aSize) override;
   std::uint32_t readString_virt(std::string& aText) override;
   std::uint32_t readBinary_virt(std::string& aText) override;
   std::uint32_t skip_virt(apache::thrift::protocol::TType aType) override;
@@ -47,10 +50,13 @@
 
 private:
   std::uint32_t ReadText(std::string& aText);
+  void Reserve(std::size_t aBytes);
   void GiveAll();
 
   std::shared_ptr<CallBytes> mBytes;
   std::size_t mTaken = 0;
+  // Of the present message, read without a look at what is left.
+  std::size_t mFreeBytes = 0;
 };
 
 }
--- a/Tests/LibDaemon/TestPeers.cpp
+++ b/Tests/LibDaemon/TestPeers.cpp
@@ -145,4 +145,30 @@
   server.Stop();
 }
 
+BOOST_AUTO_TEST_CASE(AReportOfManyPoolsIsExchanged)
+{
+  PeerServerSettings settings;
+  settings.mListen = { "127.0.0.1", FindFreePort() };
+  settings.mDeployment = "balai";
+  PeerHandlers handlers;
+  handlers.mExchange = [](const wire::Report& aReport) { return aReport; };
+  PeerServer server(settings, handlers);
+  BOOST_REQUIRE(server.Start().ok());
+  {
+    PeerClient client(settings.mListen);
+    wire::Report report;
+    report.deployment = "balai";
+    report.loads.resize(4096);
+    for (auto& load : report.loads) {
+      load.pool = std::string(200, 'p');
+    }
+    for (int i = 0; i < 3; ++i) {
+      auto answer = client.Exchange(report, 5s);
+      BOOST_REQUIRE(answer.ok());
+      BOOST_TEST((*answer == report));
+    }
+  }
+  server.Stop();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
