--- a/Tests/StandIns/entry-crowd.cpp
+++ b/Tests/StandIns/entry-crowd.cpp
@@ -130,7 +130,11 @@
   address.sin_family = AF_INET;
   address.sin_port = htons(aAddress.mPort);
   inet_pton(AF_INET, aAddress.mHost.c_str(), &address.sin_addr);
-  connect(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address));
+  if (connect(file, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0 &&
+      errno != EINPROGRESS) {
+    close(file);
+    return -1;
+  }
   return file;
 }
 
@@ -232,6 +236,7 @@
     clients.assign(static_cast<std::size_t>(connections), Client());
     for (auto& client : clients) {
       client.mFile = Connect(*address);
+      client.mBroken = client.mFile < 0;
       std::this_thread::sleep_for(kConnectInterval);
     }
     SendAll(clients, speech);
