--- a/Meta/restarting-executors.sh
+++ b/Meta/restarting-executors.sh
@@ -21,6 +21,23 @@
   control=127.0.0.1:${ports[$(($1 + $2))]}
   start proxy "$build/Tests/soak-proxy" --control "$control" "${links[@]}"
   proxy=${processes[-1]}
+  # Listens before others look for free ports.
+  for _ in $(seq 100); do
+    http "$control" GET "/parked?link=0" >/dev/null 2>&1 && return 0
+    sleep 0.02
+  done
+  echo "the proxy does not answer" >&2
+  cat "$work/proxy.log" >&2
+  return 1
+}
+
+signal_proxy() { # signal_proxy SIGNAL
+  kill -"$1" "$proxy" || {
+    echo "the proxy has ended by itself" >&2
+    cat "$work/proxy.log" >&2
+    return 1
+  }
+  note "proxy SIG$1"
 }
 
 start_job_executor() { # start_job_executor INDEX [FLAG...]
@@ -36,7 +53,11 @@
 }
 
 kill_job_executor() { # kill_job_executor INDEX
-  kill -KILL "${job_executors[$1]}"
+  kill -KILL "${job_executors[$1]}" || {
+    echo "executor $1 has ended by itself" >&2
+    cat "$work/i-$1.log" >&2
+    return 1
+  }
   note "i-$1 killed"
 }
 
@@ -57,6 +78,13 @@
   return 1
 }
 
+# Waits until each of COUNT executors has been heard by its owner.
+wait_heard() { # wait_heard COUNT
+  for i in $(seq 0 $(($1 - 1))); do
+    wait_recorded 1 " i-$i call heartbeat" 10
+  done
+}
+
 # Waits until no run is at work on the executors 0 to 3.
 wait_until_idle() { # wait_until_idle SECONDS
   for _ in $(seq $(($1 * 20))); do
--- a/Tests/Processes/lease-given-up-reaches-next-process.sh
+++ b/Tests/Processes/lease-given-up-reaches-next-process.sh
@@ -19,7 +19,7 @@
   start_job_executor "$i" --millicores 1000 --clock-start 3600000 --clock-speed 0.98
 done
 start_schedulers 1
-wait_recorded 4 'call heartbeat' 10
+wait_heard 4
 sleep 1
 
 # Each executor has room for one task.
