--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -2,12 +2,15 @@
 // to another, and delays, holds back or resets them as it is told to.
 //
 // POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1][&park=1]
-//   [&pass=TEXT]
+//   [&pass=TEXT][&close-after=TEXT]
 // GET /parked?link=N: how many of the link's parked connections hold bytes for the target
 //
 // "silence" drops for good what the link's present connections carry, without closing them. "park"
-// holds the link's present connections either way, whatever is opened later; "pass" passes on what
-// those of them hold for the target that has the text in it, and still nothing back.
+// holds the link's present connections either way, whatever is opened or reset later; "pass" passes
+// on what those of them hold for the target that has the text in it, and still nothing back.
+//
+// "close-after" closes the connection of the next answer that has the text in it, once that is
+// passed on, and holds from then on what comes to the target.
 //
 // As in a queue of new connections, the target sees a connection when something is passed on, and
 // what has arrived here is passed on also if its sender has reset the connection since.
@@ -82,6 +85,7 @@
   std::chrono::milliseconds mDelay{ 0 };
   bool mHoldsTo = false;
   bool mHoldsFrom = false;
+  std::string mCloseAfter;
   std::list<std::unique_ptr<Connection>> mConnections;
 };
 
@@ -158,6 +162,16 @@
   return aConnection.mToTarget.mEnded;
 }
 
+bool
+HoldsText(const Flow& aFlow, const std::string& aText)
+{
+  std::string bytes;
+  for (const auto& chunk : aFlow.mChunks) {
+    bytes += chunk.mBytes;
+  }
+  return bytes.find(aText) != std::string::npos;
+}
+
 void
 Connect(const Link& aLink, Connection& aConnection)
 {
@@ -184,6 +198,12 @@
     if (!holdsTo && !connection.mIsConnected) {
       Connect(aLink, connection);
     }
+    if (!holdsFrom && !aLink.mCloseAfter.empty() &&
+        HoldsText(connection.mFromTarget, aLink.mCloseAfter)) {
+      connection.mFromTarget.mEnded = true;
+      aLink.mCloseAfter.clear();
+      aLink.mHoldsTo = true;
+    }
     auto isOver = Pump(connection.mToTarget, holdsTo);
     isOver |= Pump(connection.mFromTarget, holdsFrom);
     if (isOver) {
@@ -208,16 +228,6 @@
   bufferevent_enable(target, EV_READ | EV_WRITE);
 }
 
-bool
-HoldsText(const Flow& aFlow, const std::string& aText)
-{
-  std::string bytes;
-  for (const auto& chunk : aFlow.mChunks) {
-    bytes += chunk.mBytes;
-  }
-  return bytes.find(aText) != std::string::npos;
-}
-
 void
 Set(Link& aLink, const std::string& aName, const std::string& aValue)
 {
@@ -239,11 +249,15 @@
     for (auto& connection : aLink.mConnections) {
       connection->mPasses |= connection->mIsParked && HoldsText(connection->mToTarget, aValue);
     }
+  } else if (aName == "close-after") {
+    aLink.mCloseAfter = aValue;
   } else if (aName == "reset") {
-    for (auto& connection : aLink.mConnections) {
-      Free(*connection, true);
-    }
-    aLink.mConnections.clear();
+    aLink.mConnections.remove_if([](auto& aConnection) {
+      if (!aConnection->mIsParked) {
+        Free(*aConnection, true);
+      }
+      return !aConnection->mIsParked;
+    });
   }
 }
 
