--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -4,6 +4,7 @@
 // POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1][&park=1]
 //   [&pass=TEXT][&close-after=TEXT]
 // GET /parked?link=N: how many of the link's parked connections hold bytes for the target
+// GET /held?link=N: these bytes
 //
 // "silence" drops for good what the link's present connections carry, without closing them. "park"
 // holds the link's present connections either way, whatever is opened or reset later; "pass" passes
@@ -172,6 +173,20 @@
   return bytes.find(aText) != std::string::npos;
 }
 
+// Sends what the flow holds at once, so that the end of the connection can follow right behind it.
+void
+SendAll(Flow& aFlow)
+{
+  for (const auto& chunk : aFlow.mChunks) {
+    auto sent =
+      send(bufferevent_getfd(aFlow.mTo), chunk.mBytes.data(), chunk.mBytes.size(), MSG_NOSIGNAL);
+    if (sent != static_cast<ssize_t>(chunk.mBytes.size())) {
+      std::cerr << "an answer was cut short\n";
+    }
+  }
+  aFlow.mChunks.clear();
+}
+
 void
 Connect(const Link& aLink, Connection& aConnection)
 {
@@ -200,9 +215,11 @@
     }
     if (!holdsFrom && !aLink.mCloseAfter.empty() &&
         HoldsText(connection.mFromTarget, aLink.mCloseAfter)) {
-      connection.mFromTarget.mEnded = true;
       aLink.mCloseAfter.clear();
       aLink.mHoldsTo = true;
+      SendAll(connection.mFromTarget);
+      Free(connection, false);
+      return true;
     }
     auto isOver = Pump(connection.mToTarget, holdsTo);
     isOver |= Pump(connection.mFromTarget, holdsFrom);
@@ -271,6 +288,20 @@
     });
 }
 
+std::string
+HeldBytes(const Link& aLink)
+{
+  std::string bytes;
+  for (const auto& connection : aLink.mConnections) {
+    if (connection->mIsParked && !connection->mIsConnected) {
+      for (const auto& chunk : connection->mToTarget.mChunks) {
+        bytes += chunk.mBytes + "\n";
+      }
+    }
+  }
+  return bytes;
+}
+
 struct Proxy
 {
   std::vector<std::unique_ptr<Link>> mLinks;
@@ -295,6 +326,9 @@
     if (aIncoming.mPath == "/parked") {
       return { kOk, "text/plain", std::to_string(ParkedWithBytes(*link)) + "\n" };
     }
+    if (aIncoming.mPath == "/held") {
+      return { kOk, "text/plain", HeldBytes(*link) };
+    }
     return { kOk };
   }
 };
