Which process has answered is read once a connection, not from each heartbeat's answer

Each answer to a heartbeat was decoded a second time for its process. What is known of a connection stays: one of a former process is closed by the next request for another one.

--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -236,7 +236,9 @@
   exchange.mCallback = std::move(aCallback);
   exchange.mSelf = std::prev(lane->mExchanges.end());
   exchange.mCalledAt = std::chrono::steady_clock::now();
-  exchange.mCalledAtBoot = BootTime();
+  if (exchange.mRequest.mProcess != 0) {
+    exchange.mCalledAtBoot = BootTime();
+  }
   exchange.mTimer = evtimer_new(mBase, OnTimeout, &exchange);
   SetTimer(exchange.mTimer, exchange.mRequest.mTimeout);
   lane->mWaiting.push_back(&exchange);
@@ -398,13 +400,9 @@
     exchange.mClient->OnIntroduced(exchange, std::move(response));
     return;
   }
-  if (response.mAnswered && exchange.mRequest.mAnswerNamesProcess) {
-    auto former =
-      std::exchange(exchange.mProcessThere, exchange.mRequest.mIntroduction.mProcessOf(response));
-    if (former != 0 && former != exchange.mProcessThere) {
-      // Something in between has passed it on to another process, and may do so again.
-      exchange.mClient->Abandon(exchange);
-    }
+  // Once known it stays so: connections of a former process are closed by the next request.
+  if (response.mAnswered && exchange.mRequest.mAnswerNamesProcess && exchange.mProcessThere == 0) {
+    exchange.mProcessThere = exchange.mRequest.mIntroduction.mProcessOf(response);
   }
   exchange.mClient->Finish(exchange, std::move(response));
 }
