--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -165,6 +165,8 @@
   bool mIsReplaced = false;
   // Nothing listens at its address, which says the same.
   bool mHasNoListener = false;
+  // What the last heartbeat met.
+  HeartbeatFailure mFailure = HeartbeatFailure::None;
   // It does not answer, or is no longer listed: its process may have ended.
   bool mIsMissing = false;
   // When its process ended, if it did. Kept after it answers again, if it had restarted.
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -109,6 +109,19 @@
   bool mIsOfIntroduction = false;
 };
 
+// What a heartbeat met that its executor did not answer with its lists.
+enum class HeartbeatFailure
+{
+  None,
+  NoAnswer,
+  // It was answered without lists: the executor is unhealthy, or knows a later owner.
+  Refused,
+  // The connection was refused.
+  NoListener,
+  // Another executor has answered at the address.
+  OtherExecutor,
+};
+
 // Has the answer say that its call was not sent: no lease was asked for, no end acknowledged.
 inline void
 ReduceToIntroduction(HeartbeatAnswer& aAnswer)
--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -102,4 +102,38 @@
   return mayAcknowledge ? aExecutor.mProcess.mRecordedEnds : 0;
 }
 
+HeartbeatFailure
+FailureOf(const HeartbeatAnswer& aAnswer)
+{
+  if (aAnswer.mResult == CallResult::Done) {
+    return HeartbeatFailure::None;
+  }
+  if (aAnswer.mIsFromAnother) {
+    return HeartbeatFailure::OtherExecutor;
+  }
+  if (aAnswer.mHasNoListener) {
+    return HeartbeatFailure::NoListener;
+  }
+  return aAnswer.mResult == CallResult::Refused ? HeartbeatFailure::Refused
+                                                : HeartbeatFailure::NoAnswer;
+}
+
+std::string_view
+NameOf(HeartbeatFailure aFailure)
+{
+  switch (aFailure) {
+    case HeartbeatFailure::None:
+      return "it has answered";
+    case HeartbeatFailure::NoAnswer:
+      return "no answer";
+    case HeartbeatFailure::Refused:
+      return "it has refused the call";
+    case HeartbeatFailure::NoListener:
+      return "its address refuses connections";
+    case HeartbeatFailure::OtherExecutor:
+      return "another executor has answered at its address";
+  }
+  return "unknown";
+}
+
 }
--- a/Libraries/LibSchedule/ExecutorHeartbeat.h
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.h
@@ -2,7 +2,7 @@
 
 #include "LibSchedule/Executor.h"
 
-// When the owner of a shard sends an executor a heartbeat, and what it asks for.
+// When the owner of a shard sends an executor a heartbeat, what it asks for, and what it met.
 namespace sesameseam::schedule {
 
 bool
@@ -16,4 +16,10 @@
 std::int64_t
 EndsToAcknowledge(const Executor& aExecutor, Instant aNow);
 
+HeartbeatFailure
+FailureOf(const HeartbeatAnswer& aAnswer);
+
+std::string_view
+NameOf(HeartbeatFailure aFailure);
+
 }
--- a/Libraries/LibSchedule/Node.cpp
+++ b/Libraries/LibSchedule/Node.cpp
@@ -77,6 +77,7 @@
   aSum.mTasksFailed += aPart.mTasksFailed;
   aSum.mTasksLost += aPart.mTasksLost;
   aSum.mTasksCrashed += aPart.mTasksCrashed;
+  aSum.mRunsReturned += aPart.mRunsReturned;
   aSum.mJobsCompleted += aPart.mJobsCompleted;
   aSum.mJobsFailed += aPart.mJobsFailed;
   aSum.mJobsCancelled += aPart.mJobsCancelled;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -73,6 +73,8 @@
   std::int64_t mTasksLost = 0;
   // Those of the lost ones whose executor crashed.
   std::int64_t mTasksCrashed = 0;
+  // Runs that were taken for ended, and that their executor has listed afterwards as at work.
+  std::int64_t mRunsReturned = 0;
   std::int64_t mJobsCompleted = 0;
   std::int64_t mJobsFailed = 0;
   std::int64_t mJobsCancelled = 0;
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -3,6 +3,7 @@
 #include "LibSchedule/CrashIsolation.h"
 #include "LibSchedule/ExecutorBackOff.h"
 #include "LibSchedule/ExecutorEnds.h"
+#include "LibSchedule/ShardLosses.h"
 
 #include <algorithm>
 #include <set>
@@ -159,6 +160,9 @@
          const TaskEnd& aEnd,
          Actions& aActions)
 {
+  if (!aExecutor.mRuns.contains(aEnd.mRun)) {
+    NoteReturnedRun(aShard, aExecutor, aEnd.mRun, aEnd.mKind, aActions);
+  }
   RemoveRun(aShard, aExecutor, aEnd.mRun);
   aShard.mNeedsPlacementPass = true;
   auto* job = FindJob(aShard, aEnd.mRun.mTask.mJob);
--- a/Libraries/LibSchedule/ShardLosses.cpp
+++ b/Libraries/LibSchedule/ShardLosses.cpp
@@ -175,6 +175,29 @@
   MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
 }
 
+void
+NoteReturnedRun(Shard& aShard,
+                const Executor& aExecutor,
+                const TaskRun& aRun,
+                std::optional<EndKind> aEnd,
+                Actions& aActions)
+{
+  auto* job = FindJob(aShard, aRun.mTask.mJob);
+  auto* task = job == nullptr ? nullptr : FindTask(*job, aRun.mTask);
+  if (task == nullptr || (aEnd && *aEnd != EndKind::Done && *aEnd != EndKind::Failed)) {
+    return;
+  }
+  std::string how = "listed as at work";
+  if (aEnd) {
+    how = *aEnd == EndKind::Done ? "ended as done" : "ended as failed";
+  } else {
+    ++aShard.mCounters.mRunsReturned;
+  }
+  auto reason = how + " in process " + std::to_string(aExecutor.mProcess.mIncarnation) +
+                "; the highest run of its task is " + std::to_string(task->mHighestRun);
+  LogRun("run-returned", aRun, aExecutor, std::move(reason), aActions);
+}
+
 void
 DropExpiredRuns(Shard& aShard, const Now& aNow, Executor& aExecutor, Actions& aActions)
 {
--- a/Libraries/LibSchedule/ShardLosses.h
+++ b/Libraries/LibSchedule/ShardLosses.h
@@ -15,6 +15,15 @@
                  const HeartbeatAnswer& aAnswer,
                  Actions& aActions);
 
+// Tells that an executor lists a run, at work or with its end, that its owner does not have there
+// (any more): it was taken for ended too early, or has ended before its lease did.
+void
+NoteReturnedRun(Shard& aShard,
+                const Executor& aExecutor,
+                const TaskRun& aRun,
+                std::optional<EndKind> aEnd,
+                Actions& aActions);
+
 // Drops the runs on an executor whose leases have expired.
 void
 DropExpiredRuns(Shard& aShard, const Now& aNow, Executor& aExecutor, Actions& aActions);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -53,6 +53,24 @@
   ++aExecutor.mUnansweredCalls;
 }
 
+void
+LogIfFailureIsNew(Executor& aExecutor,
+                  const HeartbeatAnswer& aAnswer,
+                  Instant aNow,
+                  Actions& aActions)
+{
+  auto failure = FailureOf(aAnswer);
+  if (aExecutor.mFailure == failure) {
+    return;
+  }
+  aExecutor.mFailure = failure;
+  LogEntry entry{ LogLevel::Info, "executor-silent", {}, aExecutor.mEntry.mId.mValue };
+  entry.mReason = std::string(NameOf(failure)) + "; process " +
+                  std::to_string(aExecutor.mProcess.mIncarnation) + " answered last";
+  entry.mAge = ToMilliseconds(aNow - aAnswer.mSentAt);
+  aActions.emplace_back(std::move(entry));
+}
+
 // Adds a run that the executor lists and that this owner did not know of. It counts against the
 // quota of its tenant if its job is known.
 void
@@ -135,6 +153,7 @@
   auto found = aExecutor.mRuns.find(aRunning.mRun);
   auto isNew = found == aExecutor.mRuns.end();
   if (isNew) {
+    detail::NoteReturnedRun(aShard, aExecutor, aRunning.mRun, std::nullopt, aActions);
     AddForeignRun(aShard, aNow, aExecutor, aRunning.mRun);
     found = aExecutor.mRuns.find(aRunning.mRun);
   }
@@ -349,11 +368,7 @@
   }
   NoteLeaseOutcome(*executor, aShard.mSettings.mLease, aAnswer.mCall.mLeaseEnd, aNow.mAt);
   if (aAnswer.mResult != CallResult::Done) {
-    if (executor->mUnansweredCalls == 0) {
-      LogEntry entry{ LogLevel::Info, "executor-silent", {}, executor->mEntry.mId.mValue };
-      entry.mAge = ToMilliseconds(aNow.mAt - aAnswer.mSentAt);
-      aActions.emplace_back(std::move(entry));
-    }
+    LogIfFailureIsNew(*executor, aAnswer, aNow.mAt, aActions);
     RecordUnansweredHeartbeat(*executor, aAnswer, aNow.mAt);
     ++aShard.mAnswerChanges;
     // An executor that answers at another address by now may go on.
@@ -373,6 +388,7 @@
   aShard.mNeedsPlacementPass |= hasBegunToAnswer;
   aShard.mAnswerChanges += hasBegunToAnswer ? 1 : 0;
   executor->mUnansweredCalls = 0;
+  executor->mFailure = HeartbeatFailure::None;
   executor->mIsReplaced = false;
   executor->mHasNoListener = false;
   NoteAnswered(*executor, aAnswer.mIncarnation, aNow.mAt);
--- /dev/null
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -0,0 +1,115 @@
+#include "ShardOwner.h"
+
+using namespace sesameseam;
+using namespace sesameseam::schedule;
+
+namespace {
+
+const JobId kJob("0000000000000001");
+
+// What a heartbeat meets that does not reach its executor.
+enum class Sign
+{
+  Silence,
+  RefusedConnection,
+  OtherExecutor,
+};
+
+constexpr Sign kSigns[] = { Sign::Silence, Sign::RefusedConnection, Sign::OtherExecutor };
+
+// An owner whose executor has begun the only task, as its process has listed it.
+struct OwnerOfRun : Owner
+{
+  TaskRun mRun;
+
+  OwnerOfRun()
+  {
+    AddJob(Later(10ms), kJob.mValue);
+    Advance(Later(10ms));
+    BOOST_REQUIRE(TheExecutor().mRuns.size() == 1u);
+    mRun = TheExecutor().mRuns.begin()->first;
+    auto& run = TheExecutor().mRuns.begin()->second;
+    run.mState = RunState::Running;
+    run.mEpoch = kEpoch;
+    run.mIncarnation = kIncarnation;
+    run.mKnownIn = kIncarnation;
+    run.mBeganAt = Later(10ms).mAt;
+    run.mStateSince = Later(10ms).mAt;
+    Advance(Later(20ms));
+  }
+
+  void Meet(const Now& aNow, Sign aSign)
+  {
+    HeartbeatAnswer answer;
+    answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+    answer.mSentAt = aNow.mAt - 1ms;
+    answer.mHasNoListener = aSign == Sign::RefusedConnection;
+    answer.mIsFromAnother = aSign == Sign::OtherExecutor;
+    if (answer.mIsFromAnother) {
+      answer.mResult = CallResult::Refused;
+    }
+    OnHeartbeatAnswer(mShard, aNow, answer, mActions);
+  }
+
+  // Its process answers with the runs that it has.
+  void AnswerAs(std::int64_t aIncarnation, const Now& aNow, const std::vector<TaskRun>& aRunning)
+  {
+    HeartbeatAnswer answer;
+    answer.mCall.mTo = { kExecutor, "10.0.0.1:80", 3, kEpoch };
+    answer.mResult = CallResult::Done;
+    answer.mIncarnation = aIncarnation;
+    answer.mClock = 2000ms;
+    answer.mSentAt = aNow.mAt - 1ms;
+    for (const auto& run : aRunning) {
+      answer.mRunning.push_back({ run });
+    }
+    OnHeartbeatAnswer(mShard, aNow, answer, mActions);
+  }
+
+  std::vector<LogEntry> Lines(std::string_view aEvent) const
+  {
+    auto lines = Select<LogEntry>(mActions);
+    std::erase_if(lines, [&](const LogEntry& aLine) { return aLine.mEvent != aEvent; });
+    return lines;
+  }
+};
+
+}
+
+BOOST_AUTO_TEST_SUITE(SignsOfAnEnd)
+
+// Guards against an incident whose log doesn't tell what an owner met where its executor had been.
+BOOST_AUTO_TEST_CASE(the_log_tells_each_change_of_what_heartbeats_meet)
+{
+  OwnerOfRun owner;
+  owner.mActions.clear();
+  owner.Meet(Later(100ms), Sign::Silence);
+  owner.Meet(Later(200ms), Sign::RefusedConnection);
+  owner.Meet(Later(300ms), Sign::RefusedConnection);
+  owner.Meet(Later(400ms), Sign::OtherExecutor);
+  auto lines = owner.Lines("executor-silent");
+  BOOST_REQUIRE(lines.size() == 3u);
+  BOOST_TEST(lines[0].mReason == "no answer; process 11 answered last");
+  BOOST_TEST(lines[1].mReason == "its address refuses connections; process 11 answered last");
+  BOOST_TEST(lines[2].mReason ==
+             "another executor has answered at its address; process 11 answered last");
+}
+
+// Guards against an owner that takes a run for ended while it goes on, and whose log says nothing
+// of it when the run shows up again (TWICE).
+BOOST_AUTO_TEST_CASE(the_log_tells_that_a_run_which_was_given_up_is_at_work)
+{
+  OwnerOfRun owner;
+  schedule::detail::DropRun(owner.mShard, owner.TheExecutor(), owner.mRun);
+  owner.mActions.clear();
+  owner.AnswerAs(kIncarnation, Later(100ms), { owner.mRun });
+  auto lines = owner.Lines("run-returned");
+  BOOST_REQUIRE(lines.size() == 1u);
+  BOOST_TEST(lines[0].mReason ==
+             "listed as at work in process 11; the highest run of its task is 1");
+  BOOST_TEST(owner.mShard.mCounters.mRunsReturned == 1);
+  owner.AnswerAs(kIncarnation, Later(200ms), { owner.mRun });
+  BOOST_TEST(owner.Lines("run-returned").size() == 1u);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
