--- a/Meta/restarting-executors.sh
+++ b/Meta/restarting-executors.sh
@@ -68,6 +68,38 @@
   note "links $1..$2 $3"
 }
 
+# The open connections of the links fall silent, and new ones are refused.
+refuse_links() { # refuse_links FIRST LAST
+  set_links "$1" "$2" "silence=1&refuse=1"
+}
+
+# Jobs of seven tasks, by the time that each takes in ms.
+long_job='{"spec":"11000","steps":[{"count":7,"cpu":2000,"memMb":10,"estimateMs":900}]}'
+short_job='{"spec":"2200","steps":[{"count":7,"cpu":2000,"memMb":10,"estimateMs":900}]}'
+
+# Starts twelve executors, the first four of them with slow clocks behind a proxy, and three
+# schedulers.
+start_restarting_executors() {
+  start_job_platform 0
+  prepare_job_executors 12 4
+  for i in $(seq 0 3); do start_job_executor "$i" --clock-speed 0.98; done
+  for i in $(seq 4 11); do start_job_executor "$i"; done
+  scheduler_cores=0.25
+  start_schedulers 3
+  wait_heard 12
+}
+
+# Submits the job again and again until the test ends, with numbers from FIRST on.
+submit_jobs_all_along() { # submit_jobs_all_along BODY PAUSE [FIRST]
+  local first=${3:-1}
+  for number in $(seq "$first" $((first + 400))); do
+    submit_job "$number" "$1" || break
+    sleep "$2"
+  done &
+  processes+=($!)
+  disown $!
+}
+
 # Waits until the record has COUNT lines that match the pattern.
 wait_recorded() { # wait_recorded COUNT PATTERN SECONDS
   for _ in $(seq $(($3 * 20))); do
--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -2,7 +2,7 @@
 // to another, and delays, holds back or resets them as it is told to.
 //
 // POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1][&park=1]
-//   [&pass=TEXT][&close-after=TEXT]
+//   [&pass=TEXT][&close-after=TEXT][&refuse=1|0][&target=ADDRESS]
 // GET /parked?link=N: how many of the link's parked connections hold bytes for the target
 // GET /held?link=N: these bytes
 //
@@ -13,6 +13,9 @@
 // "close-after" closes the connection of the next answer that has the text in it, once that is
 // passed on, and holds from then on what comes to the target.
 //
+// "refuse" closes the link's own listener, so that what connects is refused, or opens it again; the
+// connections that are open stay. "target" leads connections that are opened from now on elsewhere.
+//
 // As in a queue of new connections, the target sees a connection when something is passed on, and
 // what has arrived here is passed on also if its sender has reset the connection since.
 
@@ -82,6 +85,8 @@
 struct Link
 {
   event_base* mBase = nullptr;
+  sockaddr_in mListen{};
+  evconnlistener* mListener = nullptr;
   sockaddr_in mTarget{};
   std::chrono::milliseconds mDelay{ 0 };
   bool mHoldsTo = false;
@@ -245,6 +250,32 @@
   bufferevent_enable(target, EV_READ | EV_WRITE);
 }
 
+bool
+Listen(Link& aLink)
+{
+  auto address = aLink.mListen;
+  auto flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
+  aLink.mListener = evconnlistener_new_bind(aLink.mBase,
+                                            OnAccept,
+                                            &aLink,
+                                            flags,
+                                            -1,
+                                            reinterpret_cast<sockaddr*>(&address),
+                                            sizeof address);
+  return aLink.mListener != nullptr;
+}
+
+void
+Refuse(Link& aLink, bool aRefuses)
+{
+  if (aRefuses && aLink.mListener != nullptr) {
+    evconnlistener_free(aLink.mListener);
+    aLink.mListener = nullptr;
+  } else if (!aRefuses && aLink.mListener == nullptr && !Listen(aLink)) {
+    std::cerr << "can't listen again: " << std::strerror(errno) << "\n";
+  }
+}
+
 void
 Set(Link& aLink, const std::string& aName, const std::string& aValue)
 {
@@ -268,6 +299,10 @@
     }
   } else if (aName == "close-after") {
     aLink.mCloseAfter = aValue;
+  } else if (aName == "refuse") {
+    Refuse(aLink, aValue == "1");
+  } else if (aName == "target") {
+    aLink.mTarget = ParseAddress(aValue);
   } else if (aName == "reset") {
     aLink.mConnections.remove_if([](auto& aConnection) {
       if (!aConnection->mIsParked) {
@@ -353,11 +388,8 @@
     auto& link = *proxy.mLinks.emplace_back(std::make_unique<Link>());
     link.mBase = base;
     link.mTarget = ParseAddress(text.substr(equals + 1));
-    auto listen = ParseAddress(text.substr(0, equals));
-    auto flags = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE;
-    auto* listener = evconnlistener_new_bind(
-      base, OnAccept, &link, flags, -1, reinterpret_cast<sockaddr*>(&listen), sizeof listen);
-    if (listener == nullptr) {
+    link.mListen = ParseAddress(text.substr(0, equals));
+    if (!Listen(link)) {
       std::cerr << "can't listen at " << text << ": " << std::strerror(errno) << "\n";
       return 1;
     }
