An owner's leases end 7 s after the log has confirmed it last, and its follower waits no longer

Callers would see: a task that lasts away for over 9 s after its executor and the owner of its shard are lost together (LOST), once no run ends by what an address does: the follower waited for 10.5 s, 14.5 s where executors grant 10 s. And the follower counted from its own take-over, while the log may confirm the former owner until it is fenced off (TWICE). Cause: leases could be renewed without the log for 4 s, and for as long as executors grant. Change: no lease goes beyond 0.7 s and the longest lease (6 s at most) from the last confirmation on; the follower counts from the answer to its fence. Tests: each fails without its part (no cap, no count from the fence, the former wait).

--- a/Libraries/LibSchedule/Lease.cpp
+++ b/Libraries/LibSchedule/Lease.cpp
@@ -11,6 +11,12 @@
 // Renewals ask for slightly less than the maximum, because the executor shortens longer leases.
 constexpr std::chrono::milliseconds kLeaseMargin = 300ms;
 constexpr std::chrono::milliseconds kExpiryMargin = 150ms;
+// A task that lasts has to run again within seconds after its executor has gone, however long the
+// leases are that executors grant.
+constexpr std::chrono::milliseconds kLongestLease = 6s;
+// For this long, an owner without confirmation renews leases as before. A longer time lets more
+// runs outlive an outage of the log, and the follower of a lost owner waits for so much longer.
+constexpr Duration kMaxUnconfirmedToRenewInFull = 700ms;
 
 // The time that passes while the slowest clock counts aTime.
 Duration
@@ -27,6 +33,21 @@
   return aReading.mAt + LongestElapsed(aEnd - aReading.mClock) + kExpiryMargin;
 }
 
+// The latest end that every clock, also the slowest, has reached by then.
+std::chrono::milliseconds
+LatestEndByClock(const ClockReading& aReading, Instant aExpiry)
+{
+  auto elapsed = ToMilliseconds(aExpiry - kExpiryMargin - aReading.mAt);
+  auto counted = static_cast<double>(elapsed.count()) * kMinClockRate;
+  return aReading.mClock + std::chrono::milliseconds(static_cast<std::int64_t>(counted));
+}
+
+std::chrono::milliseconds
+LeaseLength(const LeaseLimits& aLimits)
+{
+  return std::min(aLimits.mMaximum, kLongestLease);
+}
+
 bool
 IsInKnownProcess(const Executor& aExecutor, const PlacedRun& aRun)
 {
@@ -36,13 +57,23 @@
 }
 
 std::chrono::milliseconds
-LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow)
+LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aConfirmedAt, Instant aNow)
 {
   const auto& reading = aExecutor.mProcess.mClockReading;
   if (!reading || MayHaveRestarted(aExecutor)) {
     return std::chrono::milliseconds(0);
   }
-  return reading->mClock + ToMilliseconds(aNow - reading->mAt) + aLimits.mMaximum - kLeaseMargin;
+  auto fromNow =
+    reading->mClock + ToMilliseconds(aNow - reading->mAt) + LeaseLength(aLimits) - kLeaseMargin;
+  auto latest = LatestEndByClock(*reading, LeaseExpiryOfOwner(aLimits, aConfirmedAt));
+  return std::max(std::chrono::milliseconds(0), std::min(fromNow, latest));
+}
+
+Instant
+LeaseExpiryOfOwner(const LeaseLimits& aLimits, Instant aConfirmedAt)
+{
+  return aConfirmedAt + kMaxUnconfirmedToRenewInFull + LongestElapsed(LeaseLength(aLimits)) +
+         kExpiryMargin;
 }
 
 void
--- a/Libraries/LibSchedule/Lease.h
+++ b/Libraries/LibSchedule/Lease.h
@@ -20,6 +20,10 @@
 // A process that becomes known may have received each call that was sent before. Its leases
 // therefore expire no later than by the second bound.
 //
+// An owner that is cut off from the log, or has ended, must not keep its follower waiting. No lease
+// that it asks for goes beyond the longest one from its last confirmation by the log on, so that a
+// follower needn't wait longer than that from the moment at which it has fenced the log.
+//
 // Calls that ask for a lease name the process that they are for, and go out on a connection on
 // which it has named itself, so that none reaches a later process. The second bound is for
 // executors that keep no connection open, to which that can't be applied.
@@ -31,9 +35,14 @@
   std::chrono::milliseconds mMaximum{ 6000 };
 };
 
-// The end of a lease that is renewed now, on the executor's clock; 0 while that clock is unknown.
+// The end of a lease that is renewed now by an owner which the log has confirmed last at
+// aConfirmedAt, on the executor's clock; 0 while that clock is unknown.
 std::chrono::milliseconds
-LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aNow);
+LeaseEnd(const Executor& aExecutor, const LeaseLimits& aLimits, Instant aConfirmedAt, Instant aNow);
+
+// The time by which each lease has expired that such an owner has asked for.
+Instant
+LeaseExpiryOfOwner(const LeaseLimits& aLimits, Instant aConfirmedAt);
 
 // A call that asks for a lease: until when on the executor's clock (0 asks for none), and the last
 // moment at which it may arrive there.
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -105,6 +105,7 @@
   shard.mPartition = aPartition;
   shard.mSettings = aSettings;
   shard.mTakenOverAt = aNow;
+  shard.mFencedAt = aNow;
   shard.mConfirmedAt = aNow;
   shard.mStates.mPartition = aPartition;
   return shard;
@@ -171,10 +172,9 @@
 Instant
 FormerOwnerLeaseExpiry(const Shard& aShard, const ExecutorId& aExecutor, const Now& aNow)
 {
-  constexpr Duration kClockError = 500ms;
-  // Without an unresponsive record, the former owner may have renewed leases until it had to stop.
-  auto latest =
-    aShard.mTakenOverAt + kMaxUnconfirmedToRenew + aShard.mSettings.mLease.mMaximum + kClockError;
+  // Without an unresponsive record, the former owner may have renewed leases as long as the log
+  // confirmed it.
+  auto latest = LeaseExpiryOfOwner(aShard.mSettings.mLease, aShard.mFencedAt);
   auto unresponsive = aShard.mLoadedUnresponsive.find(aExecutor);
   if (unresponsive == aShard.mLoadedUnresponsive.end()) {
     return latest;
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -101,6 +101,9 @@
   // The fencing token.
   std::int64_t mEpoch = 0;
   Instant mTakenOverAt;
+  // When the log had fenced the former owner off. Until then, the former owner may have been
+  // confirmed.
+  Instant mFencedAt;
   // The last time at which this host was confirmed as the owner, by the log or by the group.
   Instant mConfirmedAt;
   bool mCallPending = false;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -235,7 +235,7 @@
   call.mWait = HeartbeatPollTime(aExecutor, aNow);
   if (aExecutor.mUnansweredCalls == 0 && !aExecutor.mIsUnresponsive) {
     // No lease is renewed on an unresponsive executor, so that its runs are certain to end.
-    call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aNow);
+    call.mLeaseEnd = LeaseEnd(aExecutor, aShard.mSettings.mLease, aShard.mConfirmedAt, aNow);
     NoteLeaseRequest(
       aExecutor, aShard.mSettings.mLease, { call.mLeaseEnd, LatestArrival(aNow, call.mWait) });
     aExecutor.mRenewedAt = aNow;
@@ -571,7 +571,7 @@
   call.mRun = aRun;
   call.mSpec = job->mDefinition.mSpec;
   call.mCheckpoint = CheckpointOf(*job, aRun.mTask).mValue;
-  call.mLeaseEnd = LeaseEnd(executor, aShard.mSettings.mLease, aNow.mAt);
+  call.mLeaseEnd = LeaseEnd(executor, aShard.mSettings.mLease, aShard.mConfirmedAt, aNow.mAt);
   NoteLeaseRequest(
     executor, aShard.mSettings.mLease, { call.mLeaseEnd, LatestArrival(aNow.mAt, 0ms) });
   found->second.mState = RunState::Starting;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -179,7 +179,7 @@
 }
 
 void
-OnFenceAnswer(Shard& aShard, const AppendAnswer& aAnswer, Actions& aActions)
+OnFenceAnswer(Shard& aShard, const Now& aNow, const AppendAnswer& aAnswer, Actions& aActions)
 {
   if (aAnswer.mRefusal == AppendRefusal::Fenced) {
     detail::LoseOwnership(aShard, "a later owner has fenced the log", aActions);
@@ -189,9 +189,14 @@
     aShard.mSequence = aAnswer.mExpectedSequence;
     return;
   }
-  if (aAnswer.mResult == CallResult::Done) {
-    SetPhase(aShard, ShardPhase::LoadingProgress);
+  if (aAnswer.mResult != CallResult::Done) {
+    return;
+  }
+  aShard.mFencedAt = aNow.mAt;
+  for (auto& [id, executor] : aShard.mExecutors) {
+    executor.mAllLeasesExpiredAt = detail::FormerOwnerLeaseExpiry(aShard, id, aNow);
   }
+  SetPhase(aShard, ShardPhase::LoadingProgress);
 }
 
 }
@@ -237,7 +242,7 @@
   if (aAnswer.mCall.mStream == Stream::Owners && aAnswer.mResult == CallResult::Done) {
     OnClaimAnswer(aShard, aAnswer);
   } else if (aAnswer.mCall.mStream == Stream::Progress) {
-    OnFenceAnswer(aShard, aAnswer, aActions);
+    OnFenceAnswer(aShard, aNow, aAnswer, aActions);
   }
 }
 
--- a/Libraries/LibStandIn/Simulation.cpp
+++ b/Libraries/LibStandIn/Simulation.cpp
@@ -59,6 +59,7 @@
   PublishManifest(FirstManifest(aSettings.mQuotaCores));
   for (int i = 0; i < aSettings.mExecutors + aSettings.mOtherExecutors; ++i) {
     FakeExecutor executor;
+    executor.mMaxLease = mSettings.mMaxLease;
     executor.mEntry.mId = schedule::ExecutorId("x" + std::to_string(i));
     executor.mEntry.mService =
       schedule::ServiceName(i < aSettings.mExecutors ? kService : kOtherService);
@@ -231,6 +232,7 @@
     aHost < mSettings.mSmallHosts ? mSettings.mHostMillicores / 10 : mSettings.mHostMillicores;
   mCapacities[host.mName] = settings.mCapacityMillicores;
   settings.mShareCallsDelay = mSettings.mShareCallsDelay;
+  settings.mLease.mMaximum = mSettings.mMaxLease;
   settings.mPartitions = mStore.mGroup.mPartitions;
   host.mNode = schedule::MakeNode(settings);
   Tick(aHost, host.mIncarnation);
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -35,6 +35,8 @@
   double mLateOrders = 0;
   // Whether a connection to an executor that is down is refused; otherwise calls to it are lost.
   bool mRefusesWhenDown = false;
+  // The longest lease that executors grant.
+  std::chrono::milliseconds mMaxLease{ 6000 };
   // Of a hundred jobs that a test with random faults submits, how many crash their executors.
   int mDeadlyJobs = 0;
   // The time that the store takes for each call.
--- a/Tests/LibSchedule/TestLeases.cpp
+++ b/Tests/LibSchedule/TestLeases.cpp
@@ -28,7 +28,7 @@
 std::chrono::milliseconds
 RequestLease(Executor& aExecutor, Instant aNow)
 {
-  auto end = LeaseEnd(aExecutor, kLimits, aNow);
+  auto end = LeaseEnd(aExecutor, kLimits, aNow, aNow);
   NoteLeaseRequest(aExecutor, kLimits, { end, LatestArrival(aNow, 0ms) });
   return end;
 }
@@ -80,14 +80,14 @@
 BOOST_AUTO_TEST_CASE(no_lease_is_renewed_before_the_clock_is_known)
 {
   Executor executor;
-  BOOST_TEST((LeaseEnd(executor, kLimits, Instant(100s)) == 0ms));
+  BOOST_TEST((LeaseEnd(executor, kLimits, Instant(100s), Instant(100s)) == 0ms));
 }
 
 BOOST_AUTO_TEST_CASE(no_lease_is_reckoned_by_a_clock_that_may_be_of_a_former_process)
 {
   auto executor = MakeExecutor();
   executor.mEntry.mIncarnation = kFirst + 1;
-  BOOST_TEST((LeaseEnd(executor, kLimits, Instant(100s)) == 0ms));
+  BOOST_TEST((LeaseEnd(executor, kLimits, Instant(100s), Instant(100s)) == 0ms));
 }
 
 // Guards against two runs of a task (TWICE): a start was carried out by a process that had started
@@ -138,6 +138,40 @@
   BOOST_TEST((LeaseExpiryOf(executor, MakeRunIn(0)) - Instant(109s) > Duration(6s) * 100 / 98));
 }
 
+// Guards against a next owner that finds tasks at work which it has taken for ended (TWICE), or
+// that waits longer than it has to (LOST): an owner that the log confirms no longer may renew
+// leases for seconds.
+BOOST_AUTO_TEST_CASE(no_lease_goes_beyond_the_longest_one_from_the_last_confirmation_on)
+{
+  auto holds = rc::check([] {
+    LeaseLimits limits{ *rc::gen::element(4000ms, 6000ms, 10000ms) };
+    FakeExecutor fake;
+    fake.mEntry.mIncarnation = kFirst;
+    fake.mClockSpeed = *rc::gen::element(0.98, 1.0, 1.02);
+    fake.mStartedAt = Instant(90s);
+    auto executor = MakeExecutor();
+    auto readAt = Instant(100s) + std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    UpdateClock(executor, ClockOf(fake, readAt), readAt);
+    auto confirmedAt = Instant(100s) + std::chrono::milliseconds(*rc::gen::inRange(0, 3000));
+    auto now =
+      std::max(readAt, confirmedAt) + std::chrono::milliseconds(*rc::gen::inRange(0, 4000));
+    StartCall call;
+    call.mRun = { { JobId("0000000000000001"), 0, 0, 0 }, 1 };
+    call.mSpec = "lasts";
+    call.mLeaseEnd = LeaseEnd(executor, limits, confirmedAt, now);
+    if (Start(fake, call, now).mResult != CallResult::Done) {
+      return;
+    }
+    Advance(fake, LeaseExpiryOfOwner(limits, confirmedAt));
+    RC_ASSERT(fake.mRuns.empty());
+  });
+  BOOST_TEST(holds);
+  // A lease that is confirmed is not shortened by much.
+  auto executor = MakeExecutor();
+  BOOST_TEST((LeaseEnd(executor, kLimits, Instant(99s), Instant(100s)) >= 10s + 5s));
+  BOOST_TEST((LeaseExpiryOfOwner({ 10000ms }, Instant(0s)) <= Instant(7s)));
+}
+
 // What the owner reckons, against what an executor does: each lease has really expired by the time
 // that the owner takes for its end, whatever crashes, delays and clocks are drawn.
 BOOST_AUTO_TEST_CASE(no_run_outlives_the_expiry_of_its_lease_whichever_process_carries_it_out)
--- a/Tests/LibSchedule/TestLostExecutors.cpp
+++ b/Tests/LibSchedule/TestLostExecutors.cpp
@@ -11,6 +11,8 @@
 
 constexpr Duration kStart = 1s;
 constexpr Duration kTimeAway = 3s;
+// A task that lasts may be without a run for this long, by the users' rules.
+constexpr Duration kLongestTimeAway = 9s;
 
 // The executor that runs a task of the job; -1 if none does.
 int
@@ -67,6 +69,27 @@
   CheckInvariants(simulation);
 }
 
+// Guards against a task that lasts and is away for longer than 9 s (LOST): its executor went dark
+// and the owner of its shard ended at the same moment, and the next owner waited for leases that
+// the former one could have renewed without the log.
+BOOST_AUTO_TEST_CASE(a_task_that_lasts_is_back_in_time_after_its_executor_went_dark_with_its_owner)
+{
+  for (auto longestLease : { 6000ms, 10000ms }) {
+    Simulation simulation({ .mExecutors = 4, .mMaxLease = longestLease });
+    simulation.RunFor(kStart);
+    auto lasting = simulation.Submit(0, { MakeLongRunningStep(1, 1, 0) }, "lasts");
+    auto executor = AwaitRun(simulation, lasting);
+    BOOST_REQUIRE(executor >= 0);
+    simulation.RunFor(4s);
+    BOOST_REQUIRE(OwnerOf(simulation) >= 0);
+    simulation.CrashExecutorFor(executor, 1000s, false);
+    simulation.Kill(OwnerOf(simulation));
+    simulation.RunFor(kLongestTimeAway);
+    BOOST_TEST(ExecutorOf(simulation, lasting) >= 0);
+    CheckInvariants(simulation);
+  }
+}
+
 // The opposite error: the executor is only cut off, and two runs of the task would be at work.
 BOOST_AUTO_TEST_CASE(a_task_on_an_executor_that_is_cut_off_waits_for_its_lease_when_its_owner_ends)
 {
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -417,6 +417,29 @@
   BOOST_TEST(executor.mRuns.size() == 1u);
 }
 
+// Guards against two runs of a task (TWICE): the log took its time to fence the former owner off,
+// and had confirmed it until then.
+BOOST_AUTO_TEST_CASE(leases_of_a_former_owner_are_counted_from_the_moment_at_which_it_is_fenced_off)
+{
+  auto shard = MakeShard(3, {}, kNow.mAt);
+  Actions actions;
+  ExecutorEntry entry;
+  entry.mId = kExecutor;
+  UpdateExecutor(shard, kNow, entry);
+  AppendAnswer claim;
+  claim.mCall.mStream = Stream::Owners;
+  claim.mResult = CallResult::Done;
+  claim.mOffset = kEpoch - 1;
+  OnAppendAnswer(shard, Later(100ms), claim, actions);
+  AppendAnswer fence;
+  fence.mCall.mStream = Stream::Progress;
+  fence.mCall.mTicket = kEpoch;
+  fence.mResult = CallResult::Done;
+  OnAppendAnswer(shard, Later(3s), fence, actions);
+  auto expiry = shard.mExecutors.at(kExecutor).mAllLeasesExpiredAt;
+  BOOST_TEST((expiry >= LeaseExpiryOfOwner({}, Later(3s).mAt)));
+}
+
 // Guards against tasks of a cancelled job that run on (UNASKED) because its end can't be stored.
 BOOST_AUTO_TEST_CASE(the_runs_of_an_ended_job_are_stopped_before_its_end_is_stored)
 {
