--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -163,8 +163,6 @@
   bool mHasAnnouncedLeave = false;
   // Another executor has answered at its address: its process has ended, and all runs with it.
   bool mIsReplaced = false;
-  // Nothing listens at its address, which says the same.
-  bool mHasNoListener = false;
   // What the last heartbeat met.
   HeartbeatFailure mFailure = HeartbeatFailure::None;
   // It does not answer, or is no longer listed: its process may have ended.
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -92,7 +92,8 @@
   // Another executor answered at the address, so that the process of the one that was called has
   // ended.
   bool mIsFromAnother = false;
-  // Nothing listens at the address, so that the process has ended too.
+  // The connection was refused, which says nothing of the process: something in between may have
+  // done that.
   bool mHasNoListener = false;
   std::int64_t mIncarnation = 0;
   std::chrono::milliseconds mClock{ 0 };
--- a/Libraries/LibSchedule/ExecutorEnds.cpp
+++ b/Libraries/LibSchedule/ExecutorEnds.cpp
@@ -98,8 +98,6 @@
       return "it has left the list";
     case EndSign::Replaced:
       return "another executor has its address";
-    case EndSign::NoListener:
-      return "nothing listens at its address";
   }
   return "unknown";
 }
@@ -121,10 +119,7 @@
   if (aExecutor.mEntry.mState == ExecutorState::Draining) {
     return EndSign::None;
   }
-  if (aExecutor.mIsReplaced) {
-    return EndSign::Replaced;
-  }
-  return aExecutor.mHasNoListener ? EndSign::NoListener : EndSign::None;
+  return aExecutor.mIsReplaced ? EndSign::Replaced : EndSign::None;
 }
 
 bool
--- a/Libraries/LibSchedule/ExecutorEnds.h
+++ b/Libraries/LibSchedule/ExecutorEnds.h
@@ -37,8 +37,6 @@
   LeftList,
   // Another executor has answered at its address.
   Replaced,
-  // Nothing listens at its address.
-  NoListener,
 };
 
 std::string_view
--- a/Libraries/LibSchedule/ShardLosses.cpp
+++ b/Libraries/LibSchedule/ShardLosses.cpp
@@ -136,19 +136,6 @@
   return reason + "; process " + std::to_string(aExecutor.mProcess.mIncarnation) + " has answered";
 }
 
-// Whether the process of an executor that had ended by aCalledAt may still be followed by one that
-// carries out the start of the run: it was not answered, or was sent by a former owner, which may
-// have sent it some time after it had lost the shard.
-bool
-MayStillArrive(const Shard& aShard, const PlacedRun& aRun, Instant aCalledAt)
-{
-  if (aRun.mKnownIn != 0 || aRun.mState == RunState::Running) {
-    return false;
-  }
-  auto isOwn = aRun.mEpoch == aShard.mEpoch;
-  return LatestArrival(aRun.mStateSince + (isOwn ? 0ms : kMaxUnconfirmedToStart), 0ms) > aCalledAt;
-}
-
 }
 
 void
@@ -220,15 +207,11 @@
                 const HeartbeatAnswer& aAnswer,
                 Actions& aActions)
 {
-  aExecutor.mIsReplaced = aAnswer.mIsFromAnother;
-  aExecutor.mHasNoListener = aAnswer.mHasNoListener;
-  auto sign = aAnswer.mIsFromAnother ? EndSign::Replaced : EndSign::NoListener;
+  aExecutor.mIsReplaced = true;
   std::vector<LostRun> ended;
   for (const auto& [name, run] : aExecutor.mRuns) {
-    // A call for the former executor is not carried out by another one.
-    auto mayArrive = aAnswer.mHasNoListener && MayStillArrive(aShard, run, aAnswer.mSentAt);
-    if (run.mState != RunState::Recording && run.mStateSince < aAnswer.mSentAt && !mayArrive) {
-      ended.push_back({ name, std::string(NameOf(sign)) });
+    if (run.mState != RunState::Recording && run.mStateSince < aAnswer.mSentAt) {
+      ended.push_back({ name, std::string(NameOf(EndSign::Replaced)) });
     }
   }
   MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -372,8 +372,7 @@
     RecordUnansweredHeartbeat(*executor, aAnswer, aNow.mAt);
     ++aShard.mAnswerChanges;
     // An executor that answers at another address by now may go on.
-    auto hasEnded = aAnswer.mIsFromAnother || aAnswer.mHasNoListener;
-    if (hasEnded && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
+    if (aAnswer.mIsFromAnother && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
       detail::DropRunsOfEnded(aShard, aNow, *executor, aAnswer, aActions);
     }
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
@@ -390,7 +389,6 @@
   executor->mUnansweredCalls = 0;
   executor->mFailure = HeartbeatFailure::None;
   executor->mIsReplaced = false;
-  executor->mHasNoListener = false;
   NoteAnswered(*executor, aAnswer.mIncarnation, aNow.mAt);
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
   if (!executor->mHasAnsweredHeartbeat) {
--- a/Libraries/LibStandIn/Simulation.h
+++ b/Libraries/LibStandIn/Simulation.h
@@ -35,6 +35,8 @@
   double mLateOrders = 0;
   // Whether a connection to an executor that is down is refused; otherwise calls to it are lost.
   bool mRefusesWhenDown = false;
+  // Whether a connection to an executor that is cut off, and runs on, is refused too.
+  bool mRefusesWhenCut = false;
   // The longest lease that executors grant.
   std::chrono::milliseconds mMaxLease{ 6000 };
   // Of a hundred jobs that a test with random faults submits, how many crash their executors.
--- a/Libraries/LibStandIn/SimulationExecutors.cpp
+++ b/Libraries/LibStandIn/SimulationExecutors.cpp
@@ -38,12 +38,10 @@
 bool
 Simulation::HasNoListener(const schedule::ExecutorAddress& aTo) const
 {
-  if (!mSettings.mRefusesWhenDown) {
-    return false;
-  }
   for (std::size_t i = 0; i < mExecutors.size(); ++i) {
     if (mExecutors[i].mEntry.mAddress == aTo.mAddress) {
-      return !mExecutors[i].mIsUp && !mCutExecutors.contains(static_cast<int>(i));
+      auto isCut = mCutExecutors.contains(static_cast<int>(i));
+      return isCut ? mSettings.mRefusesWhenCut : mSettings.mRefusesWhenDown && !mExecutors[i].mIsUp;
     }
   }
   return false;
--- a/Tests/LibSchedule/RandomFaults.cpp
+++ b/Tests/LibSchedule/RandomFaults.cpp
@@ -75,7 +75,7 @@
   auto isDeadly = aPlay.mDeadlyJobs > 0 && aPlay.Pick(100) < aPlay.mDeadlyJobs;
   auto first = aPlay.PickStep(4, 3);
   auto second = After(MakeStep(1 + aPlay.Pick(3), 1), { 0 });
-  const auto* spec = isDeadly ? "crashes" : "250";
+  auto spec = isDeadly ? std::string("crashes") : aPlay.mOptions.mWork;
   aPlay.mJobs.push_back(aPlay.mSimulation.Submit(host, { first, second }, spec));
 }
 
--- a/Tests/LibSchedule/RandomFaults.h
+++ b/Tests/LibSchedule/RandomFaults.h
@@ -16,6 +16,8 @@
   bool mReplacesExecutors = false;
   // The jobs' queue gets another service, or no route for a while, and jobs are handed in again.
   bool mMovesQueue = false;
+  // What the tasks of jobs do that don't crash their executors.
+  std::string mWork = "250";
 };
 
 // Hosts are killed, frozen and cut off, executors crash and are cut off, calls are lost or executed
--- a/Tests/LibSchedule/TestLostExecutors.cpp
+++ b/Tests/LibSchedule/TestLostExecutors.cpp
@@ -50,10 +50,9 @@
 
 BOOST_AUTO_TEST_SUITE(ExecutorsThatAreLost)
 
-// Guards against a task that lasts and is away for long (LOST): its executor and the owner of its
-// shard ended at the same moment, and the next owner waited for the longest lease that may have
-// been given, although nothing listened at the executor's address.
-BOOST_AUTO_TEST_CASE(a_task_that_lasts_is_soon_back_after_its_executor_and_its_owner_have_ended)
+// Guards against a task that lasts and is away for longer than 9 s (LOST): its executor and the
+// owner of its shard ended at the same moment, and connections to the executor are refused.
+BOOST_AUTO_TEST_CASE(a_task_that_lasts_is_back_in_time_after_its_executor_and_its_owner_have_ended)
 {
   Simulation simulation({ .mExecutors = 4, .mRefusesWhenDown = true });
   simulation.RunFor(kStart);
@@ -64,7 +63,7 @@
   BOOST_REQUIRE(OwnerOf(simulation) >= 0);
   simulation.CrashExecutorFor(executor, 1000s, false);
   simulation.Kill(OwnerOf(simulation));
-  simulation.RunFor(6s);
+  simulation.RunFor(kLongestTimeAway);
   BOOST_TEST(ExecutorOf(simulation, lasting) >= 0);
   CheckInvariants(simulation);
 }
@@ -90,6 +89,22 @@
   }
 }
 
+// Guards against two runs of a task (TWICE): an executor that runs on refuses connections, because
+// something cuts it off, and its owner took it for ended (issues 63, 66).
+BOOST_AUTO_TEST_CASE(a_task_on_an_executor_that_runs_on_and_refuses_connections_waits_for_its_lease)
+{
+  Simulation simulation({ .mExecutors = 4, .mRefusesWhenCut = true });
+  simulation.RunFor(kStart);
+  auto job = simulation.Submit(0, { MakeStep(1, 1, 20s) }, "20000");
+  auto executor = AwaitRun(simulation, job);
+  BOOST_REQUIRE(executor >= 0);
+  simulation.RunFor(4s);
+  simulation.CutExecutor(executor, true);
+  simulation.RunFor(9s);
+  BOOST_TEST(simulation.CountRuns(job) == 2);
+  CheckInvariants(simulation);
+}
+
 // The opposite error: the executor is only cut off, and two runs of the task would be at work.
 BOOST_AUTO_TEST_CASE(a_task_on_an_executor_that_is_cut_off_waits_for_its_lease_when_its_owner_ends)
 {
--- a/Tests/LibSchedule/TestRandomFaults.cpp
+++ b/Tests/LibSchedule/TestRandomFaults.cpp
@@ -162,6 +162,20 @@
   BOOST_TEST(holds);
 }
 
+// Guards against a task that starts anew while its former run goes on (TWICE), because a refused
+// connection was taken for the end of an executor that something cuts off (issues 63, 66).
+BOOST_AUTO_TEST_CASE(no_invariant_is_broken_while_executors_that_run_on_refuse_connections)
+{
+  auto holds = rc::check([] {
+    auto settings = DrawLosses();
+    settings.mRefusesWhenDown = *rc::gen::arbitrary<bool>();
+    settings.mRefusesWhenCut = true;
+    settings.mLateOrders = *rc::gen::element(0.0, 0.02, 0.1);
+    CheckPlay(settings, { .mReplacesExecutors = true, .mWork = "2500" });
+  });
+  BOOST_TEST(holds);
+}
+
 // Guards against a task that starts anew while its former run goes on (TWICE), because a refused
 // connection was taken for more than it proves.
 BOOST_AUTO_TEST_CASE(no_invariant_is_broken_while_ended_executors_refuse_connections)
--- a/Tests/LibSchedule/TestSignsOfEnd.cpp
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -66,6 +66,25 @@
     OnHeartbeatAnswer(mShard, aNow, answer, mActions);
   }
 
+  // Meets the sign every 100 ms.
+  void KeepsItsRunUntilTheLeaseIsOver(Sign aSign)
+  {
+    auto expiry = LeaseExpiryOf(TheExecutor(), TheExecutor().mRuns.at(mRun));
+    BOOST_REQUIRE((expiry > Later(5s).mAt));
+    for (auto now = Later(100ms); now.mAt <= expiry; now.mAt += 100ms, now.mWall += 100ms) {
+      Meet(now, aSign);
+      Advance(now);
+      BOOST_REQUIRE(TheExecutor().mRuns.size() == 1u);
+      BOOST_REQUIRE(!IsSchedulable(TheExecutor(), now.mAt));
+    }
+    Now after{ expiry + 20ms, kNow.mWall + (expiry - kNow.mAt) + 20ms };
+    Meet(after, aSign);
+    Advance(after);
+    BOOST_TEST(TheExecutor().mRuns.empty());
+    BOOST_TEST(mShard.mCounters.mTasksLost == 1);
+    BOOST_TEST(mShard.mCounters.mTasksCrashed == 0);
+  }
+
   std::vector<LogEntry> Lines(std::string_view aEvent) const
   {
     auto lines = Select<LogEntry>(mActions);
@@ -78,6 +97,25 @@
 
 BOOST_AUTO_TEST_SUITE(SignsOfAnEnd)
 
+// Guards against two runs of a task (TWICE): a refused connection was taken for the end of the
+// executor's process, which ran on (issues 63, 66). Nor is it held against the task.
+BOOST_AUTO_TEST_CASE(no_run_ends_before_its_lease_because_connections_are_refused)
+{
+  OwnerOfRun owner;
+  owner.KeepsItsRunUntilTheLeaseIsOver(Sign::RefusedConnection);
+}
+
+// The same for a start that was not answered, which may reach the next process at the address.
+BOOST_AUTO_TEST_CASE(no_start_without_an_answer_is_given_up_because_connections_are_refused)
+{
+  OwnerOfRun owner;
+  auto& run = owner.TheExecutor().mRuns.at(owner.mRun);
+  run.mState = RunState::Uncertain;
+  run.mKnownIn = 0;
+  run.mBeganAt.reset();
+  owner.KeepsItsRunUntilTheLeaseIsOver(Sign::RefusedConnection);
+}
+
 // Guards against an incident whose log doesn't tell what an owner met where its executor had been.
 BOOST_AUTO_TEST_CASE(the_log_tells_each_change_of_what_heartbeats_meet)
 {
