--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -161,8 +161,6 @@
   DrainReason mDrainReason = DrainReason::None;
   // Its entry said that it drains before it was removed.
   bool mHasAnnouncedLeave = false;
-  // Another executor has answered at its address: its process has ended, and all runs with it.
-  bool mIsReplaced = false;
   // What the last heartbeat met.
   HeartbeatFailure mFailure = HeartbeatFailure::None;
   // It does not answer, or is no longer listed: its process may have ended.
--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -89,8 +89,8 @@
   HeartbeatCall mCall;
   CallResult mResult = CallResult::Unanswered;
   bool mFenced = false;
-  // Another executor answered at the address, so that the process of the one that was called has
-  // ended.
+  // Another executor answered at the address, which says nothing of the process of the one that was
+  // called: it may run on where nobody reaches it.
   bool mIsFromAnother = false;
   // The connection was refused, which says nothing of the process: something in between may have
   // done that.
--- a/Libraries/LibSchedule/ExecutorEnds.cpp
+++ b/Libraries/LibSchedule/ExecutorEnds.cpp
@@ -96,8 +96,6 @@
       return "it has restarted";
     case EndSign::LeftList:
       return "it has left the list";
-    case EndSign::Replaced:
-      return "another executor has its address";
   }
   return "unknown";
 }
@@ -113,13 +111,7 @@
   if (aExecutor.mHasAnnouncedLeave || aExecutor.mDrainReason != DrainReason::None) {
     return EndSign::None;
   }
-  if (aExecutor.mEntry.mState == ExecutorState::Gone) {
-    return EndSign::LeftList;
-  }
-  if (aExecutor.mEntry.mState == ExecutorState::Draining) {
-    return EndSign::None;
-  }
-  return aExecutor.mIsReplaced ? EndSign::Replaced : EndSign::None;
+  return aExecutor.mEntry.mState == ExecutorState::Gone ? EndSign::LeftList : EndSign::None;
 }
 
 bool
--- a/Libraries/LibSchedule/ExecutorEnds.h
+++ b/Libraries/LibSchedule/ExecutorEnds.h
@@ -35,8 +35,6 @@
   Restarted,
   // Its entry was removed from the list, which was not announced.
   LeftList,
-  // Another executor has answered at its address.
-  Replaced,
 };
 
 std::string_view
--- a/Libraries/LibSchedule/ShardLosses.cpp
+++ b/Libraries/LibSchedule/ShardLosses.cpp
@@ -200,24 +200,4 @@
   }
 }
 
-void
-DropRunsOfEnded(Shard& aShard,
-                const Now& aNow,
-                Executor& aExecutor,
-                const HeartbeatAnswer& aAnswer,
-                Actions& aActions)
-{
-  aExecutor.mIsReplaced = true;
-  std::vector<LostRun> ended;
-  for (const auto& [name, run] : aExecutor.mRuns) {
-    if (run.mState != RunState::Recording && run.mStateSince < aAnswer.mSentAt) {
-      ended.push_back({ name, std::string(NameOf(EndSign::Replaced)) });
-    }
-  }
-  MarkRunsLost(aShard, aNow, aExecutor, ended, aActions);
-  if (!ended.empty() && aExecutor.mIsUnresponsive) {
-    aShard.mResponsivenessToRecord.insert(aExecutor.mEntry.mId);
-  }
-}
-
 }
--- a/Libraries/LibSchedule/ShardLosses.h
+++ b/Libraries/LibSchedule/ShardLosses.h
@@ -28,13 +28,4 @@
 void
 DropExpiredRuns(Shard& aShard, const Now& aNow, Executor& aExecutor, Actions& aActions);
 
-// Drops the runs of an executor whose process has ended, provided that they were there when a call
-// found that out.
-void
-DropRunsOfEnded(Shard& aShard,
-                const Now& aNow,
-                Executor& aExecutor,
-                const HeartbeatAnswer& aAnswer,
-                Actions& aActions);
-
 }
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -371,10 +371,6 @@
     LogIfFailureIsNew(*executor, aAnswer, aNow.mAt, aActions);
     RecordUnansweredHeartbeat(*executor, aAnswer, aNow.mAt);
     ++aShard.mAnswerChanges;
-    // An executor that answers at another address by now may go on.
-    if (aAnswer.mIsFromAnother && aAnswer.mCall.mTo.mAddress == executor->mEntry.mAddress) {
-      detail::DropRunsOfEnded(aShard, aNow, *executor, aAnswer, aActions);
-    }
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
       aShard.mResponsivenessToRecord.insert(executor->mEntry.mId);
     }
@@ -388,7 +384,6 @@
   aShard.mAnswerChanges += hasBegunToAnswer ? 1 : 0;
   executor->mUnansweredCalls = 0;
   executor->mFailure = HeartbeatFailure::None;
-  executor->mIsReplaced = false;
   NoteAnswered(*executor, aAnswer.mIncarnation, aNow.mAt);
   executor->mHeartbeatAnsweredAt = aNow.mAt - aAnswer.mAge;
   if (!executor->mHasAnsweredHeartbeat) {
--- a/Tests/LibSchedule/TestSignsOfEnd.cpp
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -116,6 +116,17 @@
   owner.KeepsItsRunUntilTheLeaseIsOver(Sign::RefusedConnection);
 }
 
+// Guards against two runs of a task (TWICE): another executor's answer at the address was taken for
+// the end of the executor's process, which ran on (issues 63, 66).
+BOOST_AUTO_TEST_CASE(no_run_ends_before_its_lease_because_another_executor_answers)
+{
+  for (auto state : { ExecutorState::Ready, ExecutorState::Draining }) {
+    OwnerOfRun owner;
+    owner.TheExecutor().mEntry.mState = state;
+    owner.KeepsItsRunUntilTheLeaseIsOver(Sign::OtherExecutor);
+  }
+}
+
 // Guards against an incident whose log doesn't tell what an owner met where its executor had been.
 BOOST_AUTO_TEST_CASE(the_log_tells_each_change_of_what_heartbeats_meet)
 {
