--- a/Libraries/LibSchedule/ExecutorCalls.h
+++ b/Libraries/LibSchedule/ExecutorCalls.h
@@ -121,6 +121,9 @@
   NoListener,
   // Another executor has answered at the address.
   OtherExecutor,
+  // The answer is of a process that started before the one that answered last, or of none that it
+  // names.
+  FormerProcess,
 };
 
 // Has the answer say that its call was not sent: no lease was asked for, no end acknowledged.
--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -103,10 +103,12 @@
 }
 
 HeartbeatFailure
-FailureOf(const HeartbeatAnswer& aAnswer)
+FailureOf(const Executor& aExecutor, const HeartbeatAnswer& aAnswer, Instant aNow)
 {
   if (aAnswer.mResult == CallResult::Done) {
-    return HeartbeatFailure::None;
+    auto isFormer = aAnswer.mIncarnation < aExecutor.mProcess.mIncarnation;
+    return isFormer && aNow <= aExecutor.mAllLeasesExpiredAt ? HeartbeatFailure::FormerProcess
+                                                             : HeartbeatFailure::None;
   }
   if (aAnswer.mIsFromAnother) {
     return HeartbeatFailure::OtherExecutor;
@@ -132,6 +134,8 @@
       return "its address refuses connections";
     case HeartbeatFailure::OtherExecutor:
       return "another executor has answered at its address";
+    case HeartbeatFailure::FormerProcess:
+      return "a process that is not its last one has answered";
   }
   return "unknown";
 }
--- a/Libraries/LibSchedule/ExecutorHeartbeat.h
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.h
@@ -16,8 +16,11 @@
 std::int64_t
 EndsToAcknowledge(const Executor& aExecutor, Instant aNow);
 
+// A list proves what runs remain only if it is of the last process of the executor. A process that
+// started before that one is believed once no lease is left there, in case that a clock was set
+// back.
 HeartbeatFailure
-FailureOf(const HeartbeatAnswer& aAnswer);
+FailureOf(const Executor& aExecutor, const HeartbeatAnswer& aAnswer, Instant aNow);
 
 std::string_view
 NameOf(HeartbeatFailure aFailure);
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -55,17 +55,17 @@
 
 void
 LogIfFailureIsNew(Executor& aExecutor,
+                  HeartbeatFailure aFailure,
                   const HeartbeatAnswer& aAnswer,
                   Instant aNow,
                   Actions& aActions)
 {
-  auto failure = FailureOf(aAnswer);
-  if (aExecutor.mFailure == failure) {
+  if (aExecutor.mFailure == aFailure) {
     return;
   }
-  aExecutor.mFailure = failure;
+  aExecutor.mFailure = aFailure;
   LogEntry entry{ LogLevel::Info, "executor-silent", {}, aExecutor.mEntry.mId.mValue };
-  entry.mReason = std::string(NameOf(failure)) + "; process " +
+  entry.mReason = std::string(NameOf(aFailure)) + "; process " +
                   std::to_string(aExecutor.mProcess.mIncarnation) + " answered last";
   entry.mAge = ToMilliseconds(aNow - aAnswer.mSentAt);
   aActions.emplace_back(std::move(entry));
@@ -367,8 +367,9 @@
     return;
   }
   NoteLeaseOutcome(*executor, aShard.mSettings.mLease, aAnswer.mCall.mLeaseEnd, aNow.mAt);
-  if (aAnswer.mResult != CallResult::Done) {
-    LogIfFailureIsNew(*executor, aAnswer, aNow.mAt, aActions);
+  auto failure = FailureOf(*executor, aAnswer, aNow.mAt);
+  if (failure != HeartbeatFailure::None) {
+    LogIfFailureIsNew(*executor, failure, aAnswer, aNow.mAt, aActions);
     RecordUnansweredHeartbeat(*executor, aAnswer, aNow.mAt);
     ++aShard.mAnswerChanges;
     if (!executor->mIsUnresponsive && !executor->mRuns.empty()) {
--- a/Tests/LibSchedule/TestSignsOfEnd.cpp
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -127,6 +127,38 @@
   }
 }
 
+// Guards against two runs of a task (TWICE): the late list of a former process, or one that names
+// no process, was taken for that of the next one, and dropped the runs of the present one.
+BOOST_AUTO_TEST_CASE(no_run_ends_because_a_former_process_does_not_list_it)
+{
+  for (auto former : { kIncarnation - 1, std::int64_t(0) }) {
+    OwnerOfRun owner;
+    owner.AnswerAs(former, Later(100ms), {});
+    BOOST_TEST(owner.TheExecutor().mRuns.contains(owner.mRun));
+    BOOST_TEST(owner.TheExecutor().mProcess.mIncarnation == kIncarnation);
+    owner.AnswerAs(kIncarnation, Later(200ms), { owner.mRun });
+    BOOST_TEST(owner.TheExecutor().mRuns.contains(owner.mRun));
+    BOOST_TEST(owner.mShard.mCounters.mTasksLost == 0);
+  }
+}
+
+// The opposite error: an executor whose clock was set back when it started again is never used
+// again.
+BOOST_AUTO_TEST_CASE(a_process_that_names_an_earlier_start_is_believed_once_no_lease_is_left)
+{
+  OwnerOfRun owner;
+  auto entry = owner.TheExecutor().mEntry;
+  entry.mIncarnation = kIncarnation - 1;
+  UpdateExecutor(owner.mShard, Later(100ms), entry);
+  for (auto now = Later(100ms); now.mAt < Later(9s).mAt; now.mAt += 100ms, now.mWall += 100ms) {
+    owner.AnswerAs(kIncarnation - 1, now, {});
+    owner.Advance(now);
+  }
+  BOOST_TEST(owner.TheExecutor().mProcess.mIncarnation == kIncarnation - 1);
+  BOOST_TEST(owner.mShard.mCounters.mTasksLost == 1);
+  BOOST_TEST(IsSchedulable(owner.TheExecutor(), Later(9s).mAt));
+}
+
 // Guards against an incident whose log doesn't tell what an owner met where its executor had been.
 BOOST_AUTO_TEST_CASE(the_log_tells_each_change_of_what_heartbeats_meet)
 {
