--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -138,6 +138,15 @@
   bool mHadSuspects = false;
 };
 
+// An executor that left the list under a task was counted as crashed: its process may also have
+// been out of reach.
+struct CountedCrash
+{
+  TaskId mTask;
+  // How likely it would have ended without the task.
+  double mCoincidence = 1;
+};
+
 struct Executor
 {
   ExecutorEntry mEntry;
@@ -167,6 +176,8 @@
   bool mIsMissing = false;
   // When its process ended, if it did. Kept after it answers again, if it had restarted.
   std::optional<TimeOfEnd> mEnded;
+  // Withdrawn if the same process answers again.
+  std::vector<CountedCrash> mDoubtfulCrashes;
   // It takes no work but suspects, until none waits.
   bool mIsReservedForSuspects = false;
   // Its host is still due for maintenance in a wave, so that a long-running task would soon
--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -366,6 +366,21 @@
   task->mMayJoinOthers = false;
 }
 
+void
+WithdrawCrash(Job& aJob, const TaskId& aName, const ExecutorId& aExecutor, double aCoincidence)
+{
+  auto* task = FindTask(aJob, aName);
+  if (task == nullptr || std::erase(task->mCrashedOn, aExecutor) == 0) {
+    return;
+  }
+  if (task->mCrashes <= 1) {
+    ClearCrashes(aJob, aName);
+    return;
+  }
+  --task->mCrashes;
+  task->mCoincidence = std::min(1.0, task->mCoincidence / aCoincidence);
+}
+
 void
 ClearCrashes(Job& aJob, const TaskId& aName)
 {
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -176,6 +176,10 @@
 void
 AddCrash(Job& aJob, const TaskId& aName, double aCoincidence = 1);
 
+// Forgets one of the crashes under the task: the executor had not crashed.
+void
+WithdrawCrash(Job& aJob, const TaskId& aName, const ExecutorId& aExecutor, double aCoincidence);
+
 // Forgets the crashes under the task: it has shown that it does not cause them.
 void
 ClearCrashes(Job& aJob, const TaskId& aName);
--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -263,7 +263,7 @@
 // Counts a crash under the run's task, and gives its job up if that is hardly a coincidence.
 void
 RecordCrash(Shard& aShard,
-            const Executor& aExecutor,
+            Executor& aExecutor,
             const TaskRun& aName,
             const PlacedRun& aRun,
             const CrashEvidence& aEvidence,
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace sesameseam::schedule::detail {
 
@@ -212,7 +213,7 @@
 
 void
 RecordCrash(Shard& aShard,
-            const Executor& aExecutor,
+            Executor& aExecutor,
             const TaskRun& aName,
             const PlacedRun& aRun,
             const CrashEvidence& aEvidence,
@@ -231,6 +232,9 @@
   }
   AddCrash(*job, aName.mTask, aEvidence.mCoincidence);
   task->mCrashedOn.push_back(aExecutor.mEntry.mId);
+  if (SignOfEnd(aExecutor, aRun) == EndSign::LeftList) {
+    aExecutor.mDoubtfulCrashes.push_back({ aName.mTask, aEvidence.mCoincidence });
+  }
   MarkDirty(aShard, *job);
   auto count = std::to_string(task->mCrashes) + " executors have crashed under the task";
   LogRun("executor-crashed", aName, aExecutor, count + ": " + end, aActions);
@@ -239,6 +243,23 @@
   }
 }
 
+void
+WithdrawCrashes(Shard& aShard, Executor& aExecutor, Actions& aActions)
+{
+  for (const auto& crash : std::exchange(aExecutor.mDoubtfulCrashes, {})) {
+    auto* job = FindJob(aShard, crash.mTask.mJob);
+    if (job == nullptr || IsFinal(job->mPhase)) {
+      continue;
+    }
+    WithdrawCrash(*job, crash.mTask, aExecutor.mEntry.mId, crash.mCoincidence);
+    MarkDirty(aShard, *job);
+    aShard.mNeedsPlacementPass = true;
+    auto process = std::to_string(aExecutor.mProcess.mIncarnation);
+    TaskRun name{ crash.mTask, 0 };
+    LogRun("crash-withdrawn", name, aExecutor, "process " + process + " has answered", aActions);
+  }
+}
+
 void
 ApplyEnds(Shard& aShard,
           const Now& aNow,
--- a/Libraries/LibSchedule/ShardEnds.h
+++ b/Libraries/LibSchedule/ShardEnds.h
@@ -16,6 +16,11 @@
           const HeartbeatAnswer& aAnswer,
           Actions& aActions);
 
+// Takes back what was counted against tasks when the executor left the list: its process answers,
+// so that it had not crashed.
+void
+WithdrawCrashes(Shard& aShard, Executor& aExecutor, Actions& aActions);
+
 // Notes that a run of the task's step is done or, if it lasts, is at work: failures of the step
 // elsewhere are not its own fault.
 void
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -206,8 +206,10 @@
 {
   auto known = aExecutor.mProcess.mIncarnation;
   if (known == aAnswer.mIncarnation) {
+    detail::WithdrawCrashes(aShard, aExecutor, aActions);
     return;
   }
+  aExecutor.mDoubtfulCrashes.clear();
   if (known != 0) {
     LogEntry entry{ LogLevel::Info, "executor-restarted", {}, aExecutor.mEntry.mId.mValue };
     auto expiresIn = ToMilliseconds(std::max(Duration(0), aExecutor.mAllLeasesExpiredAt - aNow));
--- a/Tests/LibSchedule/TestSignsOfEnd.cpp
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -159,6 +159,27 @@
   BOOST_TEST(IsSchedulable(owner.TheExecutor(), Later(9s).mAt));
 }
 
+// Guards against a sound job that is shown as failed (LOST): executors that were out of reach, and
+// left the list for that, were counted as crashed under its tasks although they came back.
+BOOST_AUTO_TEST_CASE(an_executor_that_answers_again_is_not_held_against_its_tasks)
+{
+  for (auto next : { kIncarnation, kIncarnation + 1 }) {
+    OwnerOfRun owner;
+    auto entry = owner.TheExecutor().mEntry;
+    entry.mState = ExecutorState::Gone;
+    UpdateExecutor(owner.mShard, Later(4500ms), entry);
+    auto expiry = LeaseExpiryOf(owner.TheExecutor(), owner.TheExecutor().mRuns.at(owner.mRun));
+    auto after = Later(expiry - kNow.mAt + 20ms);
+    owner.Meet(after, Sign::Silence);
+    owner.Advance(after);
+    const auto* task = FindTask(owner.mShard.mJobs.at(kJob), owner.mRun.mTask);
+    BOOST_REQUIRE(task->mCrashes == 1);
+    owner.AnswerAs(next, Later(9s), {});
+    BOOST_TEST(task->mCrashes == (next == kIncarnation ? 0 : 1));
+    BOOST_TEST(owner.Lines("crash-withdrawn").size() == (next == kIncarnation ? 1u : 0u));
+  }
+}
+
 // Guards against an incident whose log doesn't tell what an owner met where its executor had been.
 BOOST_AUTO_TEST_CASE(the_log_tells_each_change_of_what_heartbeats_meet)
 {
