--- a/Libraries/LibSchedule/Shard.h
+++ b/Libraries/LibSchedule/Shard.h
@@ -49,6 +49,9 @@
 // A progress append in flight, and the actions that wait until it is stored.
 struct PendingWrite
 {
+  // When it was first sent under its sequence number. The log answers a repeat as it answered the
+  // first sending, also if another owner has fenced it since.
+  std::optional<Instant> mFirstSentAt;
   AppendCall mCall;
   bool mInFlight = false;
   Instant mRetryAt;
--- a/Libraries/LibSchedule/ShardTakeOver.cpp
+++ b/Libraries/LibSchedule/ShardTakeOver.cpp
@@ -228,10 +228,12 @@
     }
     return;
   }
+  auto isWrite = aShard.mWrite && aShard.mWrite->mInFlight;
   if (aAnswer.mResult == CallResult::Done) {
-    ConfirmOwnership(aShard, aAnswer.mSentAt);
+    auto sentAt = isWrite ? aShard.mWrite->mFirstSentAt.value_or(aAnswer.mSentAt) : aAnswer.mSentAt;
+    ConfirmOwnership(aShard, std::min(sentAt, aAnswer.mSentAt));
   }
-  if (aShard.mWrite && aShard.mWrite->mInFlight) {
+  if (isWrite) {
     detail::OnWriteAnswer(aShard, aNow, aAnswer, aActions);
     return;
   }
--- a/Libraries/LibSchedule/ShardWrite.cpp
+++ b/Libraries/LibSchedule/ShardWrite.cpp
@@ -196,6 +196,7 @@
     return;
   }
   write.mInFlight = true;
+  write.mFirstSentAt = write.mFirstSentAt.value_or(aNow.mAt);
   write.mCall.mFence = AppendFence{ aShard.mEpoch, aShard.mSequence };
   aActions.emplace_back(write.mCall);
 }
@@ -217,6 +218,7 @@
   if (aAnswer.mRefusal == AppendRefusal::Sequence) {
     // The store returns the number that it expects: this write was not stored under any other.
     aShard.mSequence = aAnswer.mExpectedSequence;
+    write.mFirstSentAt.reset();
     write.mRetryAt = aNow.mAt;
     return;
   }
--- a/Tests/LibSchedule/TestShardRuns.cpp
+++ b/Tests/LibSchedule/TestShardRuns.cpp
@@ -3,6 +3,18 @@
 using namespace sesameseam;
 using namespace sesameseam::schedule;
 
+namespace {
+
+std::vector<AppendCall>
+WritesOfProgress(const Actions& aActions)
+{
+  auto calls = Select<AppendCall>(aActions);
+  std::erase_if(calls, [](const AppendCall& aCall) { return aCall.mStream != Stream::Progress; });
+  return calls;
+}
+
+}
+
 BOOST_AUTO_TEST_SUITE(TheRunsOfAShard)
 
 BOOST_AUTO_TEST_CASE(ends_are_acknowledged_to_an_executor_that_has_just_answered)
@@ -376,6 +388,28 @@
   BOOST_TEST((expiry >= LeaseExpiryOfOwner({}, Later(3s).mAt)));
 }
 
+// Guards against two runs of a task (TWICE): the log answers a repeated append as it answered the
+// first one, so that an owner which has been fenced off since would take itself for confirmed.
+BOOST_AUTO_TEST_CASE(a_repeated_append_confirms_its_owner_only_from_the_first_sending_on)
+{
+  Owner owner;
+  owner.AddJob(Later(10ms));
+  owner.Advance(Later(10ms));
+  auto writes = WritesOfProgress(owner.mActions);
+  BOOST_REQUIRE(writes.size() == 1u);
+  owner.mShard.mConfirmedAt = kNow.mAt;
+  AppendAnswer answer{ writes[0] };
+  answer.mSentAt = Later(10ms).mAt;
+  OnAppendAnswer(owner.mShard, Later(1s), answer, owner.mActions);
+  owner.mActions.clear();
+  schedule::Advance(owner.mShard, Later(2s), owner.mActions);
+  BOOST_REQUIRE(WritesOfProgress(owner.mActions).size() == 1u);
+  answer.mResult = CallResult::Done;
+  answer.mSentAt = Later(2s).mAt;
+  OnAppendAnswer(owner.mShard, Later(2010ms), answer, owner.mActions);
+  BOOST_TEST((owner.mShard.mConfirmedAt == Later(10ms).mAt));
+}
+
 // Guards against tasks of a cancelled job that run on (UNASKED) because its end can't be stored.
 BOOST_AUTO_TEST_CASE(the_runs_of_an_ended_job_are_stopped_before_its_end_is_stored)
 {
