--- a/Libraries/LibSchedule/ExecutorHeartbeat.cpp
+++ b/Libraries/LibSchedule/ExecutorHeartbeat.cpp
@@ -38,6 +38,21 @@
   return aExecutor.mProcess.mRecordedEnds > aExecutor.mProcess.mAcknowledgedEnds;
 }
 
+// The last process that is known to have been there: a new owner knows it by the runs that a former
+// one has placed. 0 if none is known.
+std::int64_t
+LastKnownProcess(const Executor& aExecutor)
+{
+  if (aExecutor.mProcess.mIncarnation != 0) {
+    return aExecutor.mProcess.mIncarnation;
+  }
+  std::int64_t last = 0;
+  for (const auto& [name, run] : aExecutor.mRuns) {
+    last = std::max(last, run.mIncarnation);
+  }
+  return last;
+}
+
 }
 
 bool
@@ -106,7 +121,7 @@
 FailureOf(const Executor& aExecutor, const HeartbeatAnswer& aAnswer, Instant aNow)
 {
   if (aAnswer.mResult == CallResult::Done) {
-    auto isFormer = aAnswer.mIncarnation < aExecutor.mProcess.mIncarnation;
+    auto isFormer = aAnswer.mIncarnation < LastKnownProcess(aExecutor);
     return isFormer && aNow <= aExecutor.mAllLeasesExpiredAt ? HeartbeatFailure::FormerProcess
                                                              : HeartbeatFailure::None;
   }
--- a/Tests/LibSchedule/TestSignsOfEnd.cpp
+++ b/Tests/LibSchedule/TestSignsOfEnd.cpp
@@ -82,7 +82,6 @@
     Advance(after);
     BOOST_TEST(TheExecutor().mRuns.empty());
     BOOST_TEST(mShard.mCounters.mTasksLost == 1);
-    BOOST_TEST(mShard.mCounters.mTasksCrashed == 0);
   }
 
   std::vector<LogEntry> Lines(std::string_view aEvent) const
@@ -103,6 +102,7 @@
 {
   OwnerOfRun owner;
   owner.KeepsItsRunUntilTheLeaseIsOver(Sign::RefusedConnection);
+  BOOST_TEST(owner.mShard.mCounters.mTasksCrashed == 0);
 }
 
 // The same for a start that was not answered, which may reach the next process at the address.
@@ -114,16 +114,18 @@
   run.mKnownIn = 0;
   run.mBeganAt.reset();
   owner.KeepsItsRunUntilTheLeaseIsOver(Sign::RefusedConnection);
+  BOOST_TEST(owner.mShard.mCounters.mTasksCrashed == 0);
 }
 
 // Guards against two runs of a task (TWICE): another executor's answer at the address was taken for
 // the end of the executor's process, which ran on (issues 63, 66).
 BOOST_AUTO_TEST_CASE(no_run_ends_before_its_lease_because_another_executor_answers)
 {
-  for (auto state : { ExecutorState::Ready, ExecutorState::Draining }) {
+  for (auto state : { ExecutorState::Ready, ExecutorState::Draining, ExecutorState::Gone }) {
     OwnerOfRun owner;
     owner.TheExecutor().mEntry.mState = state;
     owner.KeepsItsRunUntilTheLeaseIsOver(Sign::OtherExecutor);
+    BOOST_TEST(owner.mShard.mCounters.mTasksCrashed == (state == ExecutorState::Gone ? 1 : 0));
   }
 }
 
@@ -142,6 +144,28 @@
   }
 }
 
+// The same for a next owner, which knows the process only by the runs that the former one has
+// placed.
+BOOST_AUTO_TEST_CASE(a_next_owner_believes_no_process_before_the_one_that_runs_were_placed_on)
+{
+  for (auto former : { kIncarnation - 1, std::int64_t(0) }) {
+    OwnerOfRun owner;
+    auto& executor = owner.TheExecutor();
+    executor.mProcess = {};
+    executor.mHasAnsweredHeartbeat = false;
+    auto& run = executor.mRuns.at(owner.mRun);
+    run.mState = RunState::Uncertain;
+    run.mEpoch = 0;
+    run.mKnownIn = 0;
+    executor.mAllLeasesExpiredAt = Later(7s).mAt;
+    owner.AnswerAs(former, Later(100ms), {});
+    BOOST_TEST(executor.mRuns.contains(owner.mRun));
+    owner.AnswerAs(kIncarnation, Later(200ms), { owner.mRun });
+    BOOST_TEST(executor.mRuns.contains(owner.mRun));
+    BOOST_TEST(executor.mProcess.mIncarnation == kIncarnation);
+  }
+}
+
 // The opposite error: an executor whose clock was set back when it started again is never used
 // again.
 BOOST_AUTO_TEST_CASE(a_process_that_names_an_earlier_start_is_believed_once_no_lease_is_left)
