--- a/Libraries/LibSchedule/Job.cpp
+++ b/Libraries/LibSchedule/Job.cpp
@@ -370,9 +370,14 @@
 WithdrawCrash(Job& aJob, const TaskId& aName, const ExecutorId& aExecutor, double aCoincidence)
 {
   auto* task = FindTask(aJob, aName);
-  if (task == nullptr || std::erase(task->mCrashedOn, aExecutor) == 0) {
+  if (task == nullptr) {
+    return;
+  }
+  auto counted = std::find(task->mCrashedOn.begin(), task->mCrashedOn.end(), aExecutor);
+  if (counted == task->mCrashedOn.end()) {
     return;
   }
+  task->mCrashedOn.erase(counted);
   if (task->mCrashes <= 1) {
     ClearCrashes(aJob, aName);
     return;
--- a/Libraries/LibSchedule/ShardEnds.cpp
+++ b/Libraries/LibSchedule/ShardEnds.cpp
@@ -153,6 +153,24 @@
   }
 }
 
+// Runs of a task that is less suspected than before need be kept apart no longer.
+void
+UpdateIsolation(Shard& aShard, Job& aJob, const TaskId& aTask)
+{
+  const auto* task = FindTask(aJob, aTask);
+  if (task == nullptr) {
+    return;
+  }
+  for (const auto& attempt : task->mAttempts) {
+    auto& executor = aShard.mExecutors.at(attempt.mExecutor);
+    auto run = executor.mRuns.find({ aTask, attempt.mRun });
+    if (run != executor.mRuns.end()) {
+      run->second.mIsolation = IsolationOf(StepOf(aJob, aTask), *task);
+      NoteChange(aShard.mPlacement, executor);
+    }
+  }
+}
+
 // An end frees the resources of its run, whether or not the task is known here.
 void
 ApplyEnd(Shard& aShard,
@@ -252,6 +270,7 @@
       continue;
     }
     WithdrawCrash(*job, crash.mTask, aExecutor.mEntry.mId, crash.mCoincidence);
+    UpdateIsolation(aShard, *job, crash.mTask);
     MarkDirty(aShard, *job);
     aShard.mNeedsPlacementPass = true;
     auto process = std::to_string(aExecutor.mProcess.mIncarnation);
