--- a/Libraries/LibSchedule/Lease.cpp
+++ b/Libraries/LibSchedule/Lease.cpp
@@ -14,8 +14,9 @@
 // A task that lasts has to run again within seconds after its executor has gone, however long the
 // leases are that executors grant.
 constexpr std::chrono::milliseconds kLongestLease = 6s;
-// For this long, an owner without confirmation renews leases as before. A longer time lets more
-// runs outlive an outage of the log, and the follower of a lost owner waits for so much longer.
+// For this long, an owner without confirmation renews leases to their full length. A longer time
+// lets more runs outlive an outage of the log, and the follower of a lost owner waits for so much
+// longer.
 constexpr Duration kMaxUnconfirmedToRenewInFull = 700ms;
 
 // The time that passes while the slowest clock counts aTime.
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -14,7 +14,8 @@
 constexpr Duration kMaxUnconfirmedToAct = 3s;
 // After this long without news of the jobs stream, work may be placed for jobs that are cancelled.
 constexpr Duration kMaxJobsAge = 2500ms;
-// Leases are renewed for longer than that, so that long-running tasks survive a short log outage.
+// Executors are called for longer than that: what they list is still of use, and leases are renewed
+// as far as Lease.h allows without confirmation.
 constexpr Duration kMaxUnconfirmedToRenew = 4s;
 
 Executor&
--- a/Tests/LibSchedule/TestSimulatedExecutors.cpp
+++ b/Tests/LibSchedule/TestSimulatedExecutors.cpp
@@ -105,7 +105,7 @@
 // Guards against a long-running task that is away for too long (LOST): its executor had ended, and
 // owner after owner waited for the longest lease from its own take-over on, because none before it
 // had lived long enough to record that the executor was silent.
-BOOST_AUTO_TEST_CASE(a_long_running_task_runs_again_in_time_when_owners_follow_each_other_quickly)
+BOOST_AUTO_TEST_CASE(a_long_running_task_runs_again_though_owners_follow_each_other_quickly)
 {
   for (auto storeLatency : { 4ms, 400ms }) {
     Simulation simulation({ .mStoreLatency = storeLatency });
