--- /dev/null
+++ b/Libraries/LibHttp/ClosedInTurn.cpp
@@ -0,0 +1,33 @@
+#include "LibHttp/ClosedInTurn.h"
+
+namespace sesameseam {
+
+namespace {
+
+// With more than these the process is taken to close each connection. The last one may be its end.
+constexpr int kMinClosedToReopen = 2;
+
+}
+
+void
+ClosedInTurn::NoteClosed(std::int64_t aProcess, TimePoint aIntroducedAt, TimePoint aNow)
+{
+  if (aProcess != mProcess) {
+    mProcess = aProcess;
+    mCount = 0;
+  }
+  // Connections that were open beside each other may have been closed by one event.
+  auto isInTurn = mCount == 0 || aIntroducedAt > mLastClosedAt;
+  if (isInTurn) {
+    ++mCount;
+    mLastClosedAt = aNow;
+  }
+}
+
+bool
+ClosedInTurn::Closes(std::int64_t aProcess) const
+{
+  return aProcess == mProcess && mCount > kMinClosedToReopen;
+}
+
+}
--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -1,5 +1,7 @@
 #include "LibHttp/EventHttpClient.h"
 
+#include "LibHttp/ClosedInTurn.h"
+
 #include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
@@ -112,9 +114,8 @@
 
 // Connections close by the deadline of each call; libevent's own limit only has to be longer.
 constexpr int kIdleLimitSeconds = 60;
-// How often in a row a server has to close the connection of an introduction before requests for
-// one process are sent on new connections. A server may close one because it ends.
-constexpr int kMinClosedToReopen = 2;
+// How long after its answer a connection of a server that closes each may still seem open.
+constexpr Duration kTimeToClose = 100ms;
 
 // How far a call has come.
 enum class Stage
@@ -157,10 +158,15 @@
   bufferevent* mCheck = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
   std::chrono::steady_clock::time_point mSentAt;
+  std::chrono::steady_clock::time_point mIntroducedAt;
   Duration mWaitedForConnection{ 0 };
   std::optional<Duration> mIdleBefore;
   // The process that has named itself on the connection; 0 if none has.
   std::int64_t mProcessThere = 0;
+  // The connection has stayed open after an answer.
+  bool mIsKept = false;
+  // The head of the answer has arrived.
+  bool mHasHead = false;
   Stage mStage = Stage::Waiting;
   // By the clock that goes on in a suspension: a request is not sent long after it was decided on.
   Duration mCalledAtBoot{ 0 };
@@ -190,8 +196,7 @@
   std::size_t mOpen = 0;
   std::list<std::unique_ptr<Exchange>> mExchanges;
   std::list<Exchange*> mWaiting;
-  // How many answers to introductions in a row have closed their connection.
-  int mClosedInTurn = 0;
+  ClosedInTurn mClosed;
 };
 
 EventHttpClient::EventHttpClient(event_base* aBase, const EventHttpClientSettings& aSettings)
@@ -285,6 +290,7 @@
     }
     return isOfAnother;
   });
+  DropClosing(aLane, process);
   if (aLane.mIdle.empty()) {
     OpenConnection(aExchange);
     return;
@@ -296,16 +302,35 @@
   auto taken = found == aLane.mIdle.rend() ? std::prev(aLane.mIdle.end()) : std::prev(found.base());
   auto idleFor = std::chrono::steady_clock::now() - taken->mAnsweredAt;
   aExchange.mConnection = taken->mConnection;
-  aExchange.mProcessThere = IsOpen(taken->mConnection) ? taken->mProcess : 0;
+  aExchange.mIsKept = IsOpen(taken->mConnection);
+  aExchange.mProcessThere = aExchange.mIsKept ? taken->mProcess : 0;
   aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(idleFor);
   aLane.mIdle.erase(taken);
 }
 
+void
+EventHttpClient::DropClosing(Lane& aLane, std::int64_t aProcess)
+{
+  if (!aLane.mClosed.Closes(aProcess)) {
+    return;
+  }
+  auto now = std::chrono::steady_clock::now();
+  std::erase_if(aLane.mIdle, [&](const Lane::IdleConnection& aIdle) {
+    auto mayBeClosing = now - aIdle.mAnsweredAt < kTimeToClose;
+    if (mayBeClosing) {
+      FreeLater(aIdle.mConnection);
+      --aLane.mOpen;
+    }
+    return mayBeClosing;
+  });
+}
+
 void
 EventHttpClient::OpenConnection(Exchange& aExchange)
 {
   aExchange.mConnection = Connect(*aExchange.mLane);
   aExchange.mProcessThere = 0;
+  aExchange.mIsKept = false;
   ++aExchange.mLane->mOpen;
 }
 
@@ -326,6 +351,7 @@
   const auto& introduction = aExchange.mRequest.mIntroduction;
   aExchange.mStage = Stage::Introducing;
   aExchange.mSentAt = std::chrono::steady_clock::now();
+  aExchange.mIntroducedAt = aExchange.mSentAt;
   SetTimer(aExchange.mTimer, std::min(aExchange.TimeLeft(), introduction.mTimeout));
   Transmit(aExchange, introduction.mPath, introduction.mBody);
 }
@@ -335,6 +361,8 @@
 {
   auto* request = evhttp_request_new(OnAnswer, &aExchange);
   aExchange.mSent = request;
+  aExchange.mHasHead = false;
+  evhttp_request_set_header_cb(request, OnHead);
   auto* headers = evhttp_request_get_output_headers(request);
   for (const auto& [name, value] : aExchange.mRequest.mHeaders) {
     evhttp_add_header(headers, name.c_str(), value.c_str());
@@ -354,15 +382,18 @@
   auto& lane = *aExchange.mLane;
   auto process = aResponse.mAnswered ? request.mIntroduction.mProcessOf(aResponse) : 0;
   aExchange.mProcessThere = process;
-  auto isClosed = aResponse.mAnswered && !IsOpen(aExchange.mConnection);
-  lane.mClosedInTurn = isClosed ? lane.mClosedInTurn + 1 : 0;
-  auto mayReopen = lane.mClosedInTurn > kMinClosedToReopen;
+  aExchange.mIsKept = aResponse.mAnswered && IsOpen(aExchange.mConnection);
+  auto isClosed = aResponse.mAnswered && !aExchange.mIsKept;
+  if (isClosed) {
+    lane.mClosed.NoteClosed(process, aExchange.mIntroducedAt, std::chrono::steady_clock::now());
+  }
+  auto mayReopen = lane.mClosed.Closes(process);
   auto isInTime = aExchange.TimeLeft() >= request.mTimeout - request.mIntroduction.mTimeout / 2;
   if (process != request.mProcess || !isInTime || (isClosed && !mayReopen)) {
     Finish(aExchange, std::move(aResponse));
     return;
   }
-  if (isClosed) {
+  if (mayReopen) {
     Abandon(aExchange);
     OpenConnection(aExchange);
   }
@@ -396,6 +427,7 @@
     response.mBody = BodyOf(aRequest);
     response.mReceivedBytes = response.mBody.size();
   }
+  exchange.mClient->NoteConnection(exchange, response.mAnswered);
   if (exchange.mStage == Stage::Introducing) {
     exchange.mClient->OnIntroduced(exchange, std::move(response));
     return;
@@ -407,6 +439,28 @@
   exchange.mClient->Finish(exchange, std::move(response));
 }
 
+int
+EventHttpClient::OnHead(evhttp_request* /*aRequest*/, void* aExchange)
+{
+  static_cast<Exchange*>(aExchange)->mHasHead = true;
+  return 0;
+}
+
+void
+EventHttpClient::NoteConnection(const Exchange& aExchange, bool aIsAnswered)
+{
+  auto& closed = aExchange.mLane->mClosed;
+  if (aIsAnswered && aExchange.mIsKept) {
+    closed.NoteKept();
+  }
+  auto isIntroduced = aExchange.mStage == Stage::Sent && aExchange.mIsKept && !aExchange.mHasHead &&
+                      aExchange.mIntroducedAt != std::chrono::steady_clock::time_point{};
+  if (!aIsAnswered && isIntroduced) {
+    auto now = std::chrono::steady_clock::now();
+    closed.NoteClosed(aExchange.mProcessThere, aExchange.mIntroducedAt, now);
+  }
+}
+
 void
 EventHttpClient::Abandon(Exchange& aExchange)
 {
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -66,8 +66,8 @@
   // The process that the request is for, as its answers name it; 0 for any. On a connection on
   // which that process has not named itself, the introduction is sent first, with the same method
   // and headers, and the request follows only if that process has answered. Some servers close each
-  // connection after an answer: a request for one that has done so several times in a row is sent
-  // on a new connection, which another process may have accepted.
+  // connection after an answer, and some don't say so: a request for a process that has done so
+  // several times in a row is sent on a new connection, which another process may have accepted.
   std::int64_t mProcess = 0;
   EventHttpIntroduction mIntroduction;
   // The answer to the request itself names the process too, as that to an introduction.
@@ -138,6 +138,7 @@
   struct Exchange;
 
   static void OnAnswer(evhttp_request* aRequest, void* aExchange);
+  static int OnHead(evhttp_request* aRequest, void* aExchange);
   static void OnListenerCheck(bufferevent* aConnection, short aWhat, void* aExchange);
   static void OnTimeout(int aDescriptor, short aWhat, void* aExchange);
   static void OnCleanUp(int aDescriptor, short aWhat, void* aClient);
@@ -146,11 +147,15 @@
   // Takes an idle connection of the lane or opens one. One on which the process that the request is
   // for has named itself is preferred; those of other processes are closed.
   void TakeConnection(Lane& aLane, Exchange& aExchange);
+  // Closes idle connections that the process, if it closes each, is about to close.
+  void DropClosing(Lane& aLane, std::int64_t aProcess);
   void OpenConnection(Exchange& aExchange);
   void SendRequest(Exchange& aExchange);
   void SendIntroduction(Exchange& aExchange);
   static void Transmit(Exchange& aExchange, const std::string& aPath, const std::string& aBody);
   void OnIntroduced(Exchange& aExchange, EventHttpResponse aResponse);
+  // Notes whether the other side keeps its connections.
+  static void NoteConnection(const Exchange& aExchange, bool aIsAnswered);
   // Frees a connection outside of libevent's own callbacks.
   void FreeLater(evhttp_connection* aConnection);
   void Finish(Exchange& aExchange, EventHttpResponse aResponse);
--- a/Tests/LibHttp/TestOneProcess.cpp
+++ b/Tests/LibHttp/TestOneProcess.cpp
@@ -33,6 +33,12 @@
   return "127.0.0.1:" + std::to_string(server.Where().mPort);
 }
 
+std::string
+AddressOf(const RawServer& aServer)
+{
+  return "127.0.0.1:" + std::to_string(aServer.Where().mPort);
+}
+
 // What a process has received: the requests with the process that each was meant for.
 struct Received
 {
@@ -254,6 +260,101 @@
   BOOST_TEST(CountOf(processes, "/start") == 3);
 }
 
+// Guards against starts that never reach an executor whose proxy closes connections unannounced.
+BOOST_AUTO_TEST_CASE(
+  a_server_that_closes_connections_without_saying_so_is_served_after_a_few_requests)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto address = AddressOf(server);
+  std::vector<bool> reached;
+  for (int i = 0; i < 6; ++i) {
+    auto answer = Call(base.get(), client, StartFor(address, 1));
+    reached.push_back(answer.mAnswered && answer.mWasSent);
+  }
+  std::vector<bool> expected{ false, false, false, true, true, true };
+  BOOST_TEST(reached == expected, boost::test_tools::per_element());
+}
+
+// Guards against one crash with several connections that counts as several closed in a row.
+BOOST_AUTO_TEST_CASE(connections_that_break_together_lead_to_no_request_on_a_new_connection)
+{
+  constexpr int kBroken = 4;
+  RawServer server([](int aDescriptor, int aRequest) {
+    // The answer to the last introduction is under way while the others' connections break.
+    std::this_thread::sleep_for(aRequest <= kBroken ? 0ms : 100ms);
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    return aRequest > kBroken;
+  });
+  Base base(event_base_new());
+  EventHttpClientSettings settings;
+  settings.mMaxConnections = kBroken + 1;
+  EventHttpClient client(base.get(), settings);
+  int ended = 0;
+  int reached = 0;
+  for (int i = 0; i <= kBroken; ++i) {
+    client.Call(StartFor(AddressOf(server), 1), [&](const EventHttpResponse& aResponse) {
+      ++ended;
+      reached += aResponse.mAnswered && aResponse.mWasSent ? 1 : 0;
+    });
+  }
+  while (ended <= kBroken) {
+    event_base_loop(base.get(), EVLOOP_ONCE);
+  }
+  BOOST_TEST(reached == 1);
+  BOOST_TEST(server.Connections() == kBroken + 1);
+}
+
+// Guards against crashes of several processes in a row that are held against the next one.
+BOOST_AUTO_TEST_CASE(processes_that_each_break_one_connection_lead_to_no_request_on_a_new_one)
+{
+  static constexpr int kProcesses = 5;
+  RawServer server([](int aDescriptor, int aRequest) {
+    auto process = std::to_string(std::min(aRequest, kProcesses));
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n" + process);
+    return aRequest > kProcesses;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  for (int process = 1; process <= kProcesses; ++process) {
+    BOOST_TEST(!Call(base.get(), client, StartFor(AddressOf(server), process)).mAnswered);
+  }
+  // The last one has broken a connection too, and is still there.
+  BOOST_TEST(Call(base.get(), client, StartFor(AddressOf(server), kProcesses)).mAnswered);
+  BOOST_TEST(server.Connections() == kProcesses + 1);
+}
+
+// Guards against requests that go out on new connections for good once a few have been closed.
+BOOST_AUTO_TEST_CASE(a_server_that_keeps_its_connections_again_is_held_to_its_process_again)
+{
+  constexpr int kClosed = 3;
+  RawServer server([](int aDescriptor, int aRequest) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    return aRequest > kClosed;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto request = StartFor(AddressOf(server), 1);
+  for (int i = 0; i < kClosed; ++i) {
+    Call(base.get(), client, request);
+  }
+  // Introduced on one connection, sent on another.
+  BOOST_TEST(Call(base.get(), client, request).mWasSent);
+  BOOST_TEST(server.Connections() == kClosed + 2);
+  // That one is still open by now, and is introduced.
+  std::this_thread::sleep_for(150ms);
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(Call(base.get(), client, request).mAnswered);
+  }
+  BOOST_TEST(server.Connections() == kClosed + 2);
+  // Two requests on new connections, one more introduction, three requests.
+  BOOST_TEST(server.Requests() == kClosed + 2 + 1 + 3);
+}
+
 // A machine that loses power closes no connection.
 BOOST_AUTO_TEST_CASE(connections_of_a_former_process_are_not_used_for_the_next_one)
 {
