--- a/Tests/Soak/proxy.cpp
+++ b/Tests/Soak/proxy.cpp
@@ -2,7 +2,7 @@
 // to another, and delays, holds back or resets them as it is told to.
 //
 // POST /set?link=N[&delay=MS][&to=open|held][&from=open|held][&reset=1][&silence=1][&park=1]
-//   [&pass=TEXT][&close-after=TEXT][&refuse=1|0][&target=ADDRESS]
+//   [&pass=TEXT][&close-after=TEXT][&refuse=1|0][&target=ADDRESS][&keep=1|0]
 // GET /parked?link=N: how many of the link's parked connections hold bytes for the target
 // GET /held?link=N: these bytes
 //
@@ -16,6 +16,9 @@
 // "refuse" closes the link's own listener, so that what connects is refused, or opens it again; the
 // connections that are open stay. "target" leads connections that are opened from now on elsewhere.
 //
+// "keep" keeps the caller's connection when the target closes its own: what is held or comes on it
+// goes to a new connection to the target, as a pool of connections may do it.
+//
 // As in a queue of new connections, the target sees a connection when something is passed on, and
 // what has arrived here is passed on also if its sender has reset the connection since.
 
@@ -91,6 +94,7 @@
   std::chrono::milliseconds mDelay{ 0 };
   bool mHoldsTo = false;
   bool mHoldsFrom = false;
+  bool mKeepsCallers = false;
   std::string mCloseAfter;
   std::list<std::unique_ptr<Connection>> mConnections;
 };
@@ -128,21 +132,6 @@
   bufferevent_free(aEnd);
 }
 
-void
-Free(Connection& aConnection, bool aWithReset)
-{
-  for (auto* end : { aConnection.mToTarget.mFrom, aConnection.mToTarget.mTo }) {
-    void* reading = nullptr;
-    bufferevent_getcb(end, nullptr, nullptr, nullptr, &reading);
-    delete static_cast<Reading*>(reading);
-    if (aWithReset) {
-      CloseWithReset(end);
-    } else {
-      bufferevent_free(end);
-    }
-  }
-}
-
 // Passes on what is due. Whether the flow is over.
 bool
 Pump(Flow& aFlow, bool aIsHeld)
@@ -201,6 +190,46 @@
     aConnection.mToTarget.mTo, reinterpret_cast<sockaddr*>(&address), sizeof address);
 }
 
+bufferevent*
+OpenEnd(Link& aLink, evutil_socket_t aSocket, Flow& aFlow)
+{
+  auto* end = bufferevent_socket_new(aLink.mBase, aSocket, BEV_OPT_CLOSE_ON_FREE);
+  bufferevent_setcb(end, OnBytes, nullptr, OnEnd, new Reading{ &aLink, &aFlow });
+  bufferevent_enable(end, EV_READ | EV_WRITE);
+  return end;
+}
+
+void
+FreeEnd(bufferevent* aEnd, bool aWithReset)
+{
+  void* reading = nullptr;
+  bufferevent_getcb(aEnd, nullptr, nullptr, nullptr, &reading);
+  delete static_cast<Reading*>(reading);
+  if (aWithReset) {
+    CloseWithReset(aEnd);
+  } else {
+    bufferevent_free(aEnd);
+  }
+}
+
+void
+Free(Connection& aConnection, bool aWithReset)
+{
+  FreeEnd(aConnection.mToTarget.mFrom, aWithReset);
+  FreeEnd(aConnection.mToTarget.mTo, aWithReset);
+}
+
+// The next connection to the target is opened once there is something to pass on.
+void
+ReplaceTarget(Link& aLink, Connection& aConnection)
+{
+  FreeEnd(aConnection.mToTarget.mTo, false);
+  aConnection.mFromTarget.mEnded = false;
+  aConnection.mIsConnected = false;
+  auto* target = OpenEnd(aLink, -1, aConnection.mFromTarget);
+  aConnection.mToTarget.mTo = aConnection.mFromTarget.mFrom = target;
+}
+
 void
 PumpLink(Link& aLink)
 {
@@ -215,7 +244,11 @@
     auto& connection = *aConnection;
     auto holdsTo = connection.mIsParked ? !connection.mPasses : aLink.mHoldsTo;
     auto holdsFrom = connection.mIsParked || aLink.mHoldsFrom;
-    if (!holdsTo && !connection.mIsConnected) {
+    if (aLink.mKeepsCallers && connection.mFromTarget.mEnded) {
+      ReplaceTarget(aLink, connection);
+    }
+    auto isWanted = !aLink.mKeepsCallers || !connection.mToTarget.mChunks.empty();
+    if (!holdsTo && !connection.mIsConnected && isWanted) {
       Connect(aLink, connection);
     }
     if (!holdsFrom && !aLink.mCloseAfter.empty() &&
@@ -240,14 +273,10 @@
 {
   auto& link = *static_cast<Link*>(aLink);
   auto& connection = *link.mConnections.emplace_back(std::make_unique<Connection>());
-  auto* caller = bufferevent_socket_new(link.mBase, aSocket, BEV_OPT_CLOSE_ON_FREE);
-  auto* target = bufferevent_socket_new(link.mBase, -1, BEV_OPT_CLOSE_ON_FREE);
+  auto* caller = OpenEnd(link, aSocket, connection.mToTarget);
+  auto* target = OpenEnd(link, -1, connection.mFromTarget);
   connection.mToTarget.mFrom = connection.mFromTarget.mTo = caller;
   connection.mToTarget.mTo = connection.mFromTarget.mFrom = target;
-  bufferevent_setcb(caller, OnBytes, nullptr, OnEnd, new Reading{ &link, &connection.mToTarget });
-  bufferevent_setcb(target, OnBytes, nullptr, OnEnd, new Reading{ &link, &connection.mFromTarget });
-  bufferevent_enable(caller, EV_READ | EV_WRITE);
-  bufferevent_enable(target, EV_READ | EV_WRITE);
 }
 
 bool
@@ -285,6 +314,8 @@
     aLink.mHoldsTo = aValue == "held";
   } else if (aName == "from") {
     aLink.mHoldsFrom = aValue == "held";
+  } else if (aName == "keep") {
+    aLink.mKeepsCallers = aValue == "1";
   } else if (aName == "silence") {
     for (auto& connection : aLink.mConnections) {
       connection->mIsSilent = true;
