--- a/Libraries/LibSchedule/Executor.h
+++ b/Libraries/LibSchedule/Executor.h
@@ -79,6 +79,9 @@
   std::optional<ClockReading> mClockAtStart;
   // When it is first known to have run: its start was answered, or the executor listed it.
   std::optional<Instant> mBeganAt;
+  // By this time the leases of a former owner have expired, which has seen the run in the process
+  // that it was placed on. Empty for any other run.
+  std::optional<Instant> mFormerLeaseExpiredAt;
 };
 
 // Why an executor that reports itself as ready gets no new work.
--- a/Libraries/LibSchedule/Job.h
+++ b/Libraries/LibSchedule/Job.h
@@ -25,7 +25,8 @@
   int mRun = 0;
   // The incarnation of the executor that the run was placed on; 0 if it is unknown.
   std::int64_t mIncarnation = 0;
-  // It is known to have begun. Kept for suspects only.
+  // It is known to have begun. Kept for suspects and, once it was listed in the process that it was
+  // placed on, for tasks that last.
   bool mHasBegun = false;
 };
 
--- a/Libraries/LibSchedule/JobRecords.cpp
+++ b/Libraries/LibSchedule/JobRecords.cpp
@@ -320,8 +320,8 @@
     if (task.mCrashes != 0) {
       entry.__set_crashes(task.mCrashes);
       entry.__set_coincidence(task.mCoincidence);
-      EncodeBegun(task.mExecutors, entry);
     }
+    EncodeBegun(task.mExecutors, entry);
     out.tasks.push_back(std::move(entry));
   }
   out.__isset.tasks = !out.tasks.empty();
--- a/Libraries/LibSchedule/JobRecords.h
+++ b/Libraries/LibSchedule/JobRecords.h
@@ -42,7 +42,8 @@
 {
   ExecutorId mExecutor;
   std::int64_t mIncarnation = 0;
-  // The run is known to have begun. Kept for suspects only.
+  // The run is known to have begun. Kept for suspects and, once it was listed in the process that
+  // it was placed on, for tasks that last.
   bool mHasBegun = false;
 };
 
--- a/Libraries/LibSchedule/Lease.cpp
+++ b/Libraries/LibSchedule/Lease.cpp
@@ -104,6 +104,9 @@
   if (IsInKnownProcess(aExecutor, aRun)) {
     return process.mLeasesExpiredAt;
   }
+  if (aRun.mFormerLeaseExpiredAt && !aExecutor.mHasAnsweredHeartbeat) {
+    return std::min(aExecutor.mAllLeasesExpiredAt, *aRun.mFormerLeaseExpiredAt);
+  }
   // What was asked for by the clock of another process than at its start may have reached it too.
   auto isOfThisTime = aRun.mIncarnation != 0 && aRun.mIncarnation == process.mIncarnation;
   if (!aRun.mClockAtStart || !isOfThisTime) {
--- a/Libraries/LibSchedule/Lease.h
+++ b/Libraries/LibSchedule/Lease.h
@@ -21,10 +21,10 @@
 // therefore expire no later than by the second bound.
 //
 // An owner that is cut off from the log, or has ended, must not keep its follower waiting. No lease
-// that it asks for goes far beyond the longest one from its last confirmation by the log on, and a
-// follower waits for that time from the moment at which it has fenced the log. This rests on the
-// clock of a known process: a later one that nobody has heard of, and that gets calls although they
-// are bound to the process before it, may keep a run for longer.
+// that it asks for goes far beyond the longest one from its last confirmation by the log on. A
+// follower waits for that time, from the moment at which it has fenced the log, for runs that the
+// process on which they were placed has listed. Any other run may be in a process that nobody has
+// heard of, and may have arrived there late.
 //
 // Calls that ask for a lease name the process that they are for, and go out on a connection on
 // which it has named itself, so that none reaches a later process. The second bound is for
--- a/Libraries/LibSchedule/Shard.cpp
+++ b/Libraries/LibSchedule/Shard.cpp
@@ -65,6 +65,10 @@
         // As long ago as a lease lasts.
         run.mBeganAt = aShard.mTakenOverAt - aShard.mSettings.mLease.mMaximum;
       }
+      run.mFormerLeaseExpiredAt.reset();
+      if (placed.mHasBegun && step.mLongRunning) {
+        run.mFormerLeaseExpiredAt = LeaseExpiryOfOwner(aShard.mSettings.mLease, aShard.mFencedAt);
+      }
       detail::AddRun(aShard, FindOrAddExecutor(aShard, placed.mExecutor, aNow), name, run);
     }
   }
@@ -173,9 +177,10 @@
 Instant
 FormerOwnerLeaseExpiry(const Shard& aShard, const ExecutorId& aExecutor, const Now& aNow)
 {
-  // Without an unresponsive record, the former owner may have renewed leases as long as the log
-  // confirmed it.
-  auto latest = LeaseExpiryOfOwner(aShard.mSettings.mLease, aShard.mFencedAt);
+  constexpr Duration kLatestArrival = 4500ms;
+  // A start of the former owner may be carried out late, by a process that nobody has heard of and
+  // that grants the longest lease from then on.
+  auto latest = LatestLeaseExpiry(aShard.mSettings.mLease, aShard.mFencedAt + kLatestArrival);
   auto unresponsive = aShard.mLoadedUnresponsive.find(aExecutor);
   if (unresponsive == aShard.mLoadedUnresponsive.end()) {
     return latest;
--- a/Libraries/LibSchedule/ShardRuns.cpp
+++ b/Libraries/LibSchedule/ShardRuns.cpp
@@ -101,7 +101,7 @@
   aRun.mBeganAt = isOwn ? aNow : aShard.mTakenOverAt - aShard.mSettings.mLease.mMaximum;
   auto* job = detail::FindJob(aShard, aName.mTask.mJob);
   auto* task = job == nullptr ? nullptr : FindTask(*job, aName.mTask);
-  if (task == nullptr || task->mCrashes == 0 || IsFinal(job->mPhase)) {
+  if (task == nullptr || task->mCrashes == 0 || IsFinal(job->mPhase) || aRun.mIsLongRunning) {
     return;
   }
   for (auto& attempt : task->mAttempts) {
@@ -110,6 +110,23 @@
   detail::MarkDirty(aShard, *job);
 }
 
+// Notes of a task that lasts that the process on which its run was placed has listed it. A later
+// owner then knows by which clock its lease ends, and need not wait for longer.
+void
+NoteListedWherePlaced(Shard& aShard, Job& aJob, Task& aTask, const PlacedRun& aRun, int aNumber)
+{
+  if (!aRun.mIsLongRunning || aRun.mKnownIn == 0 || aRun.mKnownIn != aRun.mIncarnation) {
+    return;
+  }
+  for (auto& attempt : aTask.mAttempts) {
+    auto isThis = attempt.mRun == aNumber && attempt.mIncarnation == aRun.mIncarnation;
+    if (isThis && !attempt.mHasBegun) {
+      attempt.mHasBegun = true;
+      detail::MarkDirty(aShard, aJob);
+    }
+  }
+}
+
 // When a start was given up, and which process it was for, for the log.
 std::string
 DescribeUnanswered(const Executor& aExecutor, const StartAnswer& aAnswer, Instant aNow)
@@ -184,6 +201,7 @@
   if (run.mIsLongRunning && aRunning.mPercent == kFullSpeed) {
     detail::NoteStepSucceeded(aShard, aNow.mAt, *job, aRunning.mRun.mTask, aActions);
   }
+  NoteListedWherePlaced(aShard, *job, *task, run, aRunning.mRun.mRun);
   run.mTargetTailLatency = detail::StepOf(*job, aRunning.mRun.mTask).mTargetTailLatency;
   KeepCheckpoint(*job, aRunning.mRun, aRunning.mCheckpoint);
   if (task->mCrashes > 0 && HasProvenHarmless(run, aNow.mAt)) {
