--- a/Libraries/LibHttp/EventHttpClient.cpp
+++ b/Libraries/LibHttp/EventHttpClient.cpp
@@ -158,7 +158,9 @@
   bufferevent* mCheck = nullptr;
   std::chrono::steady_clock::time_point mCalledAt;
   std::chrono::steady_clock::time_point mSentAt;
-  std::chrono::steady_clock::time_point mIntroducedAt;
+  // When the request was sent that the connection has answered last, and when it was answered.
+  std::chrono::steady_clock::time_point mAskedAt;
+  std::chrono::steady_clock::time_point mAnsweredAt;
   Duration mWaitedForConnection{ 0 };
   std::optional<Duration> mIdleBefore;
   // The process that has named itself on the connection; 0 if none has.
@@ -186,6 +188,7 @@
   struct IdleConnection
   {
     evhttp_connection* mConnection = nullptr;
+    std::chrono::steady_clock::time_point mAskedAt;
     std::chrono::steady_clock::time_point mAnsweredAt;
     // The process that has named itself on it; 0 if none has.
     std::int64_t mProcess = 0;
@@ -290,7 +293,7 @@
     }
     return isOfAnother;
   });
-  DropClosing(aLane, process);
+  DropClosing(aLane);
   if (aLane.mIdle.empty()) {
     OpenConnection(aExchange);
     return;
@@ -302,6 +305,8 @@
   auto taken = found == aLane.mIdle.rend() ? std::prev(aLane.mIdle.end()) : std::prev(found.base());
   auto idleFor = std::chrono::steady_clock::now() - taken->mAnsweredAt;
   aExchange.mConnection = taken->mConnection;
+  aExchange.mAskedAt = taken->mAskedAt;
+  aExchange.mAnsweredAt = taken->mAnsweredAt;
   aExchange.mIsKept = IsOpen(taken->mConnection);
   aExchange.mProcessThere = aExchange.mIsKept ? taken->mProcess : 0;
   aExchange.mIdleBefore = std::chrono::duration_cast<Duration>(idleFor);
@@ -309,9 +314,9 @@
 }
 
 void
-EventHttpClient::DropClosing(Lane& aLane, std::int64_t aProcess)
+EventHttpClient::DropClosing(Lane& aLane)
 {
-  if (!aLane.mClosed.Closes(aProcess)) {
+  if (!aLane.mClosed.IsReached()) {
     return;
   }
   auto now = std::chrono::steady_clock::now();
@@ -351,7 +356,6 @@
   const auto& introduction = aExchange.mRequest.mIntroduction;
   aExchange.mStage = Stage::Introducing;
   aExchange.mSentAt = std::chrono::steady_clock::now();
-  aExchange.mIntroducedAt = aExchange.mSentAt;
   SetTimer(aExchange.mTimer, std::min(aExchange.TimeLeft(), introduction.mTimeout));
   Transmit(aExchange, introduction.mPath, introduction.mBody);
 }
@@ -382,10 +386,12 @@
   auto& lane = *aExchange.mLane;
   auto process = aResponse.mAnswered ? request.mIntroduction.mProcessOf(aResponse) : 0;
   aExchange.mProcessThere = process;
+  aExchange.mAskedAt = aExchange.mSentAt;
+  aExchange.mAnsweredAt = std::chrono::steady_clock::now();
   aExchange.mIsKept = aResponse.mAnswered && IsOpen(aExchange.mConnection);
   auto isClosed = aResponse.mAnswered && !aExchange.mIsKept;
   if (isClosed) {
-    lane.mClosed.NoteClosed(process, aExchange.mIntroducedAt, std::chrono::steady_clock::now());
+    lane.mClosed.NoteClosed(process, aExchange.mAskedAt, aExchange.mAnsweredAt);
   }
   auto mayReopen = lane.mClosed.Closes(process);
   auto isInTime = aExchange.TimeLeft() >= request.mTimeout - request.mIntroduction.mTimeout / 2;
@@ -453,11 +459,11 @@
   if (aIsAnswered && aExchange.mIsKept) {
     closed.NoteKept();
   }
-  auto isIntroduced = aExchange.mStage == Stage::Sent && aExchange.mIsKept && !aExchange.mHasHead &&
-                      aExchange.mIntroducedAt != std::chrono::steady_clock::time_point{};
-  if (!aIsAnswered && isIntroduced) {
+  auto hasJustAnswered = aExchange.mSentAt - aExchange.mAnsweredAt < kTimeToClose;
+  auto isNamed = aExchange.mIsKept && aExchange.mProcessThere != 0;
+  if (!aIsAnswered && !aExchange.mHasHead && isNamed && hasJustAnswered) {
     auto now = std::chrono::steady_clock::now();
-    closed.NoteClosed(aExchange.mProcessThere, aExchange.mIntroducedAt, now);
+    closed.NoteClosed(aExchange.mProcessThere, aExchange.mAskedAt, now);
   }
 }
 
@@ -579,8 +585,10 @@
   aResponse.mIdleBefore = aExchange.mIdleBefore;
   CountTraffic(aExchange.mRequest, aResponse, mTraffic[aExchange.mRequest.mKind]);
   if (aExchange.mConnection != nullptr && aResponse.mAnswered) {
-    lane.mIdle.push_back(
-      { aExchange.mConnection, std::chrono::steady_clock::now(), aExchange.mProcessThere });
+    lane.mIdle.push_back({ aExchange.mConnection,
+                           aExchange.mSentAt,
+                           std::chrono::steady_clock::now(),
+                           aExchange.mProcessThere });
   } else if (aExchange.mConnection != nullptr) {
     Abandon(aExchange);
   }
--- a/Libraries/LibHttp/EventHttpClient.h
+++ b/Libraries/LibHttp/EventHttpClient.h
@@ -147,8 +147,8 @@
   // Takes an idle connection of the lane or opens one. One on which the process that the request is
   // for has named itself is preferred; those of other processes are closed.
   void TakeConnection(Lane& aLane, Exchange& aExchange);
-  // Closes idle connections that the process, if it closes each, is about to close.
-  void DropClosing(Lane& aLane, std::int64_t aProcess);
+  // Closes idle connections that a server which closes each may be about to close.
+  void DropClosing(Lane& aLane);
   void OpenConnection(Exchange& aExchange);
   void SendRequest(Exchange& aExchange);
   void SendIntroduction(Exchange& aExchange);
--- a/Tests/LibHttp/TestOneProcess.cpp
+++ b/Tests/LibHttp/TestOneProcess.cpp
@@ -280,6 +280,25 @@
   BOOST_TEST(reached == expected, boost::test_tools::per_element());
 }
 
+// Guards against heartbeats that always follow on a connection that is about to be closed.
+BOOST_AUTO_TEST_CASE(answers_that_name_the_process_and_close_count_too)
+{
+  RawServer server([](int aDescriptor, int) {
+    SendText(aDescriptor, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1");
+    return false;
+  });
+  Base base(event_base_new());
+  EventHttpClient client(base.get(), {});
+  auto request = StartFor(AddressOf(server), 0);
+  request.mAnswerNamesProcess = true;
+  int reached = 0;
+  for (int i = 0; i < 12; ++i) {
+    reached += Call(base.get(), client, request).mAnswered ? 1 : 0;
+  }
+  // Every second one finds its connection closed until that has happened three times.
+  BOOST_TEST(reached == 9);
+}
+
 // Guards against one crash with several connections that counts as several closed in a row.
 BOOST_AUTO_TEST_CASE(connections_that_break_together_lead_to_no_request_on_a_new_connection)
 {
