--- a/Libraries/LibHttp/EventHttpServer.cpp
+++ b/Libraries/LibHttp/EventHttpServer.cpp
@@ -171,7 +171,9 @@
   incoming.mTicket = server.mNextTicket++;
   incoming.mMethod = MethodOf(aRequest);
   auto host = HeaderOf(aRequest, "Host");
-  incoming.mHost = host.substr(0, host.rfind(':'));
+  auto colon = host.rfind(':');
+  incoming.mHost = host.substr(0, colon);
+  incoming.mPort = colon == std::string::npos ? 0 : std::atoi(host.c_str() + colon + 1);
   std::string uri = evhttp_request_get_uri(aRequest);
   auto question = uri.find('?');
   incoming.mPath = uri.substr(0, question);
--- a/Libraries/LibHttp/EventHttpServer.h
+++ b/Libraries/LibHttp/EventHttpServer.h
@@ -29,6 +29,8 @@
   std::int64_t mTicket = 0;
   EventHttpMethod mMethod = EventHttpMethod::Get;
   std::string mHost;
+  // The port in the Host header; 0 if it has none.
+  int mPort = 0;
   // Without the query.
   std::string mPath;
   std::string mQuery;
--- a/Tests/StandIns/job-executor/main.cpp
+++ b/Tests/StandIns/job-executor/main.cpp
@@ -32,6 +32,7 @@
 constexpr int kOk = 200;
 constexpr int kBadRequest = 400;
 constexpr int kNotFound = 404;
+constexpr int kMisdirectedRequest = 421;
 
 struct Options
 {
@@ -190,7 +191,11 @@
 JobExecutor::OnRequest(const EventHttpIncoming& aIncoming)
 {
   AdvanceAndRecord();
-  if (aIncoming.mPath == platform::kStartPath) {
+  const auto& listed = mExecutor.mEntry.mAddress;
+  auto isForAnother = aIncoming.mPort != std::atoi(listed.c_str() + listed.rfind(':') + 1);
+  if (isForAnother) {
+    mServer.Reply(aIncoming.mTicket, { kMisdirectedRequest });
+  } else if (aIncoming.mPath == platform::kStartPath) {
     OnStart(aIncoming);
   } else if (aIncoming.mPath == platform::kStopPath) {
     OnStop(aIncoming);
